--- /dev/null
+++ b/cmd/papayarudder/main.go
@@ -0,0 +1,109 @@
+// Command papayarudder is a fleet capacity and maintenance manager: the process
+// that runs on every entry host, and the operators' command line.
+//
+// # Usage
+//
+//	papayarudder serve --settings entry-1.ini
+//	papayarudder ticket submit --admin 10.0.0.1:8201 ticket-1.json
+//	papayarudder --help
+//
+// It exits with 0 when done, 1 when something was refused or failed, with the
+// reason on standard error, and 2 when it was used wrongly.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errUsage is returned for arguments that make no sense together.
+var errUsage = errors.New("wrong use")
+
+// commandLine is what go-arg reads the arguments into.
+type commandLine struct {
+	Serve         *serveCommand    `arg:"subcommand:serve" help:"run one process of the system"`
+	CheckSettings *settingsCommand `arg:"subcommand:check-settings" help:"check settings files whole"`
+	Ticket        *ticketCommand   `arg:"subcommand:ticket" help:"submit, show and list change tickets"`
+	Pool          *poolCommand     `arg:"subcommand:pool" help:"list pools"`
+	Host          *hostCommand     `arg:"subcommand:host" help:"list hosts"`
+	Member        *memberCommand   `arg:"subcommand:member" help:"list the processes of the system"`
+	Timeline      *timelineCommand `arg:"subcommand:timeline" help:"merge the time lines of all processes"`
+	Request       *requestCommand  `arg:"subcommand:request" help:"send one request as a caller would"`
+	Version       *versionCommand  `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description is part of the help text.
+func (commandLine) Description() string {
+	return "papayarudder keeps a fleet of hosts in service while it is refreshed a little at a time."
+}
+
+// command is a subcommand that was chosen.
+type command interface {
+	run(ctx context.Context, out io.Writer) error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run carries out one command line and returns the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var line commandLine
+	parser, err := arg.NewParser(arg.Config{Program: "papayarudder", Out: errOut}, &line)
+	if err != nil {
+		panic(err)
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitDone
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+		fmt.Fprintln(errOut, "error:", err)
+		return exitUsage
+	}
+	chosen := choose(parser.Subcommand())
+	if chosen == nil {
+		_ = parser.WriteHelpForSubcommand(errOut, parser.SubcommandNames()...)
+		return exitUsage
+	}
+	return report(chosen.run(ctx, out), errOut)
+}
+
+// choose returns the innermost subcommand, nil if none was named.
+func choose(subcommand any) command {
+	chosen, isCommand := subcommand.(command)
+	if !isCommand {
+		return nil
+	}
+	return chosen
+}
+
+func report(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(errOut, "error:", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/papayarudder/ticket.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/admin"
+)
+
+// ticketCommand groups the commands about change tickets.
+type ticketCommand struct {
+	Submit *ticketSubmit `arg:"subcommand:submit" help:"submit a ticket"`
+	Show   *ticketShow   `arg:"subcommand:show" help:"show an accepted ticket with its content"`
+	List   *ticketList   `arg:"subcommand:list" help:"list accepted tickets"`
+}
+
+// errVerdict is returned for a ticket that is not in force.
+var errVerdict = errors.New("the ticket is not in force")
+
+// ticketSubmit submits a ticket. Submitting an accepted ticket again is a
+// success.
+type ticketSubmit struct {
+	remote
+	File string `arg:"positional,required" placeholder:"FILE" help:"ticket in JSON, - for standard input"`
+}
+
+func (c *ticketSubmit) run(ctx context.Context, out io.Writer) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	decision, err := c.client().Submit(ctx, data)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := printJSON(out, decision); err != nil {
+			return err
+		}
+	} else {
+		printDecision(out, decision)
+	}
+	if decision.Verdict != "accepted" && decision.Verdict != "repeated" {
+		return errors.Wrap(errVerdict, decision.Verdict)
+	}
+	return nil
+}
+
+func printDecision(out io.Writer, d admin.DecisionWire) {
+	fmt.Fprintf(out, "%s: %s\n", d.Verdict, d.Reason)
+	for _, f := range d.Faults {
+		fmt.Fprintf(out, "  %s: %q is not allowed: %s\n", f.Field, f.Value, f.Allowed)
+	}
+	if d.Version > 0 {
+		fmt.Fprintf(out, "in force from version %d\n", d.Version)
+	}
+}
+
+// ticketShow prints one accepted ticket.
+type ticketShow struct {
+	remote
+	Number uint64 `arg:"positional,required" placeholder:"NUMBER"`
+}
+
+func (c *ticketShow) run(ctx context.Context, out io.Writer) error {
+	t, err := c.client().Ticket(ctx, c.Number)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, t)
+	}
+	fmt.Fprintf(out, "ticket %d by %s: %s\n", t.Number, t.Author, t.Reason)
+	fmt.Fprintf(out, "in force from version %d, %s\n", t.Version, t.At.UTC().Format(time.RFC3339))
+	fmt.Fprintf(out, "%s\n", t.Content)
+	return nil
+}
+
+// ticketList prints all accepted tickets.
+type ticketList struct {
+	remote
+}
+
+func (c *ticketList) run(ctx context.Context, out io.Writer) error {
+	tickets, err := c.client().Tickets(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(out, tickets)
+	}
+	rows := [][]string{{"number", "version", "author", "reason"}}
+	for _, t := range tickets {
+		rows = append(rows, []string{
+			strconv.FormatUint(t.Number, 10),
+			strconv.FormatUint(t.Version, 10),
+			t.Author,
+			t.Reason,
+		})
+	}
+	return printTable(out, rows)
+}
+
+func readFile(path string) ([]byte, error) {
+	if path == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		return data, errors.Wrap(err, "read standard input")
+	}
+	data, err := os.ReadFile(path)
+	return data, errors.Wrap(err, "read ticket")
+}
--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,119 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/store"
+)
+
+// ErrRefused is returned when the interface answered with an error.
+var ErrRefused = errors.New("refused")
+
+// Client asks one process's operators' interface.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client; timeout bounds each call.
+func NewClient(addr netip.AddrPort, timeout time.Duration) *Client {
+	return &Client{base: "http://" + addr.String(), http: &http.Client{Timeout: timeout}}
+}
+
+// Submit submits a ticket. A decision other than accepted is no error.
+func (c *Client) Submit(ctx context.Context, data []byte) (DecisionWire, error) {
+	var w DecisionWire
+	status, body, err := c.do(ctx, http.MethodPost, PathTickets, data)
+	if err != nil {
+		return w, err
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusRequestEntityTooLarge {
+		return w, refusal(body)
+	}
+	return w, errors.Wrap(json.Unmarshal(body, &w), "read decision")
+}
+
+// Ticket returns an accepted ticket.
+func (c *Client) Ticket(ctx context.Context, number uint64) (store.TicketWire, error) {
+	var w store.TicketWire
+	return w, c.get(ctx, fmt.Sprintf("%s/%d", PathTickets, number), &w)
+}
+
+// Tickets returns all accepted tickets without their content.
+func (c *Client) Tickets(ctx context.Context) ([]store.TicketWire, error) {
+	var w []store.TicketWire
+	return w, c.get(ctx, PathTickets, &w)
+}
+
+// Pools returns all pools.
+func (c *Client) Pools(ctx context.Context) ([]PoolWire, error) {
+	var w []PoolWire
+	return w, c.get(ctx, PathPools, &w)
+}
+
+// Hosts returns all hosts.
+func (c *Client) Hosts(ctx context.Context) ([]HostWire, error) {
+	var w []HostWire
+	return w, c.get(ctx, PathHosts, &w)
+}
+
+// Members returns all processes of the system.
+func (c *Client) Members(ctx context.Context) ([]MemberWire, error) {
+	var w []MemberWire
+	return w, c.get(ctx, PathMembers, &w)
+}
+
+// Timeline returns the process's events after sequence since.
+func (c *Client) Timeline(ctx context.Context, since uint64) ([]event.Event, error) {
+	status, body, err := c.do(ctx, http.MethodGet, fmt.Sprintf("%s?since=%d", PathTimeline, since), nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, refusal(body)
+	}
+	return event.Read(bytes.NewReader(body))
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	status, body, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return refusal(body)
+	}
+	return errors.Wrapf(json.Unmarshal(body, into), "read %s", path)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Wrap(err, path)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, errors.Wrap(err, path)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, data, errors.Wrap(err, path)
+}
+
+func refusal(body []byte) error {
+	var w ErrorWire
+	if err := json.Unmarshal(body, &w); err != nil || w.Error == "" {
+		return errors.Wrap(ErrRefused, string(body))
+	}
+	return errors.Wrap(ErrRefused, w.Error)
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,194 @@
+// Package broker runs the dispatch queues of the pools that this process is
+// responsible for. It adds locks, waiting callers and recovery to the pure
+// decisions of package sched.
+//
+// # Usage
+//
+//	b := broker.New(broker.Config{Held: askPeers, Log: log, Now: time.Now})
+//	b.Assign(pools, state) // whenever ownership or the fleet's state changes
+//	decision, err := b.Acquire(ctx, "banco-nord", request)
+//	b.Release("banco-nord", grantID, sched.Succeeded)
+//
+// # Recovery
+//
+// Nothing of a queue is stored. A broker that becomes responsible for a pool
+// first asks every live member which grants of the pool it holds, and asks again
+// from time to time: a grant that its entry does not hold any more, because the
+// message that gave it or gave it back was lost, is taken back.
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/sched"
+)
+
+// ErrNotOwner is returned for a pool that another process is responsible for.
+var ErrNotOwner = errors.New("not the dispatcher of this pool")
+
+const (
+	tickEvery      = 20 * time.Millisecond
+	reconcileEvery = 2 * time.Second
+	// A grant younger than this may still be on its way to its entry.
+	grantSettles = 3 * time.Second
+)
+
+// Holding is what one member says of the grants that it holds.
+type Holding struct {
+	Member string
+	Grants []sched.Grant
+}
+
+// Config holds what a broker needs of its surroundings.
+type Config struct {
+	// Held asks every live member for its grants of a pool. Members that can't
+	// be reached are left out of holdings; those that are gone are not in live.
+	Held func(ctx context.Context, pool string) (holdings []Holding, live []string)
+	Log  *event.Log
+	Now  func() time.Time
+}
+
+// Broker runs the queues of some pools. It is safe for concurrent use.
+type Broker struct {
+	config Config
+
+	mu    sync.Mutex
+	desks map[string]*desk
+}
+
+// New returns a broker without pools.
+func New(config Config) *Broker {
+	return &Broker{config: config, desks: map[string]*desk{}}
+}
+
+// Assign sets the pools that this process is responsible for.
+func (b *Broker) Assign(pools []string, state *fleet.State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	owned := map[string]bool{}
+	for _, pool := range pools {
+		owned[pool] = true
+		d, running := b.desks[pool]
+		if !running {
+			d = newDesk(pool, b.config)
+			b.desks[pool] = d
+			b.config.Log.Add(event.DispatchStart, pool, state.Version, "responsible for the pool")
+			go d.recover()
+		}
+		d.configure(state)
+	}
+	for pool, d := range b.desks {
+		if !owned[pool] {
+			delete(b.desks, pool)
+			b.config.Log.Add(event.DispatchStop, pool, state.Version, "another member is responsible")
+			d.stop()
+		}
+	}
+}
+
+// Stop ends all queues; what waits is refused.
+func (b *Broker) Stop() {
+	b.Assign(nil, fleet.NewState())
+}
+
+// Acquire waits for a slot of a pool until ctx ends. It returns [ErrNotOwner]
+// for a pool that is not run here.
+func (b *Broker) Acquire(ctx context.Context, pool string, r sched.Request) (sched.Decision, error) {
+	d, err := b.desk(pool)
+	if err != nil {
+		return sched.Decision{}, err
+	}
+	return d.acquire(ctx, r)
+}
+
+// Release gives back the slots of some grants.
+func (b *Broker) Release(pool string, releases []Release) error {
+	d, err := b.desk(pool)
+	if err != nil {
+		return err
+	}
+	d.release(releases)
+	return nil
+}
+
+// Cancel ends the wait of a request, or gives back the grant that it was given
+// without its entry knowing.
+func (b *Broker) Cancel(pool, request string) error {
+	d, err := b.desk(pool)
+	if err != nil {
+		return err
+	}
+	d.cancel(request)
+	return nil
+}
+
+// Run drives the clocks of all queues until ctx ends.
+func (b *Broker) Run(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	reconcile := time.NewTicker(reconcileEvery)
+	defer reconcile.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			for _, d := range b.all() {
+				d.tick()
+			}
+		case <-reconcile.C:
+			for _, d := range b.all() {
+				go d.reconcile()
+			}
+		}
+	}
+}
+
+// Load says how busy one pool's queue is.
+type Load struct {
+	Pool    string
+	Waiting int
+	Running int
+	Slots   int
+}
+
+// Loads returns the load of every pool that is run here.
+func (b *Broker) Loads() []Load {
+	var loads []Load
+	for _, d := range b.all() {
+		loads = append(loads, d.load())
+	}
+	return loads
+}
+
+func (b *Broker) desk(pool string) (*desk, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, running := b.desks[pool]
+	if !running {
+		return nil, errors.Wrap(ErrNotOwner, pool)
+	}
+	return d, nil
+}
+
+func (b *Broker) all() []*desk {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var desks []*desk
+	for _, d := range b.desks {
+		desks = append(desks, d)
+	}
+	return desks
+}
+
+// Release gives back the slot of one grant.
+type Release struct {
+	Grant   uint64
+	Outcome sched.Outcome
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,417 @@
+// Package entry serves callers. It keeps a request's body, asks the pool's
+// dispatcher for a slot, sends the body to the worker that was granted, and
+// gives the caller the whole answer or a typed refusal.
+//
+// # Usage
+//
+//	e := entry.New(config)
+//	http.Serve(listener, e.Handler())
+//
+// # What a caller is told
+//
+// A request is refused as not-run only while no byte of it was handed to a
+// socket that may deliver it. From then on it is answered, or unknown. A request
+// that may run twice is tried again on another worker, within its deadline and
+// a retry budget.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/link"
+	"github.com/papayarudder/papayarudder/internal/once"
+	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/pkg/caller"
+)
+
+// Limits bounds what one entry holds.
+type Limits struct {
+	MaxRequest  int64 // bytes of a request's body
+	MaxInFlight int   // requests
+	MaxTries    int   // of a request that may run twice
+	Link        link.Limits
+}
+
+// Config holds what an entry needs of its surroundings.
+type Config struct {
+	Name   string
+	Limits Limits
+	Log    *event.Log
+	Now    func() time.Time
+
+	// State returns the fleet's state in force here.
+	State func() *fleet.State
+	// Fenced reports why nothing may be sent to workers now, empty if it may.
+	Fenced func() string
+	// Acquire waits for a slot of a pool until ctx ends.
+	Acquire func(ctx context.Context, pool string, r sched.Request) (sched.Decision, error)
+	// Release gives a slot back.
+	Release func(pool string, grant sched.Grant, outcome sched.Outcome)
+	// Begin asks the key's owner whether its work may run.
+	Begin func(ctx context.Context, key once.Key) (once.Verdict, error)
+	// End tells the key's owner how the work ended.
+	End func(key once.Key, outcome once.Outcome)
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	config  Config
+	metrics *entryMetrics
+
+	mu       sync.Mutex
+	links    map[netip.AddrPort]*link.Link
+	inFlight map[string]int         // tries, by host
+	grants   map[uint64]sched.Grant // held
+	requests int
+	stopping bool
+	budget   retryBudget
+
+	start    string // tells this start of the process from others
+	attempts atomic.Uint64
+}
+
+// New returns an entry that serves nobody yet.
+func New(config Config) *Entry {
+	return &Entry{
+		config:   config,
+		metrics:  newEntryMetrics(),
+		links:    map[netip.AddrPort]*link.Link{},
+		inFlight: map[string]int{},
+		grants:   map[uint64]sched.Grant{},
+		budget:   newRetryBudget(),
+		start:    uuid.NewString()[:8],
+	}
+}
+
+// nextAttempt returns an ID that no other attempt has, whatever IDs callers
+// choose for their requests.
+func (e *Entry) nextAttempt() string {
+	return fmt.Sprintf("%s-%s-%d", e.config.Name, e.start, e.attempts.Add(1))
+}
+
+// Status is what others ask of an entry.
+type Status struct {
+	Version  uint64         // of the state in force here
+	InFlight map[string]int // tries, by host
+	Requests int
+}
+
+// Status returns the version in force and the tries in flight at one moment: a
+// try that begins later sees at least this version.
+func (e *Entry) Status() Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	status := Status{Version: e.config.State().Version, InFlight: map[string]int{}, Requests: e.requests}
+	for host, count := range e.inFlight {
+		status.InFlight[host] = count
+	}
+	return status
+}
+
+// Held returns the grants of a pool that are held here.
+func (e *Entry) Held(pool string) []sched.Grant {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := e.config.State()
+	var held []sched.Grant
+	for _, g := range e.grants {
+		if state.Services[g.Service].Pool == pool {
+			held = append(held, g)
+		}
+	}
+	return held
+}
+
+// Stop makes the entry refuse further requests.
+func (e *Entry) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopping = true
+}
+
+// Trim closes connections that have been idle too long, and those to hosts that
+// take no work.
+func (e *Entry) Trim(now time.Time) {
+	state := e.config.State()
+	inUse := map[netip.AddrPort]bool{}
+	for _, h := range state.Hosts {
+		if h.TakesWork() {
+			inUse[h.Spec.Addr] = true
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for addr, l := range e.links {
+		l.Trim(now)
+		if !inUse[addr] {
+			l.Close()
+			delete(e.links, addr)
+		}
+	}
+}
+
+// request is one caller's request on its way.
+type request struct {
+	caller.Request
+	service  fleet.Service
+	urgency  sched.Urgency
+	key      once.Key
+	hasKey   bool
+	deadline time.Time
+	tries    int
+	avoid    []string
+}
+
+// end is what the caller is told: an answer, or a refusal.
+type end struct {
+	answer  *link.Result
+	refusal *caller.Refusal
+}
+
+// run carries a request to its end.
+func (e *Entry) run(ctx context.Context, r *request) end {
+	if why := e.enter(); why != "" {
+		return refused(caller.NotRun, why, "this entry takes no more requests now", time.Second)
+	}
+	defer e.leave()
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if !r.hasKey {
+		return e.runTries(ctx, r)
+	}
+	if refusal := e.begin(ctx, r); refusal != nil {
+		return end{refusal: refusal}
+	}
+	result := e.runTries(ctx, r)
+	e.config.End(r.key, outcomeOf(result))
+	return result
+}
+
+func (e *Entry) enter() caller.Reason {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopping {
+		return caller.NotReady
+	}
+	if e.requests >= e.config.Limits.MaxInFlight {
+		return caller.EntryFull
+	}
+	e.requests++
+	return ""
+}
+
+func (e *Entry) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests--
+}
+
+// begin asks whether the key's work may run; nil means that it may.
+func (e *Entry) begin(ctx context.Context, r *request) *caller.Refusal {
+	verdict, err := e.config.Begin(ctx, r.key)
+	if err != nil {
+		return refused(caller.NotRun, caller.KeyOwnerAway, "the key can't be checked now: "+err.Error(), time.Second).refusal
+	}
+	return keyRefusal(verdict, r.Key)
+}
+
+func keyRefusal(verdict once.Verdict, key string) *caller.Refusal {
+	switch verdict {
+	case once.Go:
+		return nil
+	case once.Running:
+		return refused(caller.Unknown, caller.KeyRunning, "a request with key "+key+" is running", time.Second).refusal
+	case once.Ended:
+		return refused(caller.Unknown, caller.KeyAnswered, "a request with key "+key+" was answered before", 0).refusal
+	case once.Expired:
+		return refused(caller.Unknown, caller.KeyExpired, "key "+key+" is too old to tell whether it was run", 0).refusal
+	case once.Future:
+		return refused(caller.NotRun, caller.KeyAhead, "key "+key+" was born ahead of this host's clock", time.Second).refusal
+	}
+	return refused(caller.Unknown, caller.KeyUncertain, "a request with key "+key+" may have run", 0).refusal
+}
+
+func outcomeOf(result end) once.Outcome {
+	switch {
+	case result.answer != nil:
+		return once.Answered
+	case result.refusal.Outcome == caller.NotRun:
+		return once.NotRun
+	}
+	return once.Unknown
+}
+
+// runTries tries the request until it has an answer or may not be tried again.
+func (e *Entry) runTries(ctx context.Context, r *request) end {
+	e.countFirstTry()
+	var last end
+	for r.tries = 1; ; r.tries++ {
+		next := e.try(ctx, r)
+		if r.tries > 1 && next.refusal != nil && next.refusal.Outcome == caller.NotRun {
+			// An earlier try ran or may have run, so the request is not not-run.
+			return last
+		}
+		last = next
+		if !e.mayRetry(ctx, r, last) {
+			return last
+		}
+		e.config.Log.Add(event.RequestRetry, r.ID, uint64(r.tries), last.cause())
+		e.metrics.retries.Inc()
+	}
+}
+
+func (n end) cause() string {
+	if n.refusal != nil {
+		return n.refusal.Error()
+	}
+	return http.StatusText(n.answer.Status)
+}
+
+func (e *Entry) mayRetry(ctx context.Context, r *request, last end) bool {
+	if !r.service.Idempotent || r.hasKey || r.tries >= e.config.Limits.MaxTries || ctx.Err() != nil {
+		return false
+	}
+	failed := last.answer != nil && last.answer.Status >= http.StatusInternalServerError
+	lost := last.refusal != nil && last.refusal.Outcome == caller.Unknown
+	return (failed || lost) && e.takeRetry()
+}
+
+func (e *Entry) countFirstTry() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.firstTry()
+}
+
+func (e *Entry) takeRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.take()
+}
+
+// try waits for a slot and sends the request once. A grant that can't be used,
+// because the host was drained meanwhile or did not take the connection, costs
+// nothing but another wait.
+func (e *Entry) try(ctx context.Context, r *request) end {
+	for unsent := 0; ; unsent++ {
+		decision, err := e.config.Acquire(ctx, r.service.Pool, e.schedRequest(r))
+		if err != nil {
+			return acquireRefusal(ctx, err)
+		}
+		if decision.Refusal != nil {
+			return schedRefusal(*decision.Refusal)
+		}
+		result := e.useGrant(ctx, r, *decision.Grant)
+		if result.Outcome == link.Answered {
+			return end{answer: &result}
+		}
+		if result.Outcome == link.Lost {
+			return lostRefusal(ctx, result.Err)
+		}
+		r.avoid = append(r.avoid, decision.Grant.Worker)
+		if unsent+1 >= maxUnsent || ctx.Err() != nil {
+			return refused(caller.NotRun, caller.NoWorker, result.Err.Error(), time.Second)
+		}
+	}
+}
+
+// maxUnsent bounds the grants that one try may find unusable.
+const maxUnsent = 5
+
+func (e *Entry) schedRequest(r *request) sched.Request {
+	remaining := r.deadline.Sub(e.config.Now())
+	run := min(r.service.RunTime, remaining/2)
+	return sched.Request{
+		ID:       e.nextAttempt(),
+		Entry:    e.config.Name,
+		Service:  r.service.Name,
+		Team:     r.Team,
+		Urgency:  r.urgency,
+		Deadline: r.deadline.Add(-run),
+		Avoid:    r.avoid,
+	}
+}
+
+// useGrant sends the request to the granted worker and gives the slot back.
+func (e *Entry) useGrant(ctx context.Context, r *request, g sched.Grant) link.Result {
+	l, err := e.startTry(g)
+	if err != nil {
+		e.config.Release(r.service.Pool, g, sched.Unused)
+		return link.Result{Outcome: link.NotSent, Err: err}
+	}
+	result := l.Do(ctx, link.Request{
+		ID:          r.ID,
+		Attempt:     g.Request,
+		Key:         r.Key,
+		Service:     r.service.Name,
+		Team:        r.Team,
+		Urgency:     r.urgency.String(),
+		ContentType: r.ContentType,
+		Body:        r.Body,
+	})
+	e.endTry(g)
+	if errors.Is(result.Err, link.ErrCrossed) || errors.Is(result.Err, link.ErrTruncated) {
+		e.config.Log.Add(event.AnswerDiscarded, r.ID, 0, g.Worker+": "+result.Err.Error())
+	}
+	e.config.Release(r.service.Pool, g, health(result))
+	return result
+}
+
+// ErrHostNotServing means that a granted host may not be sent to.
+var ErrHostNotServing = errors.New("the granted host takes no work")
+
+// startTry checks under the lock of [Entry.Status] that the host may be sent
+// to, and counts the try.
+func (e *Entry) startTry(g sched.Grant) (*link.Link, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if why := e.config.Fenced(); why != "" {
+		return nil, errors.Wrap(ErrHostNotServing, why)
+	}
+	state := e.config.State()
+	host, known := state.Hosts[g.Worker]
+	if !known || !host.TakesWork() || host.Pool != state.Services[g.Service].Pool {
+		return nil, errors.Wrapf(ErrHostNotServing, "%s is %s", g.Worker, host.State)
+	}
+	e.inFlight[g.Worker]++
+	e.grants[g.ID] = g
+	l, known := e.links[host.Spec.Addr]
+	if !known {
+		l = link.New(host.Spec.Addr, e.config.Limits.Link)
+		e.links[host.Spec.Addr] = l
+	}
+	return l, nil
+}
+
+func (e *Entry) endTry(g sched.Grant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.grants, g.ID)
+	e.inFlight[g.Worker]--
+	if e.inFlight[g.Worker] == 0 {
+		delete(e.inFlight, g.Worker)
+	}
+}
+
+// health is what a result says of the worker.
+func health(result link.Result) sched.Outcome {
+	if result.Outcome == link.Answered && result.Status < http.StatusInternalServerError {
+		return sched.Succeeded
+	}
+	if errors.Is(result.Err, link.ErrDeclined) {
+		return sched.Unused
+	}
+	return sched.Failed
+}
+
+func newRequestID() string { return uuid.Must(uuid.NewV7()).String() }
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,293 @@
+// Package member knows which processes belong to the system. Each process
+// keeps one lease row in the table service and renews it; the row also says
+// which version of the configuration the process has in force, so that this
+// acknowledgement costs no write of its own.
+//
+// # Usage
+//
+//	lease := member.NewLease(info, member.DefaultTiming())
+//	err := lease.Renew(ctx, table, version, now)
+//	watch := member.NewWatch(member.DefaultTiming())
+//	infos, err := member.Read(ctx, table)
+//	watch.Observe(infos, now)
+//	live := watch.Live(now)
+//
+// # Clocks
+//
+// No two clocks are compared. The holder counts from when it sent the last
+// renewal that took effect; an observer counts from when it first saw the row
+// unchanged, and only while it could read the table without a gap. The
+// observer's time is longer by a margin, so that a holder knows that its lease
+// has lapsed before anyone else does.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/plat"
+)
+
+// ErrReplaced is returned when another process has taken this one's name.
+var ErrReplaced = errors.New("another process runs under this name")
+
+const leasePrefix = "lease/"
+
+// Timing sets the lease's times.
+type Timing struct {
+	Renew  time.Duration // between renewals
+	Hold   time.Duration // how long the holder relies on a renewal
+	Lapse  time.Duration // how long an observer waits before it counts on a lapse
+	MaxGap time.Duration // longest time between two reads that count as unbroken
+	Keep   time.Duration // how long a lapsed row is kept
+}
+
+// DefaultTiming returns the timing of production.
+func DefaultTiming() Timing {
+	return Timing{
+		Renew:  2 * time.Second,
+		Hold:   6 * time.Second,
+		Lapse:  8 * time.Second,
+		MaxGap: 4 * time.Second,
+		Keep:   30 * time.Minute,
+	}
+}
+
+// State is what a member is ready for.
+type State string
+
+// The states of a member.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Leaving  State = "leaving"
+	Left     State = "left"
+)
+
+// Info is what a lease row says of its process.
+type Info struct {
+	Name        string
+	Incarnation string // differs for each start of the process
+	Zone        string
+	Peer        netip.AddrPort // of the calls between processes
+	Admin       netip.AddrPort
+	State       State
+	Version     uint64 // of the configuration in force there
+	Counter     uint64 // raised by every renewal
+}
+
+// infoWire is the JSON form of an [Info].
+type infoWire struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Peer        string `json:"peer"`
+	Admin       string `json:"admin"`
+	State       string `json:"state"`
+	Version     uint64 `json:"version"`
+	Counter     uint64 `json:"counter"`
+}
+
+func encodeInfo(i Info) []byte {
+	w := infoWire{i.Name, i.Incarnation, i.Zone, i.Peer.String(), i.Admin.String(), string(i.State), i.Version, i.Counter}
+	data, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decodeInfo(row plat.Row) (Info, error) {
+	var w infoWire
+	if err := json.Unmarshal(row.Value, &w); err != nil {
+		return Info{}, errors.Wrap(err, row.Key)
+	}
+	peer, err := netip.ParseAddrPort(w.Peer)
+	if err != nil {
+		return Info{}, errors.Wrap(err, row.Key)
+	}
+	admin, err := netip.ParseAddrPort(w.Admin)
+	if err != nil {
+		return Info{}, errors.Wrap(err, row.Key)
+	}
+	return Info{w.Name, w.Incarnation, w.Zone, peer, admin, State(w.State), w.Version, w.Counter}, nil
+}
+
+// Read returns what all lease rows say, by name.
+func Read(ctx context.Context, table plat.Table) ([]Info, error) {
+	rows, err := plat.ScanAll(ctx, table, leasePrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "read leases")
+	}
+	infos := make([]Info, 0, len(rows))
+	for _, row := range rows {
+		info, err := decodeInfo(row)
+		if err != nil {
+			return nil, err
+		}
+		infos = append(infos, info)
+	}
+	return infos, nil
+}
+
+// Lease is this process's own lease. It is not safe for concurrent use.
+type Lease struct {
+	info    Info
+	timing  Timing
+	row     uint64    // version of the row as last known
+	renewed time.Time // when the last renewal that took effect was sent
+}
+
+// NewLease returns a lease that is not held yet.
+func NewLease(info Info, timing Timing) *Lease {
+	return &Lease{info: info, timing: timing}
+}
+
+// SetState changes what the next renewal says.
+func (l *Lease) SetState(state State) { l.info.State = state }
+
+// Renewed returns when the last renewal that took effect was sent.
+func (l *Lease) Renewed() time.Time { return l.renewed }
+
+// Renew writes the row. It returns [ErrReplaced] if another process has taken
+// the name since this one held it.
+func (l *Lease) Renew(ctx context.Context, table plat.Table, version uint64, now time.Time) error {
+	if l.row == 0 {
+		if err := l.adopt(ctx, table); err != nil {
+			return err
+		}
+	}
+	next := l.info
+	next.Version = version
+	next.Counter++
+	key := leasePrefix + l.info.Name
+	txn := plat.Txn{
+		Checks: []plat.Check{{Key: key, Version: l.row}},
+		Puts:   []plat.Put{{Key: key, Value: encodeInfo(next)}},
+	}
+	commitErr := table.Commit(ctx, txn)
+	if err := l.confirm(ctx, table, next, commitErr); err != nil {
+		return err
+	}
+	l.info = next
+	l.renewed = now
+	return nil
+}
+
+// adopt takes over the row of an earlier process of the same name.
+func (l *Lease) adopt(ctx context.Context, table plat.Table) error {
+	rows, err := table.Read(ctx, []string{leasePrefix + l.info.Name})
+	if err != nil {
+		return errors.Wrap(err, "read own lease")
+	}
+	l.row = rows[0].Version
+	return nil
+}
+
+// confirm reads the row back, for its version and to settle a lost answer.
+func (l *Lease) confirm(ctx context.Context, table plat.Table, next Info, commitErr error) error {
+	rows, err := table.Read(ctx, []string{leasePrefix + l.info.Name})
+	if err != nil {
+		return errors.Wrap(errors.CombineErrors(commitErr, err), "renew lease")
+	}
+	if rows[0].Version == 0 {
+		l.row = 0
+		return errors.Wrap(commitErr, "renew lease")
+	}
+	found, err := decodeInfo(rows[0])
+	if err != nil {
+		return err
+	}
+	if found.Incarnation != l.info.Incarnation && !l.renewed.IsZero() {
+		return errors.Wrapf(ErrReplaced, "name %s, incarnation %s", found.Name, found.Incarnation)
+	}
+	l.row = rows[0].Version
+	if found.Incarnation != next.Incarnation || found.Counter != next.Counter {
+		return errors.Wrap(errors.CombineErrors(commitErr, plat.ErrConflict), "renew lease")
+	}
+	return nil
+}
+
+// Leave marks the row as left.
+func (l *Lease) Leave(ctx context.Context, table plat.Table, now time.Time) error {
+	l.info.State = Left
+	return l.Renew(ctx, table, l.info.Version, now)
+}
+
+// Remove deletes the rows of members that left or lapsed long ago.
+func Remove(ctx context.Context, table plat.Table, name string, row uint64) error {
+	key := leasePrefix + name
+	return table.Commit(ctx, plat.Txn{Checks: []plat.Check{{Key: key, Version: row}}, Deletes: []string{key}})
+}
+
+// sighting is when an observer first saw a row as it is now.
+type sighting struct {
+	info  Info
+	since time.Time
+}
+
+// Watch judges from successive reads which members are live. It is pure: time
+// goes in with each call.
+type Watch struct {
+	timing Timing
+	seen   map[string]sighting
+	last   time.Time // of the last read that succeeded
+}
+
+// NewWatch returns a watch that has seen nothing.
+func NewWatch(timing Timing) *Watch {
+	return &Watch{timing: timing, seen: map[string]sighting{}}
+}
+
+// Observe takes in what one read of the lease rows gave. After a gap in the
+// reads nothing is held against a row that did not change meanwhile: the table
+// may have been down for its holder too.
+func (w *Watch) Observe(infos []Info, now time.Time) {
+	gap := now.Sub(w.last) > w.timing.MaxGap
+	w.last = now
+	next := map[string]sighting{}
+	for _, info := range infos {
+		s, known := w.seen[info.Name]
+		if !known || s.info != info || gap {
+			s = sighting{info: info, since: now}
+		}
+		next[info.Name] = s
+	}
+	w.seen = next
+}
+
+// Members returns every member that has not left, live or not, by name.
+func (w *Watch) Members() []Info {
+	return w.filter(func(s sighting) bool { return s.info.State != Left })
+}
+
+// Live returns the members whose lease is not known to have lapsed, by name.
+func (w *Watch) Live() []Info {
+	return w.filter(func(s sighting) bool { return s.info.State != Left && !w.lapsed(s) })
+}
+
+// Lapsed returns the members whose lease has lapsed, by name.
+func (w *Watch) Lapsed() []Info {
+	return w.filter(func(s sighting) bool { return s.info.State != Left && w.lapsed(s) })
+}
+
+func (w *Watch) lapsed(s sighting) bool {
+	return w.last.Sub(s.since) >= w.timing.Lapse
+}
+
+func (w *Watch) filter(keep func(sighting) bool) []Info {
+	var infos []Info
+	for _, s := range w.seen {
+		if keep(s) {
+			infos = append(infos, s.info)
+		}
+	}
+	slices.SortFunc(infos, func(a, b Info) int { return strings.Compare(a.Name, b.Name) })
+	return infos
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,252 @@
+// Package node is one process of the system: it wires every role to the others
+// under one supervisor tree. No process is special; which pools and keys it is
+// responsible for follows from the members that are live.
+//
+// # Usage
+//
+//	n, err := node.New(settings, plat.Dial(settings.PlatformAddr, settings.PlatformTimeout), logger)
+//	err = n.Run(ctx) // until ctx ends; then it leaves gracefully
+package node
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/papayarudder/papayarudder/internal/broker"
+	"github.com/papayarudder/papayarudder/internal/conf"
+	"github.com/papayarudder/papayarudder/internal/entry"
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/link"
+	"github.com/papayarudder/papayarudder/internal/member"
+	"github.com/papayarudder/papayarudder/internal/plat"
+	"github.com/papayarudder/papayarudder/internal/store"
+	"github.com/papayarudder/papayarudder/internal/wire"
+)
+
+// Times between the rounds of a node's loops.
+const (
+	pollEvery  = time.Second
+	beatEvery  = 500 * time.Millisecond
+	planEvery  = 250 * time.Millisecond
+	trimEvery  = 5 * time.Second
+	leaveGrace = time.Second // for the balancer to see that this entry is not ready
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings conf.Settings
+	platform plat.Platform
+	store    *store.Store
+	log      *event.Log
+	logger   *logrus.Entry
+	record   *os.File
+
+	state  atomic.Pointer[fleet.State]
+	loaded atomic.Bool
+	health health
+	roster *roster
+	entry  *entry.Entry
+	broker *broker.Broker
+	slots  *slots
+	keys   *keys
+	lease  *member.Lease
+	admit  sync.Mutex // held while the state in force changes
+
+	callerListener net.Listener
+	adminListener  net.Listener
+	peerListener   net.Listener
+	peerServer     *wire.Server
+	leaving        atomic.Bool
+	leaseMu        sync.Mutex
+}
+
+// New returns a node that listens but serves nobody yet.
+func New(settings conf.Settings, platform plat.Platform, logger *logrus.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		platform: platform,
+		store:    store.New(platform.Table),
+		log:      event.NewLog(settings.Name, settings.TimelineSize, time.Now),
+		logger:   logger.WithField("process", settings.Name),
+	}
+	n.state.Store(fleet.NewState())
+	timing := leaseTiming(settings)
+	n.health = health{hold: timing.Hold, now: time.Now}
+	info := member.Info{
+		Name:        settings.Name,
+		Incarnation: uuid.NewString(),
+		Zone:        settings.Zone,
+		Peer:        settings.PeerAddr,
+		Admin:       settings.AdminAddr,
+		State:       member.Starting,
+	}
+	n.lease = member.NewLease(info, timing)
+	n.roster = newRoster(info, timing, n.log)
+	n.wireRoles()
+	if err := n.openRecording(); err != nil {
+		return nil, err
+	}
+	return n, n.listen()
+}
+
+// leaseTiming derives all lease times from the settings.
+func leaseTiming(settings conf.Settings) member.Timing {
+	timing := member.DefaultTiming()
+	timing.Renew = settings.LeaseRenew
+	timing.Hold = settings.LeaseHold
+	timing.Lapse = settings.LeaseHold + settings.LeaseRenew
+	timing.MaxGap = max(2*pollEvery, settings.LeaseHold/2)
+	return timing
+}
+
+func (n *Node) wireRoles() {
+	n.broker = broker.New(broker.Config{Held: n.roster.held, Log: n.log, Now: time.Now})
+	n.keys = newKeys(n.roster)
+	n.slots = newSlots(n.roster, n.broker)
+	n.entry = entry.New(entry.Config{
+		Name: n.settings.Name,
+		Limits: entry.Limits{
+			MaxRequest:  n.settings.MaxRequest,
+			MaxInFlight: n.settings.MaxInFlight,
+			MaxTries:    3,
+			Link:        n.linkLimits(),
+		},
+		Log:     n.log,
+		Now:     time.Now,
+		State:   n.state.Load,
+		Fenced:  n.health.fenced,
+		Acquire: n.slots.acquire,
+		Release: n.slots.release,
+		Begin:   n.keys.begin,
+		End:     n.keys.end,
+	})
+	n.roster.localHeld = n.entry.Held
+}
+
+func (n *Node) linkLimits() link.Limits {
+	limits := link.DefaultLimits()
+	limits.MaxAnswer = n.settings.MaxAnswer
+	return limits
+}
+
+func (n *Node) openRecording() error {
+	if n.settings.TimelineFile == "" {
+		return nil
+	}
+	file, err := os.Create(n.settings.TimelineFile)
+	if err != nil {
+		return errors.Wrap(err, "open the time line's recording")
+	}
+	n.record = file
+	n.log.Record(file)
+	return nil
+}
+
+func (n *Node) listen() (err error) {
+	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddr.String()); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if n.adminListener, err = net.Listen("tcp", n.settings.AdminAddr.String()); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	if n.peerListener, err = net.Listen("tcp", n.settings.PeerAddr.String()); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then leaves: first it is not ready, then what is
+// in flight is finished, and last the lease is given up.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Add(event.ProcessStart, n.settings.Name, 0, "")
+	n.logger.WithField("callers", n.settings.CallerAddr).Info("starting")
+	peers, err := n.servePeers()
+	if err != nil {
+		return err
+	}
+	inner, stopRoles := context.WithCancel(context.Background())
+	defer stopRoles()
+	tree := n.tree()
+	done := tree.ServeBackground(inner)
+	servers := n.serveHTTP()
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-done:
+	}
+	n.leave(servers)
+	stopRoles()
+	peers.Close()
+	n.roster.close()
+	n.log.Add(event.ProcessStop, n.settings.Name, 0, "")
+	n.logger.Info("stopped")
+	return err
+}
+
+// tree returns the supervisor of every loop.
+func (n *Node) tree() *suture.Supervisor {
+	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.logger.Warn(e.String()) }})
+	loops := []loop{
+		{"lease", n.settings.LeaseRenew, n.renew},
+		{"members", pollEvery, n.observe},
+		{"configuration", pollEvery, n.catchUp},
+		{"heartbeats", beatEvery, n.roster.beat},
+		{"planner", planEvery, n.planRound},
+		{"trim", trimEvery, n.trim},
+	}
+	for _, l := range loops {
+		tree.Add(l)
+	}
+	tree.Add(service{"dispatch", n.broker.Run})
+	tree.Add(service{"releases", n.slots.run})
+	tree.Add(service{"ownership", n.followRoster})
+	return tree
+}
+
+func (n *Node) trim(context.Context) error {
+	now := time.Now()
+	n.entry.Trim(now)
+	n.keys.trim(now)
+	return nil
+}
+
+// leave gives up everything in the order that cuts nothing.
+func (n *Node) leave(servers []*httpServer) {
+	n.leaving.Store(true)
+	n.log.Add(event.MemberLeave, n.settings.Name, 0, "stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTime)
+	defer cancel()
+	n.roster.announceLeave(ctx)
+	n.broker.Stop()
+	if err := n.renewLease(ctx); err != nil {
+		n.logger.WithError(err).Warn("the lease row could not be marked as leaving")
+	}
+	for _, s := range servers {
+		s.quiesce()
+	}
+	time.Sleep(leaveGrace)
+	n.entry.Stop()
+	for _, s := range servers {
+		s.shutdown(ctx)
+	}
+	n.slots.flush(ctx)
+	n.giveUpLease(ctx)
+}
+
+func (n *Node) giveUpLease(ctx context.Context) {
+	n.leaseMu.Lock()
+	defer n.leaseMu.Unlock()
+	if err := n.lease.Leave(ctx, n.platform.Table, time.Now()); err != nil {
+		n.logger.WithError(err).Warn("the lease could not be given up and will lapse")
+	}
+}
--- /dev/null
+++ b/internal/node/roster.go
@@ -0,0 +1,238 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/admin"
+	"github.com/papayarudder/papayarudder/internal/broker"
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/member"
+	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/internal/wire"
+)
+
+// callTimeout bounds a call to a peer that should answer at once.
+const callTimeout = time.Second
+
+// roster knows the other members: their leases, and which of them answer.
+type roster struct {
+	self      member.Info
+	log       *event.Log
+	localHeld func(pool string) []sched.Grant
+	changed   chan struct{} // has an item when ownership may have changed
+
+	mu       sync.Mutex
+	watch    *member.Watch
+	peers    map[string]*peer // by incarnation
+	suspects map[string]bool  // incarnations that do not answer or are leaving
+	leaving  bool             // this process
+}
+
+// peer is a member with its connection.
+type peer struct {
+	info member.Info
+	wire *wire.Peer
+}
+
+func newRoster(self member.Info, timing member.Timing, log *event.Log) *roster {
+	return &roster{
+		self:     self,
+		log:      log,
+		changed:  make(chan struct{}, 1),
+		watch:    member.NewWatch(timing),
+		peers:    map[string]*peer{},
+		suspects: map[string]bool{},
+	}
+}
+
+// observe takes in what a read of the lease rows gave.
+func (r *roster) observe(infos []member.Info, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watch.Observe(infos, now)
+	live := map[string]bool{}
+	for _, info := range r.watch.Live() {
+		live[info.Incarnation] = true
+		if info.Incarnation != r.self.Incarnation {
+			r.meet(info)
+		}
+	}
+	for incarnation, p := range r.peers {
+		if !live[incarnation] {
+			r.part(incarnation, p)
+		}
+	}
+	r.notify()
+}
+
+func (r *roster) meet(info member.Info) {
+	p, known := r.peers[info.Incarnation]
+	if !known {
+		p = &peer{wire: wire.NewPeer(info.Peer, wire.DefaultTiming())}
+		r.peers[info.Incarnation] = p
+		r.log.Add(event.MemberJoin, info.Name, info.Counter, string(info.State))
+	}
+	p.info = info
+}
+
+func (r *roster) part(incarnation string, p *peer) {
+	kind := event.MemberLapse
+	if p.info.State == member.Leaving {
+		kind = event.MemberLeave
+	}
+	r.log.Add(kind, p.info.Name, p.info.Counter, "")
+	p.wire.Close()
+	delete(r.peers, incarnation)
+	delete(r.suspects, incarnation)
+}
+
+func (r *roster) notify() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// suspect marks whether a member should be passed over for now.
+func (r *roster) suspect(incarnation string, suspected bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects[incarnation] == suspected {
+		return
+	}
+	r.suspects[incarnation] = suspected
+	r.notify()
+}
+
+// candidates returns the members that may be responsible for something.
+func (r *roster) candidates() []member.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var infos []member.Info
+	if !r.leaving {
+		infos = append(infos, r.self)
+	}
+	for incarnation, p := range r.peers {
+		if !r.suspects[incarnation] && p.info.State != member.Leaving {
+			infos = append(infos, p.info)
+		}
+	}
+	return infos
+}
+
+// owner returns the member responsible for an object and the connection to it,
+// which is nil if it is this process.
+func (r *roster) owner(object string) (member.Info, *wire.Peer, bool) {
+	info, found := member.Owner(object, r.candidates())
+	if !found || info.Incarnation == r.self.Incarnation {
+		return info, nil, found
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, known := r.peers[info.Incarnation]
+	if !known {
+		return info, nil, false
+	}
+	return info, p.wire, true
+}
+
+// isOwn reports whether this process is responsible for an object.
+func (r *roster) isOwn(object string) bool {
+	info, found := member.Owner(object, r.candidates())
+	return found && info.Incarnation == r.self.Incarnation
+}
+
+// all returns every other live member.
+func (r *roster) all() []*peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peers := make([]*peer, 0, len(r.peers))
+	for _, p := range r.peers {
+		peers = append(peers, &peer{info: p.info, wire: p.wire})
+	}
+	return peers
+}
+
+// each calls do for every other live member at once and waits for all.
+func (r *roster) each(do func(p *peer)) {
+	var wg sync.WaitGroup
+	for _, p := range r.all() {
+		wg.Go(func() { do(p) })
+	}
+	wg.Wait()
+}
+
+// beat asks every member for a sign of life.
+func (r *roster) beat(ctx context.Context) error {
+	r.each(func(p *peer) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var reply StatusReply
+		err := p.wire.Call(ctx, "Member.Status", StatusArgs{}, &reply)
+		r.suspect(p.info.Incarnation, err != nil || reply.Leaving)
+	})
+	return nil
+}
+
+// announceLeave tells every member that this process takes no more
+// responsibility.
+func (r *roster) announceLeave(ctx context.Context) {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.each(func(p *peer) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var reply LeaveReply
+		_ = p.wire.Call(ctx, "Member.Leave", LeaveArgs{Incarnation: r.self.Incarnation}, &reply)
+	})
+}
+
+// held asks every member, this one included, for its grants of a pool.
+func (r *roster) held(ctx context.Context, pool string) (holdings []broker.Holding, live []string) {
+	var mu sync.Mutex
+	holdings = append(holdings, broker.Holding{Member: r.self.Name, Grants: r.localHeld(pool)})
+	live = append(live, r.self.Name)
+	r.each(func(p *peer) {
+		var reply HeldReply
+		err := p.wire.Call(ctx, "Member.Held", HeldArgs{Pool: pool}, &reply)
+		mu.Lock()
+		defer mu.Unlock()
+		live = append(live, p.info.Name)
+		if err == nil {
+			holdings = append(holdings, broker.Holding{Member: p.info.Name, Grants: reply.Grants})
+		}
+	})
+	return holdings, live
+}
+
+func (r *roster) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		p.wire.Close()
+	}
+}
+
+// members returns the other live members as operators see them.
+func (r *roster) members() []admin.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var members []admin.Member
+	for incarnation, p := range r.peers {
+		members = append(members, admin.Member{
+			Name:    p.info.Name,
+			Zone:    p.info.Zone,
+			State:   string(p.info.State),
+			Admin:   p.info.Admin.String(),
+			Version: p.info.Version,
+			Suspect: r.suspects[incarnation],
+		})
+	}
+	slices.SortFunc(members, func(a, b admin.Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/broker"
+	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/once"
+	"github.com/papayarudder/papayarudder/internal/wire"
+)
+
+// memberService answers what members ask each other.
+type memberService struct{ n *Node }
+
+// Status answers with the version in force and the tries in flight.
+func (s memberService) Status(_ StatusArgs, reply *StatusReply) error {
+	status := s.n.entry.Status()
+	*reply = StatusReply{Version: status.Version, InFlight: status.InFlight, Leaving: s.n.leaving.Load()}
+	return nil
+}
+
+// Push takes in changes that another member put in force.
+func (s memberService) Push(args PushArgs, reply *PushReply) error {
+	var changes []fleet.Change
+	for _, data := range args.Changes {
+		change, err := fleet.DecodeChange(data)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, change)
+	}
+	s.n.apply(changes, "pushed")
+	reply.Version = s.n.state.Load().Version
+	return nil
+}
+
+// Leave notes that a member takes no more responsibility.
+func (s memberService) Leave(args LeaveArgs, _ *LeaveReply) error {
+	s.n.roster.suspect(args.Incarnation, true)
+	return nil
+}
+
+// Held answers with the grants that are held here.
+func (s memberService) Held(args HeldArgs, reply *HeldReply) error {
+	reply.Grants = s.n.entry.Held(args.Pool)
+	return nil
+}
+
+// brokerService offers the queues that are run here.
+type brokerService struct{ n *Node }
+
+// Acquire waits for a slot.
+func (s brokerService) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), args.Wait)
+	defer cancel()
+	args.Request.Deadline = time.Now().Add(args.Start)
+	decision, err := s.n.broker.Acquire(ctx, args.Pool, args.Request)
+	if errors.Is(err, broker.ErrNotOwner) {
+		reply.NotOwner = true
+		return nil
+	}
+	reply.Decision = decision
+	return err
+}
+
+// Release takes slots back.
+func (s brokerService) Release(args ReleaseArgs, _ *ReleaseReply) error {
+	return s.n.broker.Release(args.Pool, args.Releases)
+}
+
+// Cancel ends a wait.
+func (s brokerService) Cancel(args CancelArgs, _ *CancelReply) error {
+	return s.n.broker.Cancel(args.Pool, args.Request)
+}
+
+// keysService offers the keys that this process is responsible for.
+type keysService struct{ n *Node }
+
+// Begin decides whether the work of a key may run.
+func (s keysService) Begin(args BeginArgs, reply *BeginReply) error {
+	key, err := once.ParseKey(args.Key)
+	if err != nil {
+		return err
+	}
+	reply.Verdict, reply.NotOwner = s.n.keys.beginHere(key, args.Entry, time.Now())
+	return nil
+}
+
+// End notes how the work of a key ended.
+func (s keysService) End(args EndArgs, _ *EndReply) error {
+	key, err := once.ParseKey(args.Key)
+	if err != nil {
+		return err
+	}
+	s.n.keys.endHere(key, args.Outcome)
+	return nil
+}
+
+func (n *Node) servePeers() (*wire.Server, error) {
+	server := wire.NewServer()
+	err := errors.CombineErrors(
+		server.Register("Member", memberService{n}),
+		server.Register("Broker", brokerService{n}),
+	)
+	err = errors.CombineErrors(err, server.Register("Keys", keysService{n}))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = server.Serve(n.peerListener) }()
+	n.peerServer = server
+	return server, nil
+}
+
+// Timeouts of the HTTP servers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = time.Minute
+	idleTimeout       = 2 * time.Minute
+)
+
+// httpServer is an HTTP server that can be stopped in two steps.
+type httpServer struct {
+	server *http.Server
+}
+
+func startHTTP(listener net.Listener, handler http.Handler) *httpServer {
+	s := &httpServer{&http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}}
+	go func() { _ = s.server.Serve(listener) }()
+	return s
+}
+
+// quiesce goes on serving but tells each connection to close.
+func (s *httpServer) quiesce() { s.server.SetKeepAlivesEnabled(false) }
+
+// shutdown waits for what is in flight until ctx ends.
+func (s *httpServer) shutdown(ctx context.Context) {
+	if err := s.server.Shutdown(ctx); err != nil {
+		_ = s.server.Close()
+	}
+}
+
+// serveHTTP starts the callers' and the operators' interfaces. The operators'
+// comes last, so that readiness is answered until the end of a stop.
+func (n *Node) serveHTTP() []*httpServer {
+	return []*httpServer{
+		startHTTP(n.callerListener, n.entry.Handler()),
+		startHTTP(n.adminListener, n.adminHandler()),
+	}
+}
--- /dev/null
+++ b/internal/node/slots.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/broker"
+	"github.com/papayarudder/papayarudder/internal/member"
+	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/internal/wire"
+)
+
+const (
+	ownerRetry  = 20 * time.Millisecond // while members disagree about a pool
+	releaseSize = 256                   // releases in one message
+)
+
+// slots is an entry's way to the dispatcher of each pool, wherever it runs.
+type slots struct {
+	roster *roster
+	broker *broker.Broker
+	kick   chan struct{}
+
+	mu       sync.Mutex
+	releases map[string][]broker.Release // by pool
+}
+
+func newSlots(r *roster, b *broker.Broker) *slots {
+	return &slots{roster: r, broker: b, kick: make(chan struct{}, 1), releases: map[string][]broker.Release{}}
+}
+
+// acquire waits for a slot until ctx ends. A dispatcher that is lost or stops
+// costs the request its place, not its life: it queues anew at the next one.
+func (s *slots) acquire(ctx context.Context, pool string, r sched.Request) (sched.Decision, error) {
+	for {
+		decision, again, err := s.ask(ctx, pool, r)
+		if !again {
+			return decision, err
+		}
+		select {
+		case <-ctx.Done():
+			return sched.Decision{}, ctx.Err()
+		case <-time.After(ownerRetry):
+		}
+	}
+}
+
+// ask asks the present dispatcher once.
+func (s *slots) ask(ctx context.Context, pool string, r sched.Request) (decision sched.Decision, again bool, err error) {
+	info, conn, found := s.roster.owner(poolObject(pool))
+	if !found {
+		return decision, true, nil
+	}
+	if conn == nil {
+		decision, err = s.broker.Acquire(ctx, pool, r)
+	} else {
+		decision, err = s.askPeer(ctx, conn, pool, r)
+	}
+	stopping := decision.Refusal != nil && decision.Refusal.Reason == sched.Stopping
+	if ctx.Err() == nil && errors.IsAny(err, wire.ErrUnreachable, wire.ErrLost) {
+		s.roster.suspect(info.Incarnation, true)
+	}
+	return decision, ctx.Err() == nil && (err != nil || stopping), err
+}
+
+func (s *slots) askPeer(ctx context.Context, conn *wire.Peer, pool string, r sched.Request) (sched.Decision, error) {
+	now := time.Now()
+	args := AcquireArgs{Pool: pool, Request: r, Start: r.Deadline.Sub(now), Wait: r.Deadline.Sub(now)}
+	if deadline, limited := ctx.Deadline(); limited {
+		args.Wait = deadline.Sub(now)
+	}
+	var reply AcquireReply
+	err := conn.Call(ctx, "Broker.Acquire", args, &reply)
+	if err != nil && ctx.Err() != nil {
+		go s.cancel(conn, pool, r.ID)
+	}
+	if err == nil && reply.NotOwner {
+		err = broker.ErrNotOwner
+	}
+	return reply.Decision, err
+}
+
+// cancel tells the dispatcher that nobody waits for the request any more.
+func (s *slots) cancel(conn *wire.Peer, pool, request string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var reply CancelReply
+	_ = conn.Call(ctx, "Broker.Cancel", CancelArgs{Pool: pool, Request: request}, &reply)
+}
+
+// release gives a slot back. A dispatcher on another host gets it with others
+// in one message; one that is lost is found by the dispatcher's reconciliation.
+func (s *slots) release(pool string, grant sched.Grant, outcome sched.Outcome) {
+	release := broker.Release{Grant: grant.ID, Outcome: outcome}
+	if err := s.broker.Release(pool, []broker.Release{release}); err == nil {
+		return
+	}
+	s.mu.Lock()
+	s.releases[pool] = append(s.releases[pool], release)
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run sends the releases until ctx ends. What gathers while a message is on its
+// way goes with the next one.
+func (s *slots) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.kick:
+			s.flush(ctx)
+		}
+	}
+}
+
+// flush sends all releases that wait.
+func (s *slots) flush(ctx context.Context) {
+	s.mu.Lock()
+	pending := s.releases
+	s.releases = map[string][]broker.Release{}
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for pool, releases := range pending {
+		wg.Go(func() { s.send(ctx, pool, releases) })
+	}
+	wg.Wait()
+}
+
+func (s *slots) send(ctx context.Context, pool string, releases []broker.Release) {
+	_, conn, found := s.roster.owner(poolObject(pool))
+	if !found {
+		return
+	}
+	if conn == nil {
+		_ = s.broker.Release(pool, releases)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for first := 0; first < len(releases); first += releaseSize {
+		batch := releases[first:min(first+releaseSize, len(releases))]
+		var reply ReleaseReply
+		_ = conn.Call(ctx, "Broker.Release", ReleaseArgs{Pool: pool, Releases: batch}, &reply)
+	}
+}
+
+func poolObject(pool string) string { return "pool/" + pool }
+
+// ownPools returns the pools that this process is responsible for.
+func ownPools(r *roster, pools []string) []string {
+	candidates := r.candidates()
+	var own []string
+	for _, pool := range pools {
+		info, found := member.Owner(poolObject(pool), candidates)
+		if found && info.Incarnation == r.self.Incarnation {
+			own = append(own, pool)
+		}
+	}
+	return own
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,485 @@
+package sched
+
+import (
+	"cmp"
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// classKey names the work of one service, urgency and team.
+type classKey struct {
+	service string
+	urgency Urgency
+	team    string
+}
+
+// class is the waiting and running work of one key.
+type class struct {
+	key     classKey
+	waiting waitHeap
+	running int
+}
+
+func (c *class) idle() bool {
+	return c.running == 0 && len(c.waiting) == 0
+}
+
+// waiter is a request in a class's queue.
+type waiter struct {
+	request Request
+	arrived uint64 // order of arrival, which breaks ties of deadlines
+	class   *class
+	index   int // place in the heap
+}
+
+// waitHeap orders waiters by deadline, then arrival.
+type waitHeap []*waiter
+
+func (h waitHeap) Len() int { return len(h) }
+
+func (h waitHeap) Less(i, j int) bool {
+	return h[i].before(h[j])
+}
+
+func (w *waiter) before(other *waiter) bool {
+	if !w.request.Deadline.Equal(other.request.Deadline) {
+		return w.request.Deadline.Before(other.request.Deadline)
+	}
+	return w.arrived < other.arrived
+}
+
+func (h waitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push is part of [heap.Interface].
+func (h *waitHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop is part of [heap.Interface].
+func (h *waitHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
+
+// service is the state that a queue keeps of one service.
+type service struct {
+	share   ServiceShare
+	waiting int
+	times   estimate
+}
+
+// Queue is the state of one pool's dispatcher. It is not safe for concurrent
+// use.
+type Queue struct {
+	services map[string]*service
+	quotas   map[string]int
+	weights  int // of all services
+
+	classes map[classKey]*class
+	active  map[activeKey]int // teams with work, by service and urgency
+	waiters map[string]*waiter
+	teams   map[string]int // running, by team
+	grants  map[uint64]Grant
+
+	workers  map[string]*worker
+	order    []*worker // by name
+	slots    int       // of all workers that take work
+	rotation int
+
+	arrivals  uint64
+	nextGrant uint64
+}
+
+type activeKey struct {
+	service string
+	urgency Urgency
+}
+
+// NewQueue returns a queue without workers.
+func NewQueue(config Config) *Queue {
+	q := &Queue{
+		classes: map[classKey]*class{},
+		active:  map[activeKey]int{},
+		waiters: map[string]*waiter{},
+		teams:   map[string]int{},
+		grants:  map[uint64]Grant{},
+		workers: map[string]*worker{},
+	}
+	q.SetConfig(config)
+	return q
+}
+
+// SetConfig replaces the shares. What was learnt of a service that stays is
+// kept.
+func (q *Queue) SetConfig(config Config) {
+	old := q.services
+	q.services = map[string]*service{}
+	q.quotas = map[string]int{}
+	q.weights = 0
+	for _, share := range config.Services {
+		s := &service{share: share, times: newEstimate(share.RunTime)}
+		if known, ok := old[share.Name]; ok {
+			s.times = known.times
+			s.waiting = known.waiting
+		}
+		q.services[share.Name] = s
+		q.weights += share.Weight
+	}
+	for _, team := range config.Teams {
+		q.quotas[team.Name] = team.Slots
+	}
+}
+
+// Arrive takes a request in, and grants, queues or refuses it.
+func (q *Queue) Arrive(r Request, now time.Time) []Decision {
+	s, known := q.services[r.Service]
+	if !known || q.slots == 0 {
+		return []Decision{refuse(r, NoWorker, maxRetryAfter/30)}
+	}
+	if !r.Deadline.After(now) {
+		return []Decision{refuse(r, DeadlinePast, 0)}
+	}
+	if wait := q.expectedWait(r, s); now.Add(wait).After(r.Deadline) {
+		return []Decision{refuse(r, TooLate, wait)}
+	}
+	var decisions []Decision
+	if s.waiting >= s.share.QueueLimit {
+		victim := q.evict(r)
+		if victim == nil {
+			return []Decision{refuse(r, QueueFull, q.drainTime(s))}
+		}
+		decisions = append(decisions, refuse(victim.request, QueueFull, q.drainTime(s)))
+	}
+	q.enqueue(r, s)
+	return append(decisions, q.dispatch(now)...)
+}
+
+// Cancel forgets a waiting request. A request that holds a grant is not
+// waiting; its entry releases the grant.
+func (q *Queue) Cancel(id string, now time.Time) []Decision {
+	w, waiting := q.waiters[id]
+	if !waiting {
+		return nil
+	}
+	q.remove(w)
+	return append([]Decision{refuse(w.request, Cancelled, 0)}, q.dispatch(now)...)
+}
+
+// Release takes back the slot of a grant. A grant that is not known, because
+// it was released before, is ignored.
+func (q *Queue) Release(id uint64, outcome Outcome, now time.Time) []Decision {
+	g, held := q.grants[id]
+	if !held {
+		return nil
+	}
+	delete(q.grants, id)
+	q.stopRunning(g)
+	q.learn(g, outcome, now)
+	return q.dispatch(now)
+}
+
+// Tick refuses the requests whose deadline has passed and grants what can be
+// granted.
+func (q *Queue) Tick(now time.Time) []Decision {
+	var late []*waiter
+	for _, c := range q.classes {
+		for len(c.waiting) > 0 && !c.waiting[0].request.Deadline.After(now) {
+			w := c.waiting[0]
+			q.remove(w)
+			late = append(late, w)
+		}
+	}
+	slices.SortFunc(late, byArrival)
+	var decisions []Decision
+	for _, w := range late {
+		decisions = append(decisions, refuse(w.request, DeadlinePast, 0))
+	}
+	return append(decisions, q.dispatch(now)...)
+}
+
+// DropEntry forgets the waiting requests of an entry and takes back its
+// grants, because it is gone.
+func (q *Queue) DropEntry(entry string, now time.Time) []Decision {
+	for _, w := range q.waiters {
+		if w.request.Entry == entry {
+			q.remove(w)
+		}
+	}
+	for id, g := range q.grants {
+		if g.Entry == entry {
+			delete(q.grants, id)
+			q.stopRunning(g)
+		}
+	}
+	return q.dispatch(now)
+}
+
+// Restore takes over a grant that an entry reports as held, so that its slot
+// is not granted twice. Its ID is that of the dispatcher which gave it.
+func (q *Queue) Restore(g Grant) {
+	if _, held := q.grants[g.ID]; held {
+		return
+	}
+	q.grants[g.ID] = g
+	q.startRunning(g)
+}
+
+// SkipGrants makes the IDs of further grants start after base, so that two
+// dispatchers of one pool never give the same ID.
+func (q *Queue) SkipGrants(base uint64) {
+	q.nextGrant = max(q.nextGrant, base)
+}
+
+// Refuse ends the wait of every request, because the dispatcher stops.
+func (q *Queue) Refuse(reason Reason) []Decision {
+	waiters := slices.SortedFunc(maps.Values(q.waiters), byArrival)
+	var decisions []Decision
+	for _, w := range waiters {
+		q.remove(w)
+		decisions = append(decisions, refuse(w.request, reason, minRetryAfter))
+	}
+	return decisions
+}
+
+func byArrival(a, b *waiter) int {
+	return cmp.Compare(a.arrived, b.arrived)
+}
+
+// Waiting returns how many requests wait.
+func (q *Queue) Waiting() int { return len(q.waiters) }
+
+// Running returns how many grants are held.
+func (q *Queue) Running() int { return len(q.grants) }
+
+// Slots returns how many slots the workers have that take work.
+func (q *Queue) Slots() int { return q.slots }
+
+func refuse(r Request, reason Reason, retryAfter time.Duration) Decision {
+	wait := min(max(retryAfter, minRetryAfter), maxRetryAfter)
+	return Decision{Request: r.ID, Entry: r.Entry, Refusal: &Refusal{Reason: reason, RetryAfter: wait}}
+}
+
+func (q *Queue) classOf(key classKey) *class {
+	c, known := q.classes[key]
+	if !known {
+		c = &class{key: key}
+		q.classes[key] = c
+		q.active[activeKey{key.service, key.urgency}]++
+	}
+	return c
+}
+
+// settle forgets a class that has no work left.
+func (q *Queue) settle(c *class) {
+	if !c.idle() {
+		return
+	}
+	delete(q.classes, c.key)
+	q.active[activeKey{c.key.service, c.key.urgency}]--
+}
+
+func (q *Queue) enqueue(r Request, s *service) {
+	q.arrivals++
+	c := q.classOf(classKey{r.Service, r.Urgency, r.Team})
+	w := &waiter{request: r, arrived: q.arrivals, class: c}
+	heap.Push(&c.waiting, w)
+	q.waiters[r.ID] = w
+	s.waiting++
+}
+
+func (q *Queue) remove(w *waiter) {
+	heap.Remove(&w.class.waiting, w.index)
+	delete(q.waiters, w.request.ID)
+	if s, known := q.services[w.request.Service]; known {
+		s.waiting--
+	}
+	q.settle(w.class)
+}
+
+func (q *Queue) startRunning(g Grant) {
+	q.classOf(classKey{g.Service, g.Urgency, g.Team}).running++
+	q.teams[g.Team]++
+	if w, known := q.workers[g.Worker]; known {
+		w.busy++
+	}
+}
+
+func (q *Queue) stopRunning(g Grant) {
+	c := q.classOf(classKey{g.Service, g.Urgency, g.Team})
+	c.running--
+	q.settle(c)
+	q.teams[g.Team]--
+	if q.teams[g.Team] == 0 {
+		delete(q.teams, g.Team)
+	}
+	if w, known := q.workers[g.Worker]; known {
+		w.busy--
+	}
+}
+
+// floor returns the slots that a class is guaranteed.
+func (q *Queue) floor(key classKey) float64 {
+	s, known := q.services[key.service]
+	if !known {
+		return 0
+	}
+	share := float64(q.slots) * float64(s.share.Weight) / float64(q.weights)
+	teams := max(1, q.active[activeKey{key.service, key.urgency}])
+	return share * key.urgency.sharePercent() / 100 / float64(teams)
+}
+
+// dispatch grants free slots for as long as permitted work waits.
+func (q *Queue) dispatch(now time.Time) []Decision {
+	var decisions []Decision
+	for len(q.waiters) > 0 {
+		next := q.pick()
+		if next == nil {
+			return decisions
+		}
+		w := q.place(next.request, now)
+		if w == nil {
+			return decisions
+		}
+		q.remove(next)
+		decisions = append(decisions, q.grant(next.request, w, now))
+	}
+	return decisions
+}
+
+func (q *Queue) grant(r Request, w *worker, now time.Time) Decision {
+	q.nextGrant++
+	g := Grant{
+		ID:      q.nextGrant,
+		Request: r.ID,
+		Entry:   r.Entry,
+		Service: r.Service,
+		Team:    r.Team,
+		Urgency: r.Urgency,
+		Worker:  w.Name,
+		At:      now,
+	}
+	q.grants[g.ID] = g
+	q.startRunning(g)
+	return Decision{Request: r.ID, Entry: r.Entry, Grant: &g}
+}
+
+// pick returns the waiter that is next in order, nil if none is permitted.
+func (q *Queue) pick() *waiter {
+	var best *class
+	var bestFill float64 // running / floor, when below the floor
+	for _, c := range q.classes {
+		if len(c.waiting) == 0 || !q.permitted(c) {
+			continue
+		}
+		fill := q.fill(c)
+		if best == nil || ranksBefore(c, fill, best, bestFill) {
+			best, bestFill = c, fill
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.waiting[0]
+}
+
+// fill returns the used part of a class's floor, at most 1.
+func (q *Queue) fill(c *class) float64 {
+	floor := q.floor(c.key)
+	if float64(c.running) >= floor {
+		return 1
+	}
+	return float64(c.running) / floor
+}
+
+// ranksBefore orders classes by fill, urgency, deadline and arrival.
+func ranksBefore(a *class, fillA float64, b *class, fillB float64) bool {
+	if fillA != fillB {
+		return fillA < fillB
+	}
+	if a.key.urgency != b.key.urgency {
+		return a.key.urgency > b.key.urgency
+	}
+	return a.waiting[0].before(b.waiting[0])
+}
+
+func (q *Queue) permitted(c *class) bool {
+	quota, limited := q.quotas[c.key.team]
+	return !limited || q.teams[c.key.team] < quota
+}
+
+// evict makes room in a full queue: the class of the service that waits most
+// for its floor loses its latest deadline. It returns nil if that is the class
+// of the arriving request itself.
+func (q *Queue) evict(r Request) *waiter {
+	own := classKey{r.Service, r.Urgency, r.Team}
+	var longest *class
+	var most float64
+	for _, c := range q.classes {
+		if c.key.service != r.Service || len(c.waiting) == 0 {
+			continue
+		}
+		load := float64(len(c.waiting)) / q.floor(c.key)
+		if longest == nil || load > most || load == most && evictsBefore(c, longest, own) {
+			longest, most = c, load
+		}
+	}
+	if longest == nil || longest.key == own {
+		return nil
+	}
+	last := longest.waiting[0]
+	for _, w := range longest.waiting {
+		if last.before(w) {
+			last = w
+		}
+	}
+	q.remove(last)
+	return last
+}
+
+// evictsBefore breaks a tie of two classes: the arriving request's own class
+// first, then the one whose first waiter came last.
+func evictsBefore(a, b *class, own classKey) bool {
+	if a.key == own || b.key == own {
+		return a.key == own
+	}
+	return a.waiting[0].arrived > b.waiting[0].arrived
+}
+
+// expectedWait is a lower bound of the wait of r, as if its class had the whole
+// pool, so that nothing is refused which could have started in time.
+func (q *Queue) expectedWait(r Request, s *service) time.Duration {
+	mean, sure := s.times.mean()
+	c, known := q.classes[classKey{r.Service, r.Urgency, r.Team}]
+	if !sure || !known {
+		return 0
+	}
+	ahead := 0
+	for _, w := range c.waiting {
+		if !w.request.Deadline.After(r.Deadline) {
+			ahead++
+		}
+	}
+	return mean * time.Duration(ahead/q.slots)
+}
+
+// drainTime is how long the service's queue takes with the whole pool.
+func (q *Queue) drainTime(s *service) time.Duration {
+	mean, _ := s.times.mean()
+	return mean * time.Duration(s.waiting/max(1, q.slots))
+}
--- /dev/null
+++ b/internal/stand/server.go
@@ -0,0 +1,249 @@
+package stand
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/plat"
+)
+
+// rebootTime is how long a worker is gone for a reboot.
+const rebootTime = 500 * time.Millisecond
+
+// Server offers the platform's HTTP interface over a table, an object store and
+// some workers.
+type Server struct {
+	table   *Table
+	workers map[string]*Worker
+
+	mu      sync.Mutex
+	objects map[string][]byte
+	leaving map[string]bool
+}
+
+// NewServer returns a server over table and workers.
+func NewServer(table *Table, workers map[string]*Worker) *Server {
+	return &Server{table: table, workers: workers, objects: map[string][]byte{}, leaving: map[string]bool{}}
+}
+
+// switchesWire sets the switches; what is absent stays as it is.
+type switchesWire struct {
+	Table *struct {
+		Down        bool   `json:"down"`
+		WritesDown  bool   `json:"writes-down"`
+		Slow        string `json:"slow"`
+		LoseAnswers int    `json:"lose-answers"`
+	} `json:"table"`
+	Workers map[string]struct {
+		Mode    string `json:"mode"`
+		Delay   string `json:"delay"`
+		Leaving bool   `json:"leaving"`
+	} `json:"workers"`
+}
+
+// RecordWire is the JSON form of a [Record].
+type RecordWire struct {
+	Worker  string    `json:"worker"`
+	Service string    `json:"service"`
+	Request string    `json:"request"`
+	Attempt string    `json:"attempt"`
+	Key     string    `json:"key,omitempty"`
+	Start   time.Time `json:"start"`
+	End     time.Time `json:"end"`
+}
+
+// PeakWire says how much of one worker was in use at most.
+type PeakWire struct {
+	Worker string `json:"worker"`
+	Slots  int    `json:"slots"`
+	Busy   int    `json:"busy"`
+	Conns  int    `json:"conns"`
+}
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+plat.PathRead, s.read)
+	mux.HandleFunc("POST "+plat.PathScan, s.scan)
+	mux.HandleFunc("POST "+plat.PathCommit, s.commit)
+	mux.HandleFunc("PUT "+plat.PathObjects+"{name}", s.putObject)
+	mux.HandleFunc("GET "+plat.PathObjects+"{name}", s.getObject)
+	mux.HandleFunc("GET "+plat.PathHosts, s.listHosts)
+	mux.HandleFunc("POST "+plat.PathReboot, s.reboot)
+	mux.HandleFunc("POST /switches", s.setSwitches)
+	mux.HandleFunc("GET /records", s.records)
+	mux.HandleFunc("GET /peaks", s.peaks)
+	mux.HandleFunc("GET /counts", s.counts)
+	return mux
+}
+
+func (s *Server) read(w http.ResponseWriter, hr *http.Request) {
+	var question plat.ReadWire
+	if !decode(w, hr, &question) {
+		return
+	}
+	rows, err := s.table.read(hr.Context(), question.Keys)
+	writeRows(w, rows, err)
+}
+
+func (s *Server) scan(w http.ResponseWriter, hr *http.Request) {
+	var question plat.ScanWire
+	if !decode(w, hr, &question) {
+		return
+	}
+	rows, err := s.table.scan(hr.Context(), question.Prefix, question.After, question.Limit)
+	writeRows(w, rows, err)
+}
+
+func writeRows(w http.ResponseWriter, rows []plat.Row, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answer := plat.RowsWire{}
+	for _, row := range rows {
+		answer.Rows = append(answer.Rows, plat.RowWire(row))
+	}
+	encode(w, answer)
+}
+
+func (s *Server) commit(w http.ResponseWriter, hr *http.Request) {
+	var wire plat.TxnWire
+	if !decode(w, hr, &wire) {
+		return
+	}
+	txn := plat.Txn{Deletes: wire.Deletes}
+	for _, check := range wire.Checks {
+		txn.Checks = append(txn.Checks, plat.Check{Key: check.Key, Version: check.Version})
+	}
+	for _, put := range wire.Puts {
+		txn.Puts = append(txn.Puts, plat.Put{Key: put.Key, Value: put.Value})
+	}
+	err := s.table.commit(hr.Context(), txn)
+	switch {
+	case errors.Is(err, plat.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		encode(w, struct{}{})
+	}
+}
+
+func (s *Server) putObject(w http.ResponseWriter, hr *http.Request) {
+	data, err := io.ReadAll(hr.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[hr.PathValue("name")] = data
+}
+
+func (s *Server) getObject(w http.ResponseWriter, hr *http.Request) {
+	s.mu.Lock()
+	data, found := s.objects[hr.PathValue("name")]
+	s.mu.Unlock()
+	if !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hosts []plat.HostWire
+	for name := range s.workers {
+		hosts = append(hosts, plat.HostWire{Name: name, Leaving: s.leaving[name]})
+	}
+	slices.SortFunc(hosts, func(a, b plat.HostWire) int { return strings.Compare(a.Name, b.Name) })
+	encode(w, hosts)
+}
+
+func (s *Server) reboot(w http.ResponseWriter, hr *http.Request) {
+	var question plat.RebootWire
+	if !decode(w, hr, &question) {
+		return
+	}
+	worker, found := s.workers[question.Name]
+	if !found {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	worker.Set(CloseAtOnce, 0)
+	time.AfterFunc(rebootTime, func() { worker.Set(Well, 0) })
+	encode(w, struct{}{})
+}
+
+func (s *Server) setSwitches(w http.ResponseWriter, hr *http.Request) {
+	var wire switchesWire
+	if !decode(w, hr, &wire) {
+		return
+	}
+	if wire.Table != nil {
+		slow, _ := time.ParseDuration(wire.Table.Slow)
+		s.table.Set(Faults{wire.Table.Down, wire.Table.WritesDown, slow, wire.Table.LoseAnswers})
+	}
+	for name, to := range wire.Workers {
+		worker, found := s.workers[name]
+		if !found {
+			http.Error(w, "no such worker: "+name, http.StatusNotFound)
+			return
+		}
+		delay, _ := time.ParseDuration(to.Delay)
+		worker.Set(Mode(to.Mode), delay)
+		s.mu.Lock()
+		s.leaving[name] = to.Leaving
+		s.mu.Unlock()
+	}
+	encode(w, struct{}{})
+}
+
+func (s *Server) records(w http.ResponseWriter, _ *http.Request) {
+	all := []RecordWire{}
+	for _, worker := range s.workers {
+		for _, r := range worker.Records() {
+			all = append(all, RecordWire(r))
+		}
+	}
+	encode(w, all)
+}
+
+func (s *Server) peaks(w http.ResponseWriter, _ *http.Request) {
+	var all []PeakWire
+	for name, worker := range s.workers {
+		busy, conns := worker.Peaks()
+		all = append(all, PeakWire{name, worker.config.Slots, busy, conns})
+	}
+	slices.SortFunc(all, func(a, b PeakWire) int { return strings.Compare(a.Worker, b.Worker) })
+	encode(w, all)
+}
+
+func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
+	counts := s.table.Counts()
+	encode(w, map[string]uint64{"reads": counts.Reads, "writes": counts.Writes})
+}
+
+func decode(w http.ResponseWriter, hr *http.Request, into any) bool {
+	decoder := json.NewDecoder(hr.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,243 @@
+// Package wire carries calls between the system's own processes with net/rpc.
+// net/rpc has neither timeouts nor heartbeats, so a Peer adds both: a
+// connection that misses a heartbeat is closed, and the next call dials anew.
+//
+// # Usage
+//
+//	server := wire.NewServer()
+//	err := server.Register("Member", service)
+//	go server.Serve(listener)
+//
+//	peer := wire.NewPeer(addr, wire.DefaultTiming())
+//	err = peer.Call(ctx, "Member.Status", args, &reply)
+//
+// Call returns [ErrUnreachable] when no connection could be made, so that
+// nothing was sent, and [ErrLost] when the call may have been carried out.
+package wire
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a call.
+var (
+	ErrUnreachable = errors.New("the peer can't be reached")
+	ErrLost        = errors.New("the peer's answer was lost")
+	ErrRefused     = errors.New("the peer refused the call")
+)
+
+// Timing bounds what a silent peer can cost.
+type Timing struct {
+	Dial      time.Duration
+	Heartbeat time.Duration // between heartbeats
+	Miss      time.Duration // how long a heartbeat's answer may take
+}
+
+// DefaultTiming returns the timing between entry hosts of one region.
+func DefaultTiming() Timing {
+	return Timing{Dial: 500 * time.Millisecond, Heartbeat: 500 * time.Millisecond, Miss: time.Second}
+}
+
+// heartbeatMethod is served by every [Server].
+const heartbeatMethod = "Heartbeat.Beat"
+
+// Peer is another process. It keeps one connection, made on demand.
+type Peer struct {
+	addr   netip.AddrPort
+	timing Timing
+
+	mu     sync.Mutex
+	client *rpc.Client
+	closed bool
+}
+
+// NewPeer returns a peer that is not connected yet.
+func NewPeer(addr netip.AddrPort, timing Timing) *Peer {
+	return &Peer{addr: addr, timing: timing}
+}
+
+// Addr returns the peer's address.
+func (p *Peer) Addr() netip.AddrPort { return p.addr }
+
+// Call carries out one call and waits for its answer until ctx ends.
+func (p *Peer) Call(ctx context.Context, method string, args, reply any) error {
+	client, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return errors.Wrapf(ErrLost, "%s to %s: %v", method, p.addr, ctx.Err())
+	case <-call.Done:
+	}
+	return p.callError(client, method, call.Error)
+}
+
+func (p *Peer) callError(client *rpc.Client, method string, err error) error {
+	if err == nil {
+		return nil
+	}
+	var refused rpc.ServerError
+	if errors.As(err, &refused) {
+		return errors.Wrapf(ErrRefused, "%s at %s: %s", method, p.addr, string(refused))
+	}
+	p.drop(client)
+	return errors.Wrapf(ErrLost, "%s to %s: %v", method, p.addr, err)
+}
+
+func (p *Peer) connect(ctx context.Context) (*rpc.Client, error) {
+	p.mu.Lock()
+	client, closed := p.client, p.closed
+	p.mu.Unlock()
+	if closed {
+		return nil, errors.Wrapf(ErrUnreachable, "%s: closed here", p.addr)
+	}
+	if client != nil {
+		return client, nil
+	}
+	dialer := net.Dialer{Timeout: p.timing.Dial}
+	conn, err := dialer.DialContext(ctx, "tcp", p.addr.String())
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", p.addr, err)
+	}
+	return p.adopt(rpc.NewClient(conn)), nil
+}
+
+// adopt keeps client unless another call connected first.
+func (p *Peer) adopt(client *rpc.Client) *rpc.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.client != nil {
+		_ = client.Close()
+		return p.client
+	}
+	p.client = client
+	go p.beat(client)
+	return client
+}
+
+// beat closes the connection at the first heartbeat that is missed, which ends
+// every call that waits on it.
+func (p *Peer) beat(client *rpc.Client) {
+	ticker := time.NewTicker(p.timing.Heartbeat)
+	defer ticker.Stop()
+	for range ticker.C {
+		var reply Beat
+		call := client.Go(heartbeatMethod, Beat{}, &reply, make(chan *rpc.Call, 1))
+		timeout := time.NewTimer(p.timing.Miss)
+		select {
+		case <-call.Done:
+			timeout.Stop()
+			if call.Error == nil {
+				continue
+			}
+		case <-timeout.C:
+		}
+		p.drop(client)
+		return
+	}
+}
+
+func (p *Peer) drop(client *rpc.Client) {
+	p.mu.Lock()
+	if p.client == client {
+		p.client = nil
+	}
+	p.mu.Unlock()
+	_ = client.Close()
+}
+
+// Close ends the connection and every call on it.
+func (p *Peer) Close() {
+	p.mu.Lock()
+	client := p.client
+	p.closed = true
+	p.client = nil
+	p.mu.Unlock()
+	if client != nil {
+		_ = client.Close()
+	}
+}
+
+// Beat is a heartbeat and its answer.
+type Beat struct{}
+
+type heartbeat struct{}
+
+// Beat answers a heartbeat.
+func (heartbeat) Beat(_ Beat, _ *Beat) error { return nil }
+
+// Server answers calls.
+type Server struct {
+	rpc *rpc.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	done  bool
+}
+
+// NewServer returns a server that answers heartbeats.
+func NewServer() *Server {
+	s := &Server{rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	if err := s.rpc.RegisterName("Heartbeat", heartbeat{}); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Register offers the methods of service under name.
+func (s *Server) Register(name string, service any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, service), "register %s", name)
+}
+
+// Serve answers calls on listener until it is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept peer")
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go func() {
+			s.rpc.ServeConn(conn)
+			s.forget(conn)
+		}()
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done {
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) forget(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
