--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test race check bench
+.PHONY: build demo test race check capacity
 
 build:
 	go build ./...
@@ -15,3 +15,7 @@
 
 check:
 	bash .ci/run
+
+# Measures the slopes and writes the tables of docs/CAPACITY.md.
+capacity:
+	go run ./cmd/capacity --page docs/CAPACITY.md
--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,60 @@
+// Command capacity measures how each role's cost grows, and writes the tables
+// of docs/CAPACITY.md.
+//
+// # Usage
+//
+//	capacity --page docs/CAPACITY.md
+//
+// It prints each limit that the target size is over. It exits with 0 all the
+// same: the page is where that is weighed.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/scale"
+)
+
+type arguments struct {
+	Page string `arg:"--page" default:"docs/CAPACITY.md" help:"page whose tables are written"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args.Page); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the page")
+	}
+	page := string(data)
+	slopes := scale.Slopes()
+	lines := scale.Measure(slopes)
+	rows := scale.Rows(lines, scale.TwoYears())
+	total := scale.Total(rows)
+	tables := []struct{ name, text string }{
+		{"slopes", scale.SlopeTable(slopes, lines)},
+		{"roles", scale.RoleTable(append(rows, total))},
+		{"limits", scale.LimitTable(total)},
+		{"moments", scale.MomentTable(scale.Moments(lines, scale.TwoYears()))},
+	}
+	for _, t := range tables {
+		if page, err = scale.Replace(page, t.name, t.text); err != nil {
+			return err
+		}
+	}
+	for _, over := range scale.Over(total) {
+		fmt.Println("over its limit:", over)
+	}
+	return errors.Wrap(os.WriteFile(path, []byte(page), 0o644), "write the page")
+}
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -117,14 +117,10 @@
 }
 
 // TeamToWire maps a team to its JSON form.
-func TeamToWire(t Team) TeamWire {
-	return TeamWire{Name: t.Name, Slots: t.Slots, Number: t.Number}
-}
+func TeamToWire(t Team) TeamWire { return TeamWire(t) }
 
 // TeamFromWire maps a team from its JSON form.
-func TeamFromWire(w TeamWire) Team {
-	return Team{Name: w.Name, Slots: w.Slots, Number: w.Number}
-}
+func TeamFromWire(w TeamWire) Team { return Team(w) }
 
 // HostSpecToWire maps a declaration to its JSON form.
 func HostSpecToWire(h HostSpec) HostSpecWire {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -483,3 +483,8 @@
 	mean, _ := s.times.mean()
 	return mean * time.Duration(s.waiting/max(1, q.slots))
 }
+
+// Grants returns the IDs of the grants that are held, in order.
+func (q *Queue) Grants() []uint64 {
+	return slices.Sorted(maps.Keys(q.grants))
+}
