Answers are whole and the request's own, and not-run is true: proofs

Cause: package link and the entry were written with these checks, but nothing showed that each of them is needed.

Each failure point is driven against a real endpoint over TCP, and what the caller was told is compared with the endpoint's own record: death in mid-body, declared length too long and too short, answers crossed and late, silence, close before the answer, nobody listening, host drained between grant and send, entry fenced, caller gone, all workers failing.

Also mended: a worker of the stand-in closed before its server began to accept went on listening.

Not shown: an endpoint that declares a shorter length and sends the rest later, without a Content-Digest, can't be told from a whole answer.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,355 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/link"
+	"github.com/papayarudder/papayarudder/internal/once"
+	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/internal/stand"
+	"github.com/papayarudder/papayarudder/pkg/caller"
+)
+
+// rig is an entry with workers of its own; its dispatcher grants the workers in
+// turn without waiting.
+type rig struct {
+	t       *testing.T
+	workers []*stand.Worker
+	entry   *Entry
+	client  *caller.Client
+
+	mu       sync.Mutex
+	state    *fleet.State
+	keys     *once.Registry
+	fence    string
+	grants   uint64
+	released map[uint64]sched.Outcome
+	onGrant  func()
+	place    func(grant int) int // of a grant, among the workers
+}
+
+func newRig(t *testing.T, workers int) *rig {
+	t.Helper()
+	r := &rig{t: t, keys: once.NewRegistry(once.DefaultWindow()), released: map[uint64]sched.Outcome{}}
+	r.place = func(grant int) int { return grant % workers }
+	pools := []fleet.Pool{{Name: "p", AwayPercent: 50}}
+	services := []fleet.Service{
+		{Name: "label", Pool: "p", Idempotent: true, Weight: 1, QueueLimit: 9, RunTime: time.Millisecond, Timeout: 10 * time.Second},
+		{Name: "crate", Pool: "p", Weight: 1, QueueLimit: 9, RunTime: time.Millisecond, Timeout: 10 * time.Second},
+	}
+	var hosts []fleet.Host
+	for i := range workers {
+		w := stand.NewWorker(stand.WorkerConfig{Name: fmt.Sprintf("w%d", i), Addr: netip.MustParseAddrPort("127.0.0.1:0"), Slots: 8})
+		addr, err := w.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Close)
+		r.workers = append(r.workers, w)
+		spec := fleet.HostSpec{Name: fmt.Sprintf("w%d", i), Pool: "p", Addr: addr, Zone: "z", Rack: "r", Slots: 8, Conns: 64}
+		hosts = append(hosts, fleet.Host{Spec: spec, Pool: "p", State: fleet.Serving, Epoch: 1})
+	}
+	r.state = fleet.Load(1, pools, services, nil, hosts)
+	r.entry = New(Config{
+		Name:    "e1",
+		Limits:  Limits{MaxRequest: 10_000, MaxInFlight: 100, MaxTries: 3, Link: link.DefaultLimits()},
+		Log:     event.NewLog("e1", 64, time.Now),
+		Now:     time.Now,
+		State:   r.current,
+		Fenced:  r.fenced,
+		Acquire: r.acquire,
+		Release: r.release,
+		Begin:   r.begin,
+		End:     r.end,
+	})
+	server := httptest.NewServer(r.entry.Handler())
+	t.Cleanup(server.Close)
+	r.client = caller.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	t.Cleanup(r.client.Close)
+	return r
+}
+
+func (r *rig) current() *fleet.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func (r *rig) fenced() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fence
+}
+
+func (r *rig) acquire(ctx context.Context, _ string, request sched.Request) (sched.Decision, error) {
+	if ctx.Err() != nil {
+		return sched.Decision{}, ctx.Err()
+	}
+	r.mu.Lock()
+	at := r.place(int(r.grants))
+	r.grants++
+	g := &sched.Grant{ID: r.grants, Request: request.ID, Service: request.Service, Worker: fmt.Sprintf("w%d", at)}
+	onGrant := r.onGrant
+	r.mu.Unlock()
+	if onGrant != nil {
+		onGrant()
+	}
+	return sched.Decision{Request: request.ID, Grant: g}, nil
+}
+
+func (r *rig) release(_ string, g sched.Grant, outcome sched.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released[g.ID] = outcome
+}
+
+func (r *rig) begin(_ context.Context, key once.Key) (once.Verdict, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keys.Begin(key, "e1", time.Now()), nil
+}
+
+func (r *rig) end(key once.Key, outcome once.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keys.End(key, outcome)
+}
+
+// setAll turns the switches of all workers.
+func (r *rig) setAll(mode stand.Mode, delay time.Duration) {
+	for _, w := range r.workers {
+		w.Set(mode, delay)
+	}
+}
+
+// runs returns how often the workers began a request.
+func (r *rig) runs(id string) int {
+	count := 0
+	for _, w := range r.workers {
+		for _, record := range w.Records() {
+			if record.Request == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (r *rig) send(request caller.Request) (*caller.Answer, error) {
+	return r.client.Do(context.Background(), request)
+}
+
+// check compares what the caller was told with the workers' records and
+// returns the outcome.
+func (r *rig) check(request caller.Request, answer *caller.Answer, err error) caller.Outcome {
+	r.t.Helper()
+	runs := r.runs(request.ID)
+	if err == nil {
+		want := stand.Answer(request.Service, request.ID, request.Body)
+		if answer.Status < 500 && !bytes.Equal(answer.Body, want) {
+			r.t.Errorf("answer %q, want %q", answer.Body, want)
+		}
+		return caller.Answered
+	}
+	var refusal *caller.Refusal
+	if !errors.As(err, &refusal) {
+		r.t.Fatalf("not a refusal: %v", err)
+	}
+	if refusal.Outcome == caller.NotRun && runs > 0 {
+		r.t.Errorf("told not-run (%v), yet it was begun %d times", refusal, runs)
+	}
+	if request.Key != "" && runs > 1 {
+		r.t.Errorf("key %s was begun %d times", request.Key, runs)
+	}
+	return refusal.Outcome
+}
+
+func labelRequest(id string, timeout time.Duration) caller.Request {
+	return caller.Request{Service: "label", ID: id, Timeout: timeout, Body: []byte("body of " + id)}
+}
+
+func crateRequest(id string, timeout time.Duration) caller.Request {
+	return caller.Request{Service: "crate", ID: id, Key: caller.NewKey(), Timeout: timeout, Body: []byte("body of " + id)}
+}
+
+// For each way in which an endpoint fails, what the caller is told agrees with
+// what the endpoint recorded.
+func TestCallerIsToldTheTruth(t *testing.T) {
+	tests := []struct {
+		mode      stand.Mode
+		keyed     caller.Outcome // when every worker is in the mode
+		recovered caller.Outcome // of idempotent work when only the first one is
+	}{
+		{stand.Well, caller.Answered, caller.Answered},
+		{stand.FailAll, caller.Answered, caller.Answered},
+		{stand.DieMidBody, caller.Unknown, caller.Answered},
+		{stand.TooLong, caller.Unknown, caller.Unknown},
+		{stand.TooShort, caller.Unknown, caller.Answered},
+		{stand.CloseAtOnce, caller.Unknown, caller.Answered},
+		{stand.Silent, caller.Unknown, caller.Unknown},
+		{stand.Decline, caller.NotRun, caller.Answered},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.mode), func(t *testing.T) {
+			r := newRig(t, 2)
+			r.setAll(tt.mode, 0)
+			request := crateRequest("keyed", 200*time.Millisecond)
+			answer, err := r.send(request)
+			if got := r.check(request, answer, err); got != tt.keyed {
+				t.Errorf("keyed: %s, want %s (%v)", got, tt.keyed, err)
+			}
+			r.setAll(stand.Well, 0)
+			r.workers[0].Set(tt.mode, 0)
+			r.mu.Lock()
+			r.grants = 0
+			r.mu.Unlock()
+			request = labelRequest("free", 200*time.Millisecond)
+			answer, err = r.send(request)
+			if got := r.check(request, answer, err); got != tt.recovered {
+				t.Errorf("idempotent: %s, want %s (%v)", got, tt.recovered, err)
+			}
+		})
+	}
+}
+
+// A request whose first try may have run is never called not-run, whatever
+// became of the next try.
+func TestNotRunIsNotSaidAfterATryThatMayHaveRun(t *testing.T) {
+	r := newRig(t, 2)
+	r.workers[0].Set(stand.CloseAtOnce, 0)
+	r.workers[1].Set(stand.Decline, 0)
+	r.place = func(grant int) int { return min(grant, 1) }
+	request := labelRequest("twice", time.Second)
+	answer, err := r.send(request)
+	if got := r.check(request, answer, err); got != caller.Unknown {
+		t.Errorf("told %s, want unknown (%v)", got, err)
+	}
+}
+
+func TestNobodyListensIsNotRun(t *testing.T) {
+	r := newRig(t, 1)
+	r.workers[0].Close()
+	request := crateRequest("refused", time.Second)
+	answer, err := r.send(request)
+	if got := r.check(request, answer, err); got != caller.NotRun {
+		t.Errorf("told %s, want not-run (%v)", got, err)
+	}
+	// As it did not run, the same key may be sent again.
+	if verdict, _ := r.begin(context.Background(), mustKey(t, request.Key)); verdict != once.Go {
+		t.Errorf("the key's verdict is %d, want Go", verdict)
+	}
+}
+
+func mustKey(t *testing.T, text string) once.Key {
+	t.Helper()
+	key, err := once.ParseKey(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+// A host that was drained between the grant and the send gets nothing.
+func TestDrainBetweenGrantAndSend(t *testing.T) {
+	r := newRig(t, 2)
+	r.onGrant = func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		host := r.state.Hosts["w0"]
+		host.State = fleet.Draining
+		next, err := r.state.Apply(fleet.Change{Version: r.state.Version + 1, Hosts: []fleet.Host{host}})
+		if err != nil {
+			panic(err)
+		}
+		r.state = next
+	}
+	request := labelRequest("drained", time.Second)
+	answer, err := r.send(request)
+	if got := r.check(request, answer, err); got != caller.Answered {
+		t.Errorf("told %s, want answered (%v)", got, err)
+	}
+	if begun := len(r.workers[0].Records()); begun != 0 {
+		t.Errorf("the drained host began %d requests", begun)
+	}
+	if got := r.released[1]; got != sched.Unused {
+		t.Errorf("the unusable grant was released as %d, want Unused", got)
+	}
+}
+
+// A process whose lease has lapsed sends nothing.
+func TestFencedEntrySendsNothing(t *testing.T) {
+	r := newRig(t, 1)
+	r.fence = "the lease has lapsed"
+	request := crateRequest("fenced", time.Second)
+	answer, err := r.send(request)
+	if got := r.check(request, answer, err); got != caller.NotRun {
+		t.Errorf("told %s, want not-run (%v)", got, err)
+	}
+}
+
+// A caller that goes away frees its slot at once, and its work is not retried.
+func TestCallerGoesAway(t *testing.T) {
+	r := newRig(t, 2)
+	r.setAll(stand.Well, 100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := r.client.Do(ctx, labelRequest("gone", time.Minute)); err == nil {
+		t.Fatal("answered after the caller went away")
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for r.entry.Status().Requests > 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the request is still held")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if runs := r.runs("gone"); runs > 1 {
+		t.Errorf("begun %d times", runs)
+	}
+}
+
+// When every worker fails, retries stay within their budget.
+func TestRetriesAreBounded(t *testing.T) {
+	r := newRig(t, 4)
+	r.setAll(stand.CloseAtOnce, 0)
+	const sent = 200
+	for i := range sent {
+		request := labelRequest(fmt.Sprintf("r%d", i), time.Second)
+		answer, err := r.send(request)
+		r.check(request, answer, err)
+	}
+	most := sent + int(sent*retryShare) + retryReserve
+	if got := int(r.grants); got > most {
+		t.Errorf("%d tries for %d requests, want at most %d", got, sent, most)
+	}
+}
+
+func TestOutcomeOfAGrant(t *testing.T) {
+	tests := []struct {
+		in   link.Result
+		want sched.Outcome
+	}{
+		{link.Result{Status: 200}, sched.Succeeded},
+		{link.Result{Status: 404}, sched.Succeeded},
+		{link.Result{Status: 500}, sched.Failed},
+		{link.Result{Outcome: link.Lost, Err: link.ErrSilent}, sched.Failed},
+		{link.Result{Outcome: link.NotSent, Err: link.ErrDial}, sched.Failed},
+		{link.Result{Outcome: link.NotSent, Err: link.ErrDeclined}, sched.Unused},
+	}
+	for _, tt := range tests {
+		if got := health(tt.in); got != tt.want {
+			t.Errorf("health(%+v) = %d, want %d", tt.in, got, tt.want)
+		}
+	}
+}
--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -56,9 +56,10 @@
 // with "work 100ms\n" takes 100 ms of a slot. The answer names the request and
 // repeats the body.
 type Worker struct {
-	config WorkerConfig
-	slots  chan struct{}
-	server *http.Server
+	config   WorkerConfig
+	slots    chan struct{}
+	server   *http.Server
+	listener net.Listener
 
 	mu       sync.Mutex
 	mode     Mode
@@ -84,12 +85,16 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrapf(err, "worker %s", w.config.Name)
 	}
+	w.listener = listener
 	go func() { _ = w.server.Serve(listener) }()
 	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // Close stops the worker and cuts its connections.
-func (w *Worker) Close() { _ = w.server.Close() }
+func (w *Worker) Close() {
+	_ = w.listener.Close()
+	_ = w.server.Close()
+}
 
 // Set turns the worker's switches.
 func (w *Worker) Set(mode Mode, delay time.Duration) {
