Connections gone silent cost one bounded wait on each hop

Cause: an idempotent try on a silent connection used up its whole deadline; the platform's client met one silent idle connection after the other; a caller silent in mid-body held up a stop until its read timeout.

Change: a try of work that may run twice is limited to four times the slowest answer of late (at least 1 s, and a declared run time may be ten times too short), then tried on a new connection; a failed platform call drops its idle siblings; a body has 10 s to arrive and is given up, truthfully as not-run, when the entry stops; a stop waits for held requests and not for connections; TCP keep-alives on the way to endpoints.

Ruled out: a fixed limit for a try, which cuts work whose declared time is wrong by ten times.

Left: a silent connection costs non-idempotent work its whole deadline where the network does not answer keep-alives with a reset, as in these tests.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,10 @@
 	requests int
 	stopping bool
 	budget   retryBudget
+	paces    map[string]*pace // by service
+
+	stopped context.Context // ends when the entry stops
+	stop    context.CancelFunc
 
 	start    string // tells this start of the process from others
 	attempts atomic.Uint64
@@ -83,13 +87,17 @@
 
 // New returns an entry that serves nobody yet.
 func New(config Config) *Entry {
+	stopped, stop := context.WithCancel(context.Background())
 	return &Entry{
+		stopped:  stopped,
+		stop:     stop,
 		config:   config,
 		metrics:  newEntryMetrics(),
 		links:    map[netip.AddrPort]*link.Link{},
 		inFlight: map[string]int{},
 		grants:   map[uint64]sched.Grant{},
 		budget:   newRetryBudget(),
+		paces:    map[string]*pace{},
 		start:    uuid.NewString()[:8],
 	}
 }
@@ -133,11 +141,13 @@
 	return held
 }
 
-// Stop makes the entry refuse further requests.
+// Stop makes the entry refuse further requests, and gives up those whose bodies
+// are still on their way.
 func (e *Entry) Stop() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopping = true
+	e.stop()
 }
 
 // Trim closes connections that have been idle too long, and those to hosts that
@@ -173,6 +183,11 @@
 	avoid    []string
 }
 
+// retryable reports whether the request may run more than once.
+func (r *request) retryable() bool {
+	return r.service.Idempotent && !r.hasKey
+}
+
 // end is what the caller is told: an answer, or a refusal.
 type end struct {
 	answer  *link.Result
@@ -181,10 +196,6 @@
 
 // run carries a request to its end.
 func (e *Entry) run(ctx context.Context, r *request) end {
-	if why := e.enter(); why != "" {
-		return refused(caller.NotRun, why, "this entry takes no more requests now", time.Second)
-	}
-	defer e.leave()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	if !r.hasKey {
@@ -282,7 +293,7 @@
 }
 
 func (e *Entry) mayRetry(ctx context.Context, r *request, last end) bool {
-	if !r.service.Idempotent || r.hasKey || r.tries >= e.config.Limits.MaxTries || ctx.Err() != nil {
+	if !r.retryable() || r.tries >= e.config.Limits.MaxTries || ctx.Err() != nil {
 		return false
 	}
 	failed := last.answer != nil && last.answer.Status >= http.StatusInternalServerError
@@ -352,6 +363,9 @@
 		e.config.Release(r.service.Pool, g, sched.Unused)
 		return link.Result{Outcome: link.NotSent, Err: err}
 	}
+	ctx, cancel := context.WithTimeout(ctx, e.tryLimit(r))
+	defer cancel()
+	started := e.config.Now()
 	result := l.Do(ctx, link.Request{
 		ID:          r.ID,
 		Attempt:     g.Request,
@@ -363,6 +377,7 @@
 		Body:        r.Body,
 	})
 	e.endTry(g)
+	e.learnPace(r, result, e.config.Now().Sub(started))
 	if errors.Is(result.Err, link.ErrCrossed) || errors.Is(result.Err, link.ErrTruncated) {
 		e.config.Log.Add(event.AnswerDiscarded, r.ID, 0, g.Worker+": "+result.Err.Error())
 	}
@@ -370,6 +385,38 @@
 	return result
 }
 
+// tryLimit returns how long one try may take. Work that can't be tried again may
+// take all the time that is left.
+func (e *Entry) tryLimit(r *request) time.Duration {
+	left := r.deadline.Sub(e.config.Now())
+	if !r.retryable() {
+		return left
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paceOf(r.service).limit(left)
+}
+
+func (e *Entry) learnPace(r *request, result link.Result, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case result.Outcome == link.Answered:
+		e.paceOf(r.service).answered(took)
+	case errors.Is(result.Err, link.ErrSilent):
+		e.paceOf(r.service).gaveUp(took)
+	}
+}
+
+func (e *Entry) paceOf(service fleet.Service) *pace {
+	p, known := e.paces[service.Name]
+	if !known {
+		p = newPace(service.RunTime)
+		e.paces[service.Name] = p
+	}
+	return p
+}
+
 // ErrHostNotServing means that a granted host may not be sent to.
 var ErrHostNotServing = errors.New("the granted host takes no work")
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
@@ -28,6 +31,7 @@
 	workers []*stand.Worker
 	entry   *Entry
 	client  *caller.Client
+	addr    string
 
 	mu       sync.Mutex
 	state    *fleet.State
@@ -75,7 +79,8 @@
 	})
 	server := httptest.NewServer(r.entry.Handler())
 	t.Cleanup(server.Close)
-	r.client = caller.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	r.addr = server.Listener.Addr().String()
+	r.client = caller.NewClient(netip.MustParseAddrPort(r.addr))
 	t.Cleanup(r.client.Close)
 	return r
 }
@@ -339,6 +344,65 @@
 	}
 }
 
+// When all open connections to an endpoint go silent, idempotent work costs one
+// bounded wait and is answered over a new one.
+func TestSilentEndpointConnectionsCostOneWait(t *testing.T) {
+	r := newRig(t, 1)
+	relay, err := stand.NewRelay(r.state.Hosts["w0"].Spec.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	host := r.state.Hosts["w0"]
+	host.Spec.Addr = relay.Addr()
+	if r.state, err = r.state.Apply(fleet.Change{Version: 2, Hosts: []fleet.Host{host}}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		request := labelRequest(fmt.Sprint("before", i), 10*time.Second)
+		answer, err := r.send(request)
+		r.check(request, answer, err)
+	}
+	relay.Silence()
+	started := time.Now()
+	request := labelRequest("after", 10*time.Second)
+	answer, err := r.send(request)
+	if got := r.check(request, answer, err); got != caller.Answered {
+		t.Fatalf("told %s (%v), want answered", got, err)
+	}
+	if took := time.Since(started); took > 5*time.Second {
+		t.Errorf("took %s of 10s", took)
+	}
+}
+
+func TestPace(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name  string
+		given func(p *pace)
+		left  time.Duration
+		want  time.Duration
+	}{
+		{"declared ten times too short still fits", func(*pace) {}, time.Minute, 4 * second},
+		{"no time for a second try", func(*pace) {}, 5 * second, 5 * second},
+		{"fast answers shorten it to the least", func(p *pace) {
+			for range 1000 {
+				p.answered(time.Millisecond)
+			}
+		}, time.Minute, second},
+		{"work that became slow gets more time", func(p *pace) { p.gaveUp(4 * second) }, time.Minute, 16 * second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPace(100 * time.Millisecond)
+			tt.given(p)
+			if got := p.limit(tt.left); got != tt.want {
+				t.Errorf("limit %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
 func TestOutcomeOfAGrant(t *testing.T) {
 	tests := []struct {
 		in   link.Result
@@ -357,3 +421,31 @@
 		}
 	}
 }
+
+// A caller that goes silent in the middle of its body does not hold up a stop,
+// and is told the truth.
+func TestStopDoesNotWaitForSilentCallers(t *testing.T) {
+	r := newRig(t, 1)
+	conn, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprint(conn, "POST /v1/services/label HTTP/1.1\r\nHost: e\r\nRequest-Id: half\r\nContent-Length: 100\r\n\r\nhalf")
+	for r.entry.Status().Requests == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	started := time.Now()
+	r.entry.Stop()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if got := response.Header.Get(caller.HeaderOutcome); got != string(caller.NotRun) {
+		t.Errorf("told %q, want not-run", got)
+	}
+	if took := time.Since(started); took > bodyTime/2 {
+		t.Errorf("the stop waited %s", took)
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,7 +18,11 @@
 	"github.com/papayarudder/papayarudder/pkg/caller"
 )
 
-const maxIDLength = 128
+const (
+	maxIDLength = 128
+	bodyTime    = 10 * time.Second // for a body to arrive
+	answerTime  = 10 * time.Second // for an answer to be taken
+)
 
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
@@ -38,21 +43,35 @@
 
 func (e *Entry) serve(w http.ResponseWriter, hr *http.Request) {
 	started := e.config.Now()
-	r, refusal := e.parse(w, hr, started)
-	if refusal != nil {
-		e.writeRefusal(w, r.ID, refusal)
-		return
-	}
-	result := e.run(hr.Context(), r)
+	id, result := e.handle(w, hr, started)
 	e.metrics.observe(result, e.config.Now().Sub(started))
+	// A caller that went silent must not hold the answer's memory for long.
+	_ = http.NewResponseController(w).SetWriteDeadline(e.config.Now().Add(answerTime))
 	if result.refusal != nil {
-		e.writeRefusal(w, r.ID, result.refusal)
+		e.writeRefusal(w, id, result.refusal)
 		return
 	}
-	writeAnswer(w, r.ID, result.answer)
+	writeAnswer(w, id, result.answer)
 }
 
-// parse checks a request whole before anything is done for it.
+// handle takes a request in and carries it to its end. It counts as held here
+// from before its body is read.
+func (e *Entry) handle(w http.ResponseWriter, hr *http.Request, started time.Time) (id string, result end) {
+	r, refusal := e.parse(w, hr, started)
+	if refusal != nil {
+		return r.ID, end{refusal: refusal}
+	}
+	if why := e.enter(); why != "" {
+		return r.ID, refused(caller.NotRun, why, "this entry takes no more requests now", time.Second)
+	}
+	defer e.leave()
+	if refusal := e.readBody(w, hr, r); refusal != nil {
+		return r.ID, end{refusal: refusal}
+	}
+	return r.ID, e.run(hr.Context(), r)
+}
+
+// parse checks all of a request but its body.
 func (e *Entry) parse(w http.ResponseWriter, hr *http.Request, now time.Time) (*request, *caller.Refusal) {
 	r := &request{Request: caller.Request{
 		Service:     hr.PathValue("service"),
@@ -78,10 +97,7 @@
 	if refusal := r.resolve(e.config.State(), hr); refusal != nil {
 		return r, refusal
 	}
-	if refusal := r.parseTimeout(hr.Header.Get(caller.HeaderTimeout), now); refusal != nil {
-		return r, refusal
-	}
-	return r, e.readBody(w, hr, r)
+	return r, r.parseTimeout(hr.Header.Get(caller.HeaderTimeout), now)
 }
 
 // resolve checks what the request says against the fleet's state.
@@ -143,8 +159,14 @@
 	return nil
 }
 
+// readBody reads the whole body within the request's deadline. When the entry
+// stops, a body that is not whole yet is given up: nothing of it has run.
 func (e *Entry) readBody(w http.ResponseWriter, hr *http.Request, r *request) *caller.Refusal {
 	limit := e.config.Limits.MaxRequest
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(e.earlier(r.deadline, bodyTime))
+	giveUp := context.AfterFunc(e.stopped, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
+	defer giveUp()
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -153,10 +175,19 @@
 	if err != nil {
 		return refused(caller.NotRun, caller.BadRequest, "the body did not arrive whole: "+err.Error(), 0).refusal
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	r.Body = body
 	return nil
 }
 
+// earlier returns the earlier of a deadline and a time from now.
+func (e *Entry) earlier(deadline time.Time, limit time.Duration) time.Time {
+	if other := e.config.Now().Add(limit); other.Before(deadline) {
+		return other
+	}
+	return deadline
+}
+
 func badField(field, allowed string) *caller.Refusal {
 	refusal := refused(caller.NotRun, caller.BadRequest, field+" must be "+allowed, 0).refusal
 	refusal.Field = field
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -102,6 +102,10 @@
 	return Limits{Dial: 500 * time.Millisecond, IdleConns: 4, IdleTime: 20 * time.Second, MaxAnswer: 8 << 20}
 }
 
+// keepAlive finds a connection that the network has forgotten while its request
+// runs, for work that must not be given up early.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 // Link keeps the connections to one endpoint.
 type Link struct {
 	addr   netip.AddrPort
@@ -284,7 +288,7 @@
 }
 
 func (l *Link) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: l.limits.Dial}
+	dialer := net.Dialer{Timeout: l.limits.Dial, KeepAliveConfig: keepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", l.addr.String())
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	pollEvery  = time.Second
 	planEvery  = 250 * time.Millisecond
 	trimEvery  = 5 * time.Second
+	finishPoll = 10 * time.Millisecond
 	leaveGrace = time.Second // for the balancer to see that this entry is not ready
 )
 
@@ -242,6 +243,7 @@
 	}
 	time.Sleep(leaveGrace)
 	n.entry.Stop()
+	n.finishRequests(ctx)
 	for _, s := range servers {
 		s.shutdown(ctx)
 	}
@@ -249,6 +251,13 @@
 	n.giveUpLease(ctx)
 }
 
+// finishRequests waits until no request is held here or ctx ends.
+func (n *Node) finishRequests(ctx context.Context) {
+	for n.entry.Status().Requests > 0 && ctx.Err() == nil {
+		time.Sleep(finishPoll)
+	}
+}
+
 func (n *Node) giveUpLease(ctx context.Context) {
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -148,6 +148,7 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = time.Minute
 	idleTimeout       = 2 * time.Minute
+	flushTime         = 500 * time.Millisecond
 )
 
 // httpServer is an HTTP server that can be stopped in two steps.
@@ -169,8 +170,11 @@
 // quiesce goes on serving but tells each connection to close.
 func (s *httpServer) quiesce() { s.server.SetKeepAlivesEnabled(false) }
 
-// shutdown waits for what is in flight until ctx ends.
+// shutdown ends the server. No request is held any more, so it only waits for
+// the last answers to leave, and not for connections that have gone silent.
 func (s *httpServer) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
 	if err := s.server.Shutdown(ctx); err != nil {
 		_ = s.server.Close()
 	}
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -69,8 +69,9 @@
 	Address string `json:"address"`
 }
 
-// client talks to the platform over HTTP. Every call has its own timeout, and
-// a call that misses it closes its connection.
+// client talks to the platform over HTTP. Every call has its own timeout. A call
+// that fails closes the idle connections besides its own: whatever forgot one may
+// have forgotten them all.
 type client struct {
 	base    string
 	http    *http.Client
@@ -186,6 +187,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.http.CloseIdleConnections()
 		return 0, nil, errors.Wrapf(ErrUnavailable, "%s: %v", path, err)
 	}
 	defer response.Body.Close()
