Measure what other work keeps during floods, beside baselines of our own

Cause: nothing showed what the dispatch order is worth. make measure runs ten floods in virtual time under the project's policy, its bound without hops, one queue first come first served, static shares, and each entry's own least outstanding, and writes docs/MEASURES.md.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test race check capacity
+.PHONY: build demo test race check capacity measure
 
 build:
 	go build ./...
@@ -19,3 +19,7 @@
 # Measures the slopes and writes the tables of docs/CAPACITY.md.
 capacity:
 	go run ./cmd/capacity --page docs/CAPACITY.md
+
+# Measures what docs/MEASURES.md says and writes its tables.
+measure:
+	go run ./cmd/measure --page docs/MEASURES.md
