Workers that fail all or are slow are put aside, probed and taken back

Cause: a worker that fails at once always has the most free slots, so it drew most of the work.

Change: a worker's share of failures and its run time against the service's mean are learnt from outcomes. Past a bound it is put aside and probed with one repeatable request at a time, after 1 s doubling to 30 s; three good probes take it back. At most 34% of a pool is put aside, and nothing while most workers fail, for then it is the work. Both go to the time line.

Ruled out: weighing free slots by the share of failures. The sick worker was then starved at light load, neither put aside nor ever tried again.

--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -134,6 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.deliver(d.queue.Tick(d.config.Now()))
+	d.logHealth()
 }
 
 // reconcile takes back the grants that their entries do not hold, and those of
@@ -192,6 +193,17 @@
 	}
 }
 
+// logHealth tells the time line which workers were put aside or taken back.
+func (d *desk) logHealth() {
+	for _, change := range d.queue.TakeHealthChanges() {
+		kind := event.HostReadmit
+		if change.Aside {
+			kind = event.HostEject
+		}
+		d.config.Log.Add(kind, change.Worker, 0, change.Cause)
+	}
+}
+
 func (d *desk) note(g sched.Grant) {
 	d.granted[g.Request] = g
 	d.requests[g.ID] = g.Request
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -353,6 +353,8 @@
 		Urgency:  r.urgency,
 		Deadline: r.deadline.Add(-run),
 		Avoid:    r.avoid,
+
+		Repeatable: r.retryable(),
 	}
 }
 
--- a/internal/flood/flood_test.go
+++ b/internal/flood/flood_test.go
@@ -26,9 +26,6 @@
 func TestOthersKeepTheirShareInAFlood(t *testing.T) {
 	calm := Run(Dispatcher(Calm()), Calm())
 	for _, s := range Floods() {
-		if s.Broken != nil {
-			continue
-		}
 		t.Run(s.Name, func(t *testing.T) {
 			kept := KeptOf(s, Run(Dispatcher(s), s), calm)
 			if kept.Goodput < targetGoodput || kept.P99 > targetP99 {
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -100,8 +100,10 @@
 
 	workers  map[string]*worker
 	order    []*worker // by name
-	slots    int       // of all workers that take work
+	slots    int       // of all workers that take work and are not put aside
+	asides   int       // workers that are put aside
 	rotation int
+	health   []HealthChange
 
 	arrivals  uint64
 	nextGrant uint64
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -82,6 +82,8 @@
 	Urgency  Urgency
 	Deadline time.Time // the latest useful start
 	Avoid    []string  // workers that failed this request before
+
+	Repeatable bool // whether it may be tried again if its worker fails
 }
 
 // Grant lends one slot of a worker to one request.
