--- a/cmd/papayarudder/ticket.go
+++ b/cmd/papayarudder/ticket.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -78,7 +80,11 @@
 	}
 	fmt.Fprintf(out, "ticket %d by %s: %s\n", t.Number, t.Author, t.Reason)
 	fmt.Fprintf(out, "in force from version %d, %s\n", t.Version, t.At.UTC().Format(time.RFC3339))
-	fmt.Fprintf(out, "%s\n", t.Content)
+	var content bytes.Buffer
+	if err := json.Indent(&content, t.Content, "", "  "); err != nil {
+		return errors.Wrap(err, "read the ticket's content")
+	}
+	fmt.Fprintln(out, content.String())
 	return nil
 }
 
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -135,12 +135,19 @@
 		}
 	}
 	faults = append(faults, unknown(file, keys)...)
-	if len(faults) == 0 {
-		faults = settings.consistent()
+	for _, f := range settings.consistent() {
+		if !names(faults, f.Key) {
+			faults = append(faults, f)
+		}
 	}
 	return settings, faults
 }
 
+// names reports whether a key is among the faults already.
+func names(faults []Fault, key string) bool {
+	return slices.ContainsFunc(faults, func(f Fault) bool { return f.Key == key })
+}
+
 func unknown(file *ini.File, keys []Key) []Fault {
 	var faults []Fault
 	for _, section := range file.Sections() {
@@ -180,7 +187,7 @@
 		key  string
 		addr netip.AddrPort
 	}{{"caller", s.CallerAddr}, {"admin", s.AdminAddr}, {"peer", s.PeerAddr}} {
-		if other, taken := listeners[l.addr]; taken {
+		if other, taken := listeners[l.addr]; taken && l.addr.IsValid() {
 			faults = append(faults, Fault{"listen", l.key, l.addr.String(), "an address of its own; " + other + " has this one"})
 		}
 		listeners[l.addr] = l.key
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -50,6 +50,7 @@
 // Errors that explain an outcome.
 var (
 	ErrDial      = errors.New("no connection to the endpoint")
+	ErrClosed    = errors.New("the endpoint closed the connection without an answer")
 	ErrCrossed   = errors.New("the answer is for another request")
 	ErrTruncated = errors.New("the answer is not whole")
 	ErrTooLarge  = errors.New("the answer is over the limit")
@@ -178,11 +179,11 @@
 		return Result{Outcome: NotSent, Err: errors.Wrap(ErrDial, ctx.Err().Error())}, false
 	}
 	if err := l.httpRequest(r).Write(c); err != nil {
-		return lost(ctx, ErrTruncated, err), false
+		return lost(ctx, ErrClosed, err), false
 	}
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return lost(ctx, ErrTruncated, err), false
+		return lost(ctx, ErrClosed, err), false
 	}
 	defer response.Body.Close()
 	return l.readAnswer(ctx, c, r, response)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 	n := &Node{
 		settings: settings,
 		platform: platform,
-		store:    store.New(platform.Table),
+		store:    store.New(platform.Table, platform.Objects),
 		reader:   member.NewReader(platform.Table),
 		log:      event.NewLog(settings.Name, settings.TimelineSize, time.Now),
 		logger:   logger.WithField("process", settings.Name),
@@ -158,6 +158,14 @@
 	return nil
 }
 
+func (n *Node) closeRecording() error {
+	if n.record == nil {
+		return nil
+	}
+	n.log.Record(nil)
+	return errors.Wrap(n.record.Close(), "close the time line's recording")
+}
+
 func (n *Node) listen() (err error) {
 	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddr.String()); err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -192,11 +200,12 @@
 	}
 	n.leave(servers)
 	stopRoles()
+	_ = n.peerListener.Close()
 	peers.Close()
 	n.roster.close()
 	n.log.Add(event.ProcessStop, n.settings.Name, 0, "")
 	n.logger.Info("stopped")
-	return err
+	return errors.CombineErrors(err, n.closeRecording())
 }
 
 // tree returns the supervisor of every loop.
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -21,16 +21,16 @@
 // some workers.
 type Server struct {
 	table   *Table
+	objects *Objects
 	workers map[string]*Worker
 
 	mu      sync.Mutex
-	objects map[string][]byte
 	leaving map[string]bool
 }
 
 // NewServer returns a server over table and workers.
 func NewServer(table *Table, workers map[string]*Worker) *Server {
-	return &Server{table: table, workers: workers, objects: map[string][]byte{}, leaving: map[string]bool{}}
+	return &Server{table: table, objects: NewObjects(), workers: workers, leaving: map[string]bool{}}
 }
 
 // switchesWire sets the switches; what is absent stays as it is.
@@ -142,17 +142,13 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects[hr.PathValue("name")] = data
+	_ = s.objects.put(hr.Context(), hr.PathValue("name"), data)
 }
 
 func (s *Server) getObject(w http.ResponseWriter, hr *http.Request) {
-	s.mu.Lock()
-	data, found := s.objects[hr.PathValue("name")]
-	s.mu.Unlock()
-	if !found {
-		http.Error(w, "no such object", http.StatusNotFound)
+	data, err := s.objects.get(hr.Context(), hr.PathValue("name"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
 	_, _ = w.Write(data)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,10 +11,10 @@
 //
 // # Usage
 //
-//	s := store.New(platform.Table)
+//	s := store.New(platform.Table, platform.Objects)
 //	state, err := s.Load(ctx)           // whole, at start
 //	changes, err := s.Changes(ctx, state.Version, 100)
-//	err = s.Commit(ctx, change)         // [ErrStale] if head moved on
+//	err = s.Commit(ctx, change, nil)    // [ErrStale] if head moved on
 package store
 
 import (
@@ -53,12 +53,14 @@
 
 // Store reads and writes the fleet's state.
 type Store struct {
-	table plat.Table
+	table   plat.Table
+	objects plat.Objects
 }
 
-// New returns a store over a table service.
-func New(table plat.Table) *Store {
-	return &Store{table: table}
+// New returns a store over a table service, with an object store for what is too
+// large for a row.
+func New(table plat.Table, objects plat.Objects) *Store {
+	return &Store{table: table, objects: objects}
 }
 
 // Head returns the version in force.
@@ -102,9 +104,9 @@
 		if row.Version == 0 {
 			return nil, errors.Wrap(ErrTrimmed, row.Key)
 		}
-		change, err := fleet.DecodeChange(row.Value)
+		change, err := s.decodeChange(ctx, row)
 		if err != nil {
-			return nil, errors.Wrap(err, row.Key)
+			return nil, err
 		}
 		changes = append(changes, change)
 	}
@@ -196,7 +198,11 @@
 		return errors.Wrapf(ErrStale, "head is %d, the change is %d", head, change.Version)
 	}
 	change.OpID = uuid.NewString()
-	return s.settle(ctx, transaction(change, row, record), change)
+	txn := transaction(change, row, record)
+	if err := s.packAll(ctx, txn.Puts); err != nil {
+		return err
+	}
+	return s.settle(ctx, txn, change)
 }
 
 // settle commits the transaction and, when the answer is lost, reads back
@@ -233,7 +239,7 @@
 	if err != nil || rows[0].Version == 0 {
 		return false, false
 	}
-	written, err := fleet.DecodeChange(rows[0].Value)
+	written, err := s.decodeChange(ctx, rows[0])
 	return err == nil, err == nil && written.OpID == change.OpID
 }
 
--- a/internal/store/ticket.go
+++ b/internal/store/ticket.go
@@ -45,9 +45,13 @@
 	return data
 }
 
-func decodeTicket(row plat.Row) (TicketRecord, error) {
+func (s *Store) decodeTicket(ctx context.Context, row plat.Row) (TicketRecord, error) {
+	data, err := s.unpack(ctx, row)
+	if err != nil {
+		return TicketRecord{}, err
+	}
 	var w TicketWire
-	if err := json.Unmarshal(row.Value, &w); err != nil {
+	if err := json.Unmarshal(data, &w); err != nil {
 		return TicketRecord{}, errors.Wrap(err, row.Key)
 	}
 	return TicketRecord{w.Number, w.Author, w.Reason, w.Digest, w.Version, w.At, w.Content}, nil
@@ -62,7 +66,7 @@
 	if rows[0].Version == 0 {
 		return TicketRecord{}, false, nil
 	}
-	record, err := decodeTicket(rows[0])
+	record, err := s.decodeTicket(ctx, rows[0])
 	return record, err == nil, err
 }
 
@@ -74,7 +78,7 @@
 	}
 	records := make([]TicketRecord, 0, len(rows))
 	for _, row := range rows {
-		record, err := decodeTicket(row)
+		record, err := s.decodeTicket(ctx, row)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -65,7 +65,7 @@
 	}
 	t, faults := fromWire(w)
 	faults = append(faults, t.validate()...)
-	return t, faults
+	return t, dedupe(faults)
 }
 
 func fromWire(w ticketWire) (Ticket, []fleet.Fault) {
@@ -136,7 +136,7 @@
 	for i, h := range t.Hosts {
 		check("hosts", i, h.Name, h.Validate)
 	}
-	return dedupe(faults)
+	return faults
 }
 
 // dedupe drops a second fault of the same field: a value that could not be
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -229,7 +229,7 @@
 	set(HeaderTeam, r.Team)
 	set(HeaderUrgency, r.Urgency)
 	set("Content-Type", r.ContentType)
-	if r.Timeout > 0 {
+	if r.Timeout != 0 {
 		set(HeaderTimeout, r.Timeout.String())
 	}
 	return request, nil
