A dispatcher hands over without giving a slot twice; a stop cuts no request

Cause: the demo under a fuller load (100 ms work, 120 requests a second of each service) found 9 of 8 slots in use on six workers and one request cut while an entry was replaced. A member that joined gave slots of its pools while the one before still did, for up to 2 s until all had read its lease row; a dispatcher that left gave grants on after its successor had asked the entries what they hold; and the stop closed idle connections on which a request was on its way.

Change: a member tells every other that it is ready, and takes responsibility only after they have given theirs up; a dispatcher stops before it announces that it leaves, and reports for 3 s what it gave; a stopping entry asks callers to close with the next answer and leaves idle connections open until the balancer has seen that it is not ready.

A failed try on the way: catching up within the renewal of a lease took its lock twice and stopped the process for good; it is done after the renewal now, and the demo ends by itself after 120 s whatever happens.

--- a/cmd/demo/check.go
+++ b/cmd/demo/check.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -26,27 +27,61 @@
 // errBroken is returned when a promise was broken.
 var errBroken = errors.New("a promise was broken")
 
-// budgetWatch looks at the pools all the time.
-type budgetWatch struct {
+// watch looks at the pools and the time lines all the time, for a process that is
+// replaced takes its time line along.
+type watch struct {
 	admins   []netip.AddrPort
 	looks    int
 	mostAway map[string]int
 	budgets  map[string]int
 	broken   []string
+	events   map[eventID]event.Event
 }
 
-func newBudgetWatch(admins []netip.AddrPort) *budgetWatch {
-	return &budgetWatch{admins: admins, mostAway: map[string]int{}, budgets: map[string]int{}}
+// eventID tells events apart that are read more than once.
+type eventID struct {
+	process string
+	seq     uint64
+	at      time.Time
 }
 
-func (w *budgetWatch) run(ctx context.Context) {
+func newWatch(admins []netip.AddrPort) *watch {
+	return &watch{
+		admins:   admins,
+		mostAway: map[string]int{},
+		budgets:  map[string]int{},
+		events:   map[eventID]event.Event{},
+	}
+}
+
+func (w *watch) run(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
-		w.look(ctx, w.admins[i%len(w.admins)])
+		addr := w.admins[i%len(w.admins)]
+		w.look(ctx, addr)
+		if i%lookEvents == 0 {
+			w.lookAtEvents()
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	w.lookAtEvents()
 }
 
-func (w *budgetWatch) look(ctx context.Context, addr netip.AddrPort) {
+// lookEvents is how many looks at pools come for one at the time lines.
+const lookEvents = 25
+
+func (w *watch) lookAtEvents() {
+	for _, addr := range w.admins {
+		part, err := admin.NewClient(addr, time.Second).Timeline(context.Background(), 0)
+		if err != nil {
+			continue
+		}
+		for _, e := range part {
+			w.events[eventID{e.Process, e.Seq, e.At}] = e
+		}
+	}
+}
+
+func (w *watch) look(ctx context.Context, addr netip.AddrPort) {
 	pools, err := admin.NewClient(addr, time.Second).Pools(ctx)
 	if err != nil {
 		return
@@ -77,7 +112,7 @@
 
 // check compares what callers were told with the endpoints' records, prints the
 // table, and returns an error if a promise was broken.
-func check(platform netip.AddrPort, admins []netip.AddrPort, results []result, watch *budgetWatch) error {
+func check(platform netip.AddrPort, results []result, watch *watch) error {
 	records, err := fetch[[]stand.RecordWire](platform, "/records")
 	if err != nil {
 		return err
@@ -96,7 +131,7 @@
 			broken = append(broken, fmt.Sprintf("worker %s had %d of %d slots and %d of 64 connections in use", p.Worker, p.Busy, p.Slots, p.Conns))
 		}
 	}
-	broken = append(broken, checkMoves(admins, records)...)
+	broken = append(broken, checkMoves(watch, records)...)
 	printTallies(tallies, watch, peaks)
 	printReasons(results)
 	if len(broken) > 0 {
@@ -171,16 +206,9 @@
 
 // checkMoves compares the records of each moved host with the time line: after
 // its move it may work for its new pool only.
-func checkMoves(admins []netip.AddrPort, records []stand.RecordWire) []string {
-	var parts [][]event.Event
-	for _, addr := range admins {
-		part, err := admin.NewClient(addr, time.Second).Timeline(context.Background(), 0)
-		if err == nil {
-			parts = append(parts, part)
-		}
-	}
+func checkMoves(watch *watch, records []stand.RecordWire) []string {
 	var broken []string
-	for _, e := range event.Merge(parts...) {
+	for _, e := range event.Merge(slices.Collect(maps.Values(watch.events))) {
 		if e.Kind != event.HostMove {
 			continue
 		}
@@ -204,7 +232,7 @@
 	return broken
 }
 
-func printTallies(tallies []*tally, watch *budgetWatch, peaks []stand.PeakWire) {
+func printTallies(tallies []*tally, watch *watch, peaks []stand.PeakWire) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "service\tsent\tanswered\tnot-run\tunknown\tdouble\twrong\tp50 ms\tp99 ms\taway/budget\t")
 	for _, t := range tallies {
--- a/cmd/demo/load.go
+++ b/cmd/demo/load.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	meanWork    = 40 * time.Millisecond
-	maxWork     = 400 * time.Millisecond
+	meanWork    = 100 * time.Millisecond
+	maxWork     = time.Second
 	peakTimes   = 5    // of the mean rate, in the service's turn
 	valleyShare = 0.05 // of the mean rate, after its turn
 )
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -32,7 +32,7 @@
 	Admins   []netip.AddrPort `arg:"--admin,separate,required" help:"operators' address of an entry"`
 	Platform netip.AddrPort   `arg:"--platform,required" help:"the stand-in's address"`
 	Duration time.Duration    `arg:"--duration" default:"10s"`
-	Rate     float64          `arg:"--rate" default:"40" help:"mean requests a second of each service"`
+	Rate     float64          `arg:"--rate" default:"120" help:"mean requests a second of each service"`
 	Seed     uint64           `arg:"--seed" default:"1"`
 }
 
@@ -54,7 +54,7 @@
 	}
 	fmt.Printf("seed %d, %s, %d services\n", args.Seed, args.Duration, len(pools))
 	balancer := newBalancer(args.Entries, args.Admins)
-	watch := newBudgetWatch(args.Admins)
+	watch := newWatch(args.Admins)
 	watched, stopWatch := context.WithCancel(ctx)
 	var helpers sync.WaitGroup
 	helpers.Go(func() { balancer.run(watched) })
@@ -62,7 +62,7 @@
 	results := sendAll(ctx, balancer, pools, args)
 	stopWatch()
 	helpers.Wait()
-	return check(args.Platform, args.Admins, results, watch)
+	return check(args.Platform, results, watch)
 }
 
 // sendAll sends every service's load and returns what each caller was told.
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	measure --page docs/MEASURES.md floods
+//	measure --page docs/MEASURES.md delay floods
 package main
 
 import (
@@ -14,13 +14,14 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/delay"
 	"github.com/papayarudder/papayarudder/internal/flood"
 	"github.com/papayarudder/papayarudder/internal/scale"
 )
 
 type arguments struct {
 	Page   string   `arg:"--page" default:"docs/MEASURES.md" help:"page whose tables are written"`
-	Tables []string `arg:"positional" help:"floods; all if none is named"`
+	Tables []string `arg:"positional" help:"delay, floods; all if none is named"`
 }
 
 // table is one table of the page.
@@ -31,6 +32,7 @@
 
 func tables() []table {
 	return []table{
+		{"delay", delay.Table},
 		{"floods", func() (string, error) { return flood.Table(flood.Floods()), nil }},
 	}
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -58,19 +58,34 @@
 type Broker struct {
 	config Config
 
-	mu    sync.Mutex
-	desks map[string]*desk
+	mu      sync.Mutex
+	desks   map[string]*desk
+	retired map[string]retired // by pool
+	stopped bool
+}
+
+// retired is what a queue had given when it was stopped.
+type retired struct {
+	grants []sched.Grant
+	at     time.Time
 }
 
 // New returns a broker without pools.
 func New(config Config) *Broker {
-	return &Broker{config: config, desks: map[string]*desk{}}
+	return &Broker{config: config, desks: map[string]*desk{}, retired: map[string]retired{}}
 }
 
 // Assign sets the pools that this process is responsible for.
 func (b *Broker) Assign(pools []string, state *fleet.State) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return
+	}
+	b.assign(pools, state)
+}
+
+func (b *Broker) assign(pools []string, state *fleet.State) {
 	owned := map[string]bool{}
 	for _, pool := range pools {
 		owned[pool] = true
@@ -87,14 +102,30 @@
 		if !owned[pool] {
 			delete(b.desks, pool)
 			b.config.Log.Add(event.DispatchStop, pool, state.Version, "another member is responsible")
-			d.stop()
+			b.retired[pool] = retired{d.stop(), b.config.Now()}
 		}
 	}
 }
 
-// Stop ends all queues; what waits is refused.
+// Stop ends all queues for good; what waits is refused.
 func (b *Broker) Stop() {
-	b.Assign(nil, fleet.NewState())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.assign(nil, fleet.NewState())
+	b.stopped = true
+}
+
+// Given returns the grants that a queue which was stopped here gave so lately
+// that they may still be on their way.
+func (b *Broker) Given(pool string) []sched.Grant {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, known := b.retired[pool]
+	if !known || b.config.Now().Sub(r.at) > grantSettles {
+		delete(b.retired, pool)
+		return nil
+	}
+	return r.grants
 }
 
 // Acquire waits for a slot of a pool until ctx ends. It returns [ErrNotOwner]
--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -167,11 +169,13 @@
 	}
 }
 
-func (d *desk) stop() {
+// stop refuses what waits and returns the grants that are not given back yet.
+func (d *desk) stop() []sched.Grant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stopped = true
 	d.deliver(d.queue.Refuse(sched.Stopping))
+	return slices.Collect(maps.Values(d.granted))
 }
 
 func (d *desk) load() Load {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,8 @@
 	budget   retryBudget
 	paces    map[string]*pace // by service
 
+	quiescing atomic.Bool
+
 	stopped context.Context // ends when the entry stops
 	stop    context.CancelFunc
 
@@ -141,6 +143,12 @@
 	return held
 }
 
+// Quiesce makes the entry ask callers to close their connections with the next
+// answer. Idle connections stay open: a request may be on its way on them.
+func (e *Entry) Quiesce() {
+	e.quiescing.Store(true)
+}
+
 // Stop makes the entry refuse further requests, and gives up those whose bodies
 // are still on their way.
 func (e *Entry) Stop() {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -45,6 +46,9 @@
 	started := e.config.Now()
 	id, result := e.handle(w, hr, started)
 	e.metrics.observe(result, e.config.Now().Sub(started))
+	if e.quiescing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	// A caller that went silent must not hold the answer's memory for long.
 	_ = http.NewResponseController(w).SetWriteDeadline(e.config.Now().Add(answerTime))
 	if result.refusal != nil {
@@ -230,10 +234,9 @@
 func writeAnswer(w http.ResponseWriter, id string, answer *link.Result) {
 	header := w.Header()
 	for name, values := range answer.Header {
-		header[name] = values
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
+		if !slices.Contains(hopHeaders, name) {
+			header[name] = values
+		}
 	}
 	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	header.Set(caller.HeaderRequestID, id)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -100,6 +100,9 @@
 // SetState changes what the next renewal says.
 func (l *Lease) SetState(state State) { l.info.State = state }
 
+// Info returns what the last renewal said.
+func (l *Lease) Info() Info { return l.info }
+
 // Renewed returns when the last renewal that took effect was sent.
 func (l *Lease) Renewed() time.Time { return l.renewed }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,6 +13,7 @@
 	"github.com/papayarudder/papayarudder/internal/member"
 	"github.com/papayarudder/papayarudder/internal/plan"
 	"github.com/papayarudder/papayarudder/internal/plat"
+	"github.com/papayarudder/papayarudder/internal/sched"
 	"github.com/papayarudder/papayarudder/internal/store"
 	"github.com/papayarudder/papayarudder/internal/ticket"
 )
@@ -25,7 +26,11 @@
 // renew is a round of the lease's loop. A renewal that failed is tried again in
 // the next round.
 func (n *Node) renew(ctx context.Context) error {
+	tenure := n.health.currentTenure()
 	err := n.renewLease(ctx)
+	if n.health.currentTenure() != tenure {
+		return n.catchUp(ctx)
+	}
 	if errors.Is(err, member.ErrReplaced) {
 		n.log.Add(event.LeaseLost, n.settings.Name, 0, err.Error())
 		n.logger.WithError(err).Error("stopping")
@@ -52,7 +57,6 @@
 	}
 	if newTenure {
 		n.log.Add(event.LeaseRegained, n.settings.Name, n.health.currentTenure(), "")
-		return n.catchUp(ctx)
 	}
 	return nil
 }
@@ -154,13 +158,44 @@
 	n.health.caughtUpIn(tenure)
 	n.log.Add(event.ConfigInForce, "fleet", state.Version, "loaded")
 	if !n.loaded.Swap(true) {
-		n.log.Add(event.ProcessReady, n.settings.Name, state.Version, "")
-		n.logger.WithField("version", state.Version).Info("ready")
+		n.join(ctx)
 	}
 	n.assign()
 	return nil
 }
 
+// join makes this process responsible for its part.
+func (n *Node) join(ctx context.Context) {
+	_ = n.renewLease(ctx) // the row says ready from now on; a failure is tried again
+	_ = n.readMembers(ctx)
+	n.roster.announceJoin(ctx, n.leaseInfo())
+	version := n.state.Load().Version
+	n.log.Add(event.ProcessReady, n.settings.Name, version, "")
+	n.logger.WithField("version", version).Info("ready")
+}
+
+func (n *Node) leaseInfo() member.Info {
+	n.leaseMu.Lock()
+	defer n.leaseMu.Unlock()
+	return n.lease.Info()
+}
+
+// heldHere returns the grants of a pool that are held here, and those that were
+// given here and may still be on their way to their entries.
+func (n *Node) heldHere(pool string) []sched.Grant {
+	grants := n.entry.Held(pool)
+	seen := map[uint64]bool{}
+	for _, g := range grants {
+		seen[g.ID] = true
+	}
+	for _, g := range n.broker.Given(pool) {
+		if !seen[g.ID] {
+			grants = append(grants, g)
+		}
+	}
+	return grants
+}
+
 // apply puts the changes in force that follow on the state; others are left
 // out, so that the state never goes back.
 func (n *Node) apply(changes []fleet.Change, how string) {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/broker"
+	"github.com/papayarudder/papayarudder/internal/member"
 	"github.com/papayarudder/papayarudder/internal/once"
 	"github.com/papayarudder/papayarudder/internal/sched"
 )
@@ -35,6 +36,14 @@
 // LeaveReply answers [LeaveArgs].
 type LeaveReply struct{}
 
+// JoinArgs tells that a member is ready.
+type JoinArgs struct {
+	Info member.Info
+}
+
+// JoinReply answers [JoinArgs].
+type JoinReply struct{}
+
 // HeldArgs asks for the grants of a pool.
 type HeldArgs struct {
 	Pool string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 		Begin:   n.keys.begin,
 		End:     n.keys.end,
 	})
-	n.roster.localHeld = n.entry.Held
+	n.roster.localHeld = n.heldHere
 }
 
 func (n *Node) linkLimits() link.Limits {
@@ -241,15 +241,13 @@
 	n.log.Add(event.MemberLeave, n.settings.Name, 0, "stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTime)
 	defer cancel()
-	n.roster.announceLeave(ctx)
 	n.broker.Stop()
+	n.roster.announceLeave(ctx)
 	if err := n.renewLease(ctx); err != nil {
 		n.logger.WithError(err).Warn("the lease row could not be marked as leaving")
 	}
 	n.keys.round(ctx)
-	for _, s := range servers {
-		s.quiesce()
-	}
+	n.entry.Quiesce()
 	time.Sleep(leaveGrace)
 	n.entry.Stop()
 	n.finishRequests(ctx)
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -24,14 +24,15 @@
 	self      member.Info
 	expected  int // members, from the settings
 	log       *event.Log
-	localHeld func(pool string) []sched.Grant
-	changed   chan struct{} // has an item when ownership may have changed
+	localHeld func(pool string) []sched.Grant // see [Node.heldHere]
+	changed   chan struct{}                   // has an item when ownership may have changed
 
 	mu       sync.Mutex
 	watch    *member.Watch
 	peers    map[string]*peer // by incarnation
 	suspects map[string]bool  // incarnations that do not answer
 	leavers  map[string]bool  // incarnations that take no more responsibility
+	ready    bool             // this process
 	leaving  bool             // this process
 }
 
@@ -88,11 +89,37 @@
 		r.peers[info.Incarnation] = p
 		r.log.Add(event.MemberJoin, info.Name, info.Counter, string(info.State))
 	}
+	if known && info.Counter < p.info.Counter {
+		return false // from a read that was overtaken
+	}
 	changed = !known || p.info.State != info.State
 	p.info = info
 	return changed
 }
 
+// join takes in a member that says itself that it is ready.
+func (r *roster) join(info member.Info) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.meet(info) {
+		r.notify()
+	}
+}
+
+// announceJoin tells every member that this process is ready, and only then
+// takes responsibility: whoever had it has given it up by then.
+func (r *roster) announceJoin(ctx context.Context, info member.Info) {
+	r.each(func(p *peer) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_ = p.wire.Call(ctx, "Member.Join", JoinArgs{Info: info}, &JoinReply{})
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ready = true
+	r.notify()
+}
+
 func (r *roster) part(incarnation string, p *peer) {
 	kind := event.MemberLapse
 	if p.info.State == member.Leaving {
@@ -162,11 +189,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var infos []member.Info
-	if !r.leaving {
+	if r.ready && !r.leaving {
 		infos = append(infos, r.self)
 	}
 	for incarnation, p := range r.peers {
-		if !r.suspects[incarnation] && !r.leavers[incarnation] && p.info.State != member.Leaving {
+		if !r.suspects[incarnation] && !r.leavers[incarnation] && p.info.State == member.Ready {
 			infos = append(infos, p.info)
 		}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -42,6 +42,7 @@
 // Leave notes that a member takes no more responsibility.
 func (s memberService) Leave(args LeaveArgs, _ *LeaveReply) error {
 	s.n.roster.left(args.Incarnation)
+	s.n.assign()
 	return nil
 }
 
@@ -57,9 +58,17 @@
 	return nil
 }
 
-// Held answers with the grants that are held here.
+// Join takes in a member that is ready, before it takes responsibility.
+func (s memberService) Join(args JoinArgs, _ *JoinReply) error {
+	s.n.roster.join(args.Info)
+	s.n.assign()
+	return nil
+}
+
+// Held answers with the grants that are held here, and with those that were
+// given here and may still be on their way to their entries.
 func (s memberService) Held(args HeldArgs, reply *HeldReply) error {
-	reply.Grants = s.n.entry.Held(args.Pool)
+	reply.Grants = s.n.heldHere(args.Pool)
 	return nil
 }
 
@@ -151,7 +160,7 @@
 	flushTime         = 500 * time.Millisecond
 )
 
-// httpServer is an HTTP server that can be stopped in two steps.
+// httpServer is a running HTTP server.
 type httpServer struct {
 	server *http.Server
 }
@@ -167,9 +176,6 @@
 	return s
 }
 
-// quiesce goes on serving but tells each connection to close.
-func (s *httpServer) quiesce() { s.server.SetKeepAlivesEnabled(false) }
-
 // shutdown ends the server. No request is held any more, so it only waits for
 // the last answers to leave, and not for connections that have gone silent.
 func (s *httpServer) shutdown(ctx context.Context) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,7 +53,7 @@
 "$build/papayarudder" ticket submit "examples/$site/ticket-1.json"
 sleep 1
 
-"$build/demo" "${arguments[@]}" &
+timeout 120 "$build/demo" "${arguments[@]}" &
 demo=$!
 sleep 2
 "$build/papayarudder" ticket submit "examples/$site/ticket-2.json"
