--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -33,16 +33,24 @@
 var ErrNotOwner = errors.New("not the dispatcher of this pool")
 
 const (
-	tickEvery      = 20 * time.Millisecond
-	reconcileEvery = 2 * time.Second
-	// A grant younger than this may still be on its way to its entry.
+	tickEvery    = 20 * time.Millisecond
+	pauseNoticed = 300 * time.Millisecond // between two ticks
+
+	pauseChecks     = 5
+	pauseCheckEvery = 200 * time.Millisecond
+	reconcileEvery  = 2 * time.Second
+	// A grant younger than this may still be on its way to its entry, surely or
+	// in the worst case.
+	grantArrives = 50 * time.Millisecond
 	grantSettles = 3 * time.Second
 )
 
-// Holding is what one member says of the grants that it holds.
+// Holding is what one member says of a pool: the grants that it holds as an
+// entry, and those that it gave lately as the pool's last dispatcher.
 type Holding struct {
 	Member string
 	Grants []sched.Grant
+	Given  []sched.Grant
 }
 
 // Config holds what a broker needs of its surroundings.
@@ -165,22 +173,33 @@
 	defer tick.Stop()
 	reconcile := time.NewTicker(reconcileEvery)
 	defer reconcile.Stop()
+	last := b.config.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			for _, d := range b.all() {
-				d.tick()
-			}
+			now := b.config.Now()
+			b.tick(now.Sub(last) > pauseNoticed)
+			last = now
 		case <-reconcile.C:
 			for _, d := range b.all() {
-				go d.reconcile()
+				go d.resync(grantSettles, false)
 			}
 		}
 	}
 }
 
+// tick drives the clocks of all queues once.
+func (b *Broker) tick(afterPause bool) {
+	for _, d := range b.all() {
+		if afterPause {
+			go d.afterPause()
+		}
+		d.tick()
+	}
+}
+
 // Load says how busy one pool's queue is.
 type Load struct {
 	Pool    string
--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,10 +13,15 @@
 	"github.com/papayarudder/papayarudder/internal/sched"
 )
 
+// grantsOfDesk is how many grants a desk may give before its numbers could meet
+// another's.
+const grantsOfDesk = 1 << 32
+
 // desk runs the queue of one pool.
 type desk struct {
 	pool   string
 	config Config
+	base   uint64        // of the numbers of this desk's grants
 	ready  chan struct{} // closed once the grants in use are known
 
 	mu       sync.Mutex
@@ -36,8 +42,9 @@
 		granted:  map[string]sched.Grant{},
 		requests: map[uint64]string{},
 	}
-	// IDs of an earlier dispatcher of the pool are far below.
-	d.queue.SkipGrants(uint64(config.Now().UnixMicro()) << 8)
+	// Two desks of one pool, wherever they run, draw from other numbers.
+	d.base = rand.Uint64N(1<<31) * grantsOfDesk
+	d.queue.SkipGrants(d.base)
 	return d
 }
 
@@ -63,23 +70,24 @@
 	d.deliver(d.queue.SetWorkers(workers, d.config.Now()))
 }
 
-// recover learns which grants are in use before the first one is given.
+// recover learns which grants are in use before the first one is given. What the
+// last dispatcher gave counts as in use until it must have reached its entry.
 func (d *desk) recover() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	holdings, _ := d.config.Held(ctx, d.pool)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	restored := 0
-	for _, h := range holdings {
-		for _, g := range h.Grants {
-			d.queue.Restore(g)
-			d.note(g)
-			restored++
-		}
-	}
+	restored := d.resync(0, true)
 	d.config.Log.Add(event.DispatchRecover, d.pool, uint64(restored), "slots in use were learnt from the entries")
 	close(d.ready)
+	time.Sleep(2 * grantArrives)
+	d.resync(grantArrives, false)
+}
+
+// afterPause checks all grants, because another may have dispatched while this
+// process was paused. The first calls after a pause may find connections that
+// were given up meanwhile.
+func (d *desk) afterPause() {
+	for range pauseChecks {
+		d.resync(grantArrives, false)
+		time.Sleep(pauseCheckEvery)
+	}
 }
 
 // acquire waits for the end of a request's wait.
@@ -139,34 +147,62 @@
 	d.logHealth()
 }
 
-// reconcile takes back the grants that their entries do not hold, and those of
-// entries that are gone.
-func (d *desk) reconcile() {
-	started := d.config.Now()
+// resync asks every entry which grants it holds. It takes over those that are not
+// known here, given by another dispatcher, and takes back those older than settle
+// that their entries do not hold, or whose entries are gone. With given it also
+// takes over what the last dispatcher gave lately. It returns how many it took
+// over.
+func (d *desk) resync(settle time.Duration, given bool) int {
+	asked := d.config.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	holdings, live := d.config.Held(ctx, d.pool)
 	held := map[uint64]bool{}
 	answered := map[string]bool{}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	restored := 0
 	for _, h := range holdings {
 		answered[h.Member] = true
 		for _, g := range h.Grants {
 			held[g.ID] = true
 		}
+		inUse := h.Grants
+		if given {
+			inUse = slices.Concat(h.Grants, h.Given)
+		}
+		for _, g := range inUse {
+			if d.restore(g, asked) {
+				restored++
+			}
+		}
 	}
-	alive := map[string]bool{}
-	for _, name := range live {
-		alive[name] = true
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, g := range d.granted {
-		gone := !alive[g.Entry]
+	for _, g := range slices.Collect(maps.Values(d.granted)) {
+		gone := !slices.Contains(live, g.Entry)
 		forgotten := answered[g.Entry] && !held[g.ID]
-		if started.Sub(g.At) > grantSettles && (gone || forgotten) {
+		if asked.Sub(g.At) > settle && (gone || forgotten) {
 			d.releaseLocked(Release{Grant: g.ID, Outcome: sched.Unused})
 		}
 	}
+	return restored
+}
+
+// restore takes over a grant of another dispatcher. One of this desk's own that
+// is not known any more was given back since the entries were asked.
+func (d *desk) restore(g sched.Grant, asked time.Time) bool {
+	_, known := d.requests[g.ID]
+	if known || d.gave(g) || d.stopped {
+		return false
+	}
+	g.At = asked // by this process's clock
+	d.queue.Restore(g)
+	d.note(g)
+	return true
+}
+
+// gave reports whether a grant was given by this desk.
+func (d *desk) gave(g sched.Grant) bool {
+	return g.ID > d.base && g.ID < d.base+grantsOfDesk
 }
 
 // stop refuses what waits and returns the grants that are not given back yet.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,12 +8,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/papayarudder/papayarudder/internal/broker"
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/fleet"
 	"github.com/papayarudder/papayarudder/internal/member"
 	"github.com/papayarudder/papayarudder/internal/plan"
 	"github.com/papayarudder/papayarudder/internal/plat"
-	"github.com/papayarudder/papayarudder/internal/sched"
 	"github.com/papayarudder/papayarudder/internal/store"
 	"github.com/papayarudder/papayarudder/internal/ticket"
 )
@@ -180,20 +180,9 @@
 	return n.lease.Info()
 }
 
-// heldHere returns the grants of a pool that are held here, and those that were
-// given here and may still be on their way to their entries.
-func (n *Node) heldHere(pool string) []sched.Grant {
-	grants := n.entry.Held(pool)
-	seen := map[uint64]bool{}
-	for _, g := range grants {
-		seen[g.ID] = true
-	}
-	for _, g := range n.broker.Given(pool) {
-		if !seen[g.ID] {
-			grants = append(grants, g)
-		}
-	}
-	return grants
+// heldHere returns what this process says of a pool's grants.
+func (n *Node) heldHere(pool string) broker.Holding {
+	return broker.Holding{Member: n.settings.Name, Grants: n.entry.Held(pool), Given: n.broker.Given(pool)}
 }
 
 // apply puts the changes in force that follow on the state; others are left
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -49,9 +49,10 @@
 	Pool string
 }
 
-// HeldReply gives the grants of a pool.
+// HeldReply gives the grants of a pool; see [broker.Holding].
 type HeldReply struct {
 	Grants []sched.Grant
+	Given  []sched.Grant
 }
 
 // AcquireArgs asks for a slot. Wait is how long the caller waits at most: no
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -7,12 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/papayarudder/papayarudder/internal/admin"
 	"github.com/papayarudder/papayarudder/internal/broker"
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/member"
 	"github.com/papayarudder/papayarudder/internal/plat"
-	"github.com/papayarudder/papayarudder/internal/sched"
 	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
@@ -24,8 +25,8 @@
 	self      member.Info
 	expected  int // members, from the settings
 	log       *event.Log
-	localHeld func(pool string) []sched.Grant // see [Node.heldHere]
-	changed   chan struct{}                   // has an item when ownership may have changed
+	localHeld func(pool string) broker.Holding
+	changed   chan struct{} // has an item when ownership may have changed
 
 	mu       sync.Mutex
 	watch    *member.Watch
@@ -38,10 +39,14 @@
 
 // peer is a member with its connection.
 type peer struct {
-	info member.Info
-	wire *wire.Peer
+	info      member.Info
+	wire      *wire.Peer
+	suspected bool // whether it did not answer of late; set by [roster.all]
 }
 
+// errSuspected stands for a call that was not made.
+var errSuspected = errors.New("the member does not answer")
+
 func newRoster(self member.Info, expected int, timing member.Timing, log *event.Log) *roster {
 	return &roster{
 		self:     self,
@@ -277,7 +282,7 @@
 	defer r.mu.Unlock()
 	peers := make([]*peer, 0, len(r.peers))
 	for _, p := range r.peers {
-		peers = append(peers, &peer{info: p.info, wire: p.wire})
+		peers = append(peers, &peer{info: p.info, wire: p.wire, suspected: r.suspects[p.info.Incarnation]})
 	}
 	return peers
 }
@@ -305,19 +310,23 @@
 	})
 }
 
-// held asks every member, this one included, for its grants of a pool.
+// held asks every member, this one included, for its grants of a pool. One that
+// does not answer is not waited for; its grants count as held.
 func (r *roster) held(ctx context.Context, pool string) (holdings []broker.Holding, live []string) {
 	var mu sync.Mutex
-	holdings = append(holdings, broker.Holding{Member: r.self.Name, Grants: r.localHeld(pool)})
+	holdings = append(holdings, r.localHeld(pool))
 	live = append(live, r.self.Name)
 	r.each(func(p *peer) {
 		var reply HeldReply
-		err := p.wire.Call(ctx, "Member.Held", HeldArgs{Pool: pool}, &reply)
+		err := errSuspected
+		if !p.suspected {
+			err = p.wire.Call(ctx, "Member.Held", HeldArgs{Pool: pool}, &reply)
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		live = append(live, p.info.Name)
 		if err == nil {
-			holdings = append(holdings, broker.Holding{Member: p.info.Name, Grants: reply.Grants})
+			holdings = append(holdings, broker.Holding{Member: p.info.Name, Grants: reply.Grants, Given: reply.Given})
 		}
 	})
 	return holdings, live
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -68,7 +68,8 @@
 // Held answers with the grants that are held here, and with those that were
 // given here and may still be on their way to their entries.
 func (s memberService) Held(args HeldArgs, reply *HeldReply) error {
-	reply.Grants = s.n.heldHere(args.Pool)
+	here := s.n.heldHere(args.Pool)
+	reply.Grants, reply.Given = here.Grants, here.Given
 	return nil
 }
 
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -263,6 +264,29 @@
 	return true
 }
 
+// pool returns what a process says of a pool.
+func (p *process) pool(name string) admin.PoolWire {
+	pools, _ := p.client().Pools(context.Background())
+	for _, pool := range pools {
+		if pool.Name == name {
+			return pool
+		}
+	}
+	return admin.PoolWire{}
+}
+
+// dispatcher returns the process that dispatches for a pool, and the others.
+func (c *cluster) dispatcher(pool string) (*process, []*process) {
+	c.t.Helper()
+	for i, p := range c.members {
+		if p.pool(pool).Dispatched {
+			return p, slices.Concat(c.members[:i], c.members[i+1:])
+		}
+	}
+	c.t.Fatalf("nobody dispatches for %s", pool)
+	return nil, nil
+}
+
 // inForce reports whether every process has at least a version in force.
 func (c *cluster) inForce(version uint64) bool {
 	for _, p := range c.members {
@@ -332,6 +356,8 @@
 	again   int // times that a key is sent again
 	pause   time.Duration
 	timeout time.Duration
+	keyed   bool
+	entries []*process
 
 	stopped chan struct{}
 	running sync.WaitGroup
@@ -346,13 +372,15 @@
 		again:   3,
 		pause:   20 * time.Millisecond,
 		timeout: time.Second,
+		keyed:   true,
+		entries: c.members,
 		stopped: make(chan struct{}),
 	}
 }
 
 func (w *crowd) start(callers int) *crowd {
 	var clients []*caller.Client
-	for _, p := range w.c.members {
+	for _, p := range w.entries {
 		client := caller.NewClient(p.caller)
 		w.c.t.Cleanup(client.Close)
 		clients = append(clients, client)
@@ -377,7 +405,10 @@
 			return
 		case <-time.After(w.pause):
 		}
-		request := caller.Request{Service: w.service, Key: caller.NewKey(), Timeout: w.timeout}
+		request := caller.Request{Service: w.service, Timeout: w.timeout}
+		if w.keyed {
+			request.Key = caller.NewKey()
+		}
 		for try := range 1 + w.again {
 			request.ID = fmt.Sprintf("%s-%d-%d-%d", w.service, number, n, try)
 			request.Body = fmt.Appendf(nil, "work 20ms\n%s", request.ID)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,9 +46,9 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Dial: 500 * time.Millisecond,
-		Busy: 500 * time.Millisecond,
+		Busy: 150 * time.Millisecond,
 		Idle: 10 * time.Second,
-		Miss: time.Second,
+		Miss: 350 * time.Millisecond,
 	}
 }
 
