--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -352,11 +352,13 @@
 // that gets no answer sends its key again, to another entry.
 type crowd struct {
 	c       *cluster
+	number  int32 // tells its requests from those of other crowds
 	service string
 	again   int // times that a key is sent again
 	pause   time.Duration
 	timeout time.Duration
 	keyed   bool
+	work    time.Duration // of each request
 	entries []*process
 
 	stopped chan struct{}
@@ -365,14 +367,19 @@
 	told    []told
 }
 
+// crowds counts the crowds of this run.
+var crowds atomic.Int32
+
 func (c *cluster) newCrowd(service string) *crowd {
 	return &crowd{
 		c:       c,
+		number:  crowds.Add(1),
 		service: service,
 		again:   3,
 		pause:   20 * time.Millisecond,
 		timeout: time.Second,
 		keyed:   true,
+		work:    20 * time.Millisecond,
 		entries: c.members,
 		stopped: make(chan struct{}),
 	}
@@ -410,8 +417,8 @@
 			request.Key = caller.NewKey()
 		}
 		for try := range 1 + w.again {
-			request.ID = fmt.Sprintf("%s-%d-%d-%d", w.service, number, n, try)
-			request.Body = fmt.Appendf(nil, "work 20ms\n%s", request.ID)
+			request.ID = fmt.Sprintf("%s-%d-%d-%d-%d", w.service, w.number, number, n, try)
+			request.Body = fmt.Appendf(nil, "work %s\n%s", w.work, request.ID)
 			t := w.send(clients[(number+n+try)%len(clients)], request)
 			if t.outcome == caller.Answered {
 				break
