Leaving hosts of the platform's list get no more slots and count as away

Cause: the platform's list of hosts was not followed, so a leaving endpoint went on getting work.

Change: members that dispatch read the list every second; a leaving host gets no more slots and counts against its pool's budget for moves. While the platform does not answer, what it said last holds. No entry needs to know, for none sends without a grant.

Fails first: TestLeavingHostGetsNoNewWork without the look at the list.

Left: at 11,000 hosts the whole list each second is over the wire's limit; it wants a filter by pool or by change from the platform.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	b := broker.New(broker.Config{Held: askPeers, Log: log, Now: time.Now})
-//	b.Assign(pools, state) // whenever ownership or the fleet's state changes
+//	b.Assign(pools, state, leaving) // whenever ownership or the fleet's state changes
 //	decision, err := b.Acquire(ctx, "banco-nord", request)
 //	b.Release("banco-nord", grantID, sched.Succeeded)
 //
@@ -83,17 +83,18 @@
 	return &Broker{config: config, desks: map[string]*desk{}, retired: map[string]retired{}}
 }
 
-// Assign sets the pools that this process is responsible for.
-func (b *Broker) Assign(pools []string, state *fleet.State) {
+// Assign sets the pools that this process is responsible for. Hosts that are
+// leaving are given no more slots.
+func (b *Broker) Assign(pools []string, state *fleet.State, leaving map[string]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.stopped {
 		return
 	}
-	b.assign(pools, state)
+	b.assign(pools, state, leaving)
 }
 
-func (b *Broker) assign(pools []string, state *fleet.State) {
+func (b *Broker) assign(pools []string, state *fleet.State, leaving map[string]bool) {
 	owned := map[string]bool{}
 	for _, pool := range pools {
 		owned[pool] = true
@@ -104,7 +105,7 @@
 			b.config.Log.Add(event.DispatchStart, pool, state.Version, "responsible for the pool")
 			go d.recover()
 		}
-		d.configure(state)
+		d.configure(state, leaving)
 	}
 	for pool, d := range b.desks {
 		if !owned[pool] {
@@ -119,7 +120,7 @@
 func (b *Broker) Stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.assign(nil, fleet.NewState())
+	b.assign(nil, fleet.NewState(), nil)
 	b.stopped = true
 }
 
--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -49,7 +49,7 @@
 }
 
 // configure puts the fleet's state in force.
-func (d *desk) configure(state *fleet.State) {
+func (d *desk) configure(state *fleet.State, leaving map[string]bool) {
 	config := sched.Config{}
 	for _, s := range state.PoolServices(d.pool) {
 		share := sched.ServiceShare{Name: s.Name, Weight: s.Weight, QueueLimit: s.QueueLimit, RunTime: s.RunTime}
@@ -60,7 +60,7 @@
 	}
 	var workers []sched.Worker
 	for _, h := range state.PoolHosts(d.pool) {
-		if h.TakesWork() {
+		if h.TakesWork() && !leaving[h.Spec.Name] {
 			workers = append(workers, sched.Worker{Name: h.Spec.Name, Slots: h.Spec.Slots})
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,9 +44,8 @@
 	ConfigInForce   Kind = "config-in-force"
 	HostDrain       Kind = "host-drain"
 	HostMove        Kind = "host-move"
-	HostAway        Kind = "host-away"
 	HostServe       Kind = "host-serve"
-	HostFail        Kind = "host-fail"
+	HostLeaving     Kind = "host-leaving"
 	HostEject       Kind = "host-eject"
 	HostReadmit     Kind = "host-readmit"
 	DispatchStart   Kind = "dispatch-start"
@@ -57,7 +56,6 @@
 	RequestRetry    Kind = "request-retry"
 	AnswerDiscarded Kind = "answer-discarded"
 	KeysTaken       Kind = "keys-taken"
-	KeysLeft        Kind = "keys-left"
 )
 
 // Event is one decision. Epoch is the version, epoch or number that the
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -113,7 +114,7 @@
 	n.admit.Lock()
 	defer n.admit.Unlock()
 	state := n.state.Load()
-	n.broker.Assign(ownPools(n.roster, state.PoolNames()), state)
+	n.broker.Assign(ownPools(n.roster, state.PoolNames()), state, *n.leavingHosts.Load())
 }
 
 // catchUp is a round of the configuration's loop: it reads what the pushes of
@@ -143,6 +144,36 @@
 	}
 }
 
+// readHosts is a round of the loop that follows the platform's list of hosts. A
+// host that is leaving gets no more slots; only dispatchers need to know. While
+// the platform does not answer, what it said last holds.
+func (n *Node) readHosts(ctx context.Context) error {
+	if len(ownPools(n.roster, n.state.Load().PoolNames())) == 0 {
+		return nil
+	}
+	hosts, err := n.platform.Hosts.List(ctx)
+	if err != nil {
+		return nil
+	}
+	leaving := map[string]bool{}
+	for _, h := range hosts {
+		if h.Leaving {
+			leaving[h.Name] = true
+		}
+	}
+	before := *n.leavingHosts.Swap(&leaving)
+	if maps.Equal(before, leaving) {
+		return nil
+	}
+	for name := range leaving {
+		if !before[name] {
+			n.log.Add(event.HostLeaving, name, 0, "the platform's list says so")
+		}
+	}
+	n.assign()
+	return nil
+}
+
 // load takes the whole state from the table service.
 func (n *Node) load(ctx context.Context, tenure uint64) error {
 	state, err := n.store.Load(ctx)
@@ -301,7 +332,7 @@
 	if !plan.Pending(state, pool) {
 		return nil
 	}
-	steps := plan.Steps(state, pool, n.evidence(ctx), time.Now())
+	steps := plan.Steps(state, pool, *n.leavingHosts.Load(), n.evidence(ctx), time.Now())
 	if len(steps) == 0 {
 		return nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,16 +53,18 @@
 
 	state  atomic.Pointer[fleet.State]
 	loaded atomic.Bool
-	health health
-	roster *roster
-	entry  *entry.Entry
-	broker *broker.Broker
-	slots  *slots
-	keys   *keys
-	outage *outage
-	lease  *member.Lease
-	reader *member.Reader
-	admit  sync.Mutex // held while the state in force changes
+	// leavingHosts are the hosts that the platform's list says are leaving.
+	leavingHosts atomic.Pointer[map[string]bool]
+	health       health
+	roster       *roster
+	entry        *entry.Entry
+	broker       *broker.Broker
+	slots        *slots
+	keys         *keys
+	outage       *outage
+	lease        *member.Lease
+	reader       *member.Reader
+	admit        sync.Mutex // held while the state in force changes
 
 	callerListener net.Listener
 	adminListener  net.Listener
@@ -84,6 +86,7 @@
 		logger:   logger.WithField("process", settings.Name),
 	}
 	n.state.Store(fleet.NewState())
+	n.leavingHosts.Store(&map[string]bool{})
 	timing := leaseTiming(settings)
 	n.health = health{hold: timing.Hold, now: time.Now}
 	info := member.Info{
@@ -216,6 +219,7 @@
 		{"members", n.settings.LeaseRenew, n.observe},
 		{"configuration", pollEvery, n.catchUp},
 		{"planner", planEvery, n.planRound},
+		{"hosts", pollEvery, n.readHosts},
 		{"trim", trimEvery, n.trim},
 	}
 	for _, l := range loops {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	for _, step := range plan.Steps(state, pool, evidence, now) {
+//	for _, step := range plan.Steps(state, pool, leaving, evidence, now) {
 //		// commit step.Host with step.Cause, on the state's version
 //	}
 //
@@ -65,10 +65,16 @@
 }
 
 // Steps returns the steps that are due in one pool. Epochs are those of the
-// version after the state's.
-func Steps(state *fleet.State, pool string, evidence Evidence, now time.Time) []Step {
+// version after the state's. Hosts that the platform says are leaving count as
+// away.
+func Steps(state *fleet.State, pool string, leaving map[string]bool, evidence Evidence, now time.Time) []Step {
 	var steps []Step
 	away, budget := state.AwayCount(pool)
+	for _, h := range state.PoolHosts(pool) {
+		if !h.IsAway() && leaving[h.Spec.Name] {
+			away++
+		}
+	}
 	for _, h := range state.PoolHosts(pool) {
 		step, due := next(h, evidence, away < budget, now)
 		if !due {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -72,7 +72,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			steps := Steps(tt.state, "p", tt.evidence, tt.at)
+			steps := Steps(tt.state, "p", nil, tt.evidence, tt.at)
 			var got []event.Kind
 			for _, s := range steps {
 				got = append(got, s.Kind)
@@ -86,3 +86,10 @@
 		})
 	}
 }
+
+func TestLeavingHostsCountAsAway(t *testing.T) {
+	leaving := map[string]bool{"h8": true, "h9": true}
+	if steps := Steps(pool(20, toMove(5)), "p", leaving, Evidence{}, now); len(steps) != 0 {
+		t.Errorf("%d steps beyond the budget", len(steps))
+	}
+}
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -85,6 +85,7 @@
 	size     int // entries
 	dir      string
 	table    *stand.Table
+	server   *stand.Server
 	platform netip.AddrPort
 	workers  map[string]*stand.Worker
 	members  []*process
@@ -101,7 +102,8 @@
 		t.Fatal(err)
 	}
 	c.platform = listener.Addr().(*net.TCPAddr).AddrPort()
-	server := &http.Server{Handler: stand.NewServer(c.table, c.workers).Handler(), ReadHeaderTimeout: time.Second}
+	c.server = stand.NewServer(c.table, c.workers)
+	server := &http.Server{Handler: c.server.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	for i := range entries {
--- a/internal/proof/moves_test.go
+++ b/internal/proof/moves_test.go
@@ -225,3 +225,48 @@
 		return want.Ticket == 15
 	})
 }
+
+// leavingTarget is how soon a leaving endpoint must get no new work.
+const leavingTarget = 3 * time.Second
+
+// A host that the platform's list calls leaving gets no new work after the
+// target, also when the table service is down, and gets work again when it stays.
+func TestLeavingHostGetsNoNewWork(t *testing.T) {
+	tests := []struct {
+		name string
+		down bool
+	}{
+		{"all well", false},
+		{"the table service down", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 3)
+			c.table.Set(stand.Faults{Down: tt.down})
+			w := c.newCrowd("label")
+			w.keyed, w.again = false, 0
+			w.start(12)
+			time.Sleep(500 * time.Millisecond)
+			c.server.SetLeaving("north-0", true)
+			due := time.Now().Add(leavingTarget)
+			time.Sleep(leavingTarget + time.Second)
+			c.server.SetLeaving("north-0", false)
+			back := time.Now()
+			time.Sleep(2 * time.Second)
+			c.checkTruth(w.stop())
+			late, again := 0, 0
+			for _, r := range c.workers["north-0"].Records() {
+				switch {
+				case r.Start.After(back):
+					again++
+				case r.Start.After(due):
+					late++
+				}
+			}
+			if late > 0 || again == 0 {
+				t.Errorf("%d requests after the target, %d after it stayed", late, again)
+			}
+		})
+	}
+}
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -268,7 +268,7 @@
 
 func planTime(hosts int) float64 {
 	state := fleetOf(hosts)
-	return timed(func() { plan.Steps(state, "pool", plan.Evidence{}, epoch) })
+	return timed(func() { plan.Steps(state, "pool", nil, plan.Evidence{}, epoch) })
 }
 
 func info(i int) member.Info {
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -180,6 +180,13 @@
 	encode(w, struct{}{})
 }
 
+// SetLeaving sets what the list of hosts says of a worker.
+func (s *Server) SetLeaving(name string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[name] = leaving
+}
+
 func (s *Server) setSwitches(w http.ResponseWriter, hr *http.Request) {
 	var wire switchesWire
 	if !decode(w, hr, &wire) {
@@ -197,9 +204,7 @@
 		}
 		delay, _ := time.ParseDuration(to.Delay)
 		worker.Set(Mode(to.Mode), delay)
-		s.mu.Lock()
-		s.leaving[name] = to.Leaving
-		s.mu.Unlock()
+		s.SetLeaving(name, to.Leaving)
 	}
 	encode(w, struct{}{})
 }
