--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -195,7 +196,8 @@
 			return ctx.Err()
 		case <-ticker.C:
 		case <-k.kick:
-			time.Sleep(kickPause)
+			// Members that race for the row try again at different times.
+			time.Sleep(kickPause/2 + rand.N(kickPause))
 		}
 	}
 }
@@ -217,17 +219,23 @@
 	if err != nil {
 		return err
 	}
-	shares, err := once.DecodeShares(rows[0].Value)
+	return k.adopt(rows[0].Version, rows[0].Value)
+}
+
+// adopt takes in the row as it was read here or by another member, unless it is
+// older than what is known.
+func (k *keys) adopt(row uint64, value []byte) error {
+	shares, err := once.DecodeShares(value)
 	if err != nil {
 		return err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if rows[0].Version < k.row {
+	if row < k.row {
 		return nil
 	}
 	k.shares = shares
-	k.row = rows[0].Version
+	k.row = row
 	k.closeForeign()
 	return nil
 }
@@ -269,9 +277,17 @@
 		Checks: append(checks, k.roster.leaseChecks(lastOwners(before, moves.Taken))...),
 		Puts:   []plat.Put{{Key: sharesKey, Value: once.EncodeShares(moves.Next)}},
 	})
-	// What became of the transaction shows when the row is read.
+	// What became of the transaction shows when the row is read. One that lost a
+	// race is tried again at once.
 	_ = k.read(ctx)
-	k.tellOwners(moves)
+	k.mu.Lock()
+	done, now := k.shares == moves.Next, k.row
+	k.mu.Unlock()
+	if !done {
+		k.kickRound()
+		return
+	}
+	k.tell(MovedArgs{Row: now, Shares: once.EncodeShares(moves.Next)})
 }
 
 // lastOwners returns the members that owned shards, each once.
@@ -288,22 +304,14 @@
 	return owners
 }
 
-// tellOwners makes the new owners of shards that were given away look at once.
-func (k *keys) tellOwners(moves once.Moves) {
-	told := map[string]bool{}
-	for _, shard := range moves.Given {
-		owner := moves.Next[shard].Owner
-		conn, known := k.roster.connection(owner)
-		if !known || told[owner] {
-			continue
-		}
-		told[owner] = true
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			_ = conn.Call(ctx, "Keys.Moved", MovedArgs{}, &MovedReply{})
-		}()
-	}
+// tell gives the row to every member at once, so that all know the owners even if
+// the table service fails before they read it.
+func (k *keys) tell(args MovedArgs) {
+	go k.roster.each(func(p *peer) {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		_ = p.wire.Call(ctx, "Keys.Moved", args, &MovedReply{})
+	})
 }
 
 // fetch opens the shards that this process owns and has not opened yet.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -125,8 +125,11 @@
 	Horizon time.Time
 }
 
-// MovedArgs tells that a shard was given to the member that is told.
-type MovedArgs struct{}
+// MovedArgs tells who owns the shards of keys, as the table service has it.
+type MovedArgs struct {
+	Row    uint64 // version of the row
+	Shares []byte
+}
 
 // MovedReply answers [MovedArgs].
 type MovedReply struct{}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -116,10 +116,11 @@
 	return nil
 }
 
-// Moved makes this process look for shards that it was given.
-func (s keysService) Moved(_ MovedArgs, _ *MovedReply) error {
+// Moved takes in who owns the shards now, and makes this process look for those
+// that it was given.
+func (s keysService) Moved(args MovedArgs, _ *MovedReply) error {
 	s.n.keys.kickRound()
-	return nil
+	return s.n.keys.adopt(args.Row, args.Shares)
 }
 
 // Known gives a shard that was given away to its next owner.
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -73,6 +73,7 @@
 	path   string
 	caller netip.AddrPort
 	admin  netip.AddrPort
+	store  *stand.Relay // its way to the platform
 	log    string
 	cmd    *exec.Cmd
 }
@@ -162,7 +163,13 @@
 func (c *cluster) newProcess(number int) *process {
 	c.t.Helper()
 	addr := c.hostAddr(number)
+	relay, err := stand.NewRelay(c.platform)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(relay.Close)
 	p := &process{
+		store:  relay,
 		t:      c.t,
 		path:   filepath.Join(c.dir, fmt.Sprintf("entry-%d.ini", number)),
 		caller: netip.AddrPortFrom(addr, 8101),
@@ -184,7 +191,7 @@
 members = %d
 renew = %s
 hold = %s
-`, number, p.caller, p.admin, netip.AddrPortFrom(addr, 8501), c.platform, c.size, renew, hold)
+`, number, p.caller, p.admin, netip.AddrPortFrom(addr, 8501), relay.Addr(), c.size, renew, hold)
 	if err := os.WriteFile(p.path, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -18,6 +18,7 @@
 
 	mu    sync.Mutex
 	pairs []*pair
+	cut   bool
 }
 
 // pair is one connection through the relay.
@@ -53,15 +54,36 @@
 	}
 }
 
+// Cut ends all connections and, while cut, every new one at once.
+func (r *Relay) Cut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	if cut {
+		r.closeAll()
+	}
+}
+
 // Close ends the relay and all its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closeAll()
+}
+
+func (r *Relay) closeAll() {
 	for _, p := range r.pairs {
 		_ = p.near.Close()
 		_ = p.far.Close()
 	}
+	r.pairs = nil
+}
+
+func (r *Relay) isCut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
 }
 
 func (r *Relay) accept() {
@@ -71,6 +93,10 @@
 			return
 		}
 		far, err := net.Dial("tcp", r.target.String())
+		if err == nil && r.isCut() {
+			_ = far.Close()
+			err = net.ErrClosed
+		}
 		if err != nil {
 			_ = near.Close()
 			continue
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -160,11 +160,13 @@
 
 // keep beats until the peer is closed: often while a call waits, so that a
 // connection which has gone silent costs the call one bounded wait, and rarely
-// otherwise.
+// otherwise. A peer that missed a heartbeat is tried again soon, then less and
+// less often.
 func (p *Peer) keep() {
 	ticker := time.NewTicker(p.timing.Busy)
 	defer ticker.Stop()
 	var last time.Time
+	gap := p.timing.Idle
 	for {
 		poked := false
 		select {
@@ -174,17 +176,29 @@
 		case <-p.poke:
 			poked = true
 		}
-		if !poked && p.waiting.Load() == 0 && time.Since(last) < p.timing.Idle {
+		if !poked && p.waiting.Load() == 0 && time.Since(last) < gap {
 			continue
 		}
-		last = time.Now()
 		alive := p.beat()
+		last = time.Now()
+		gap = p.nextGap(gap, alive)
 		if p.report != nil {
 			p.report(alive)
 		}
 	}
 }
 
+// nextGap returns the time between heartbeats while no call waits.
+func (p *Peer) nextGap(gap time.Duration, alive bool) time.Duration {
+	switch {
+	case alive:
+		return p.timing.Idle
+	case gap >= p.timing.Idle:
+		return p.timing.Busy
+	}
+	return min(2*gap, p.timing.Idle/5)
+}
+
 // beat sends one heartbeat. A connection that misses it is closed, which ends
 // every call that waits on it.
 func (p *Peer) beat() bool {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -70,3 +70,39 @@
 		t.Error("a peer that is gone was reported alive")
 	}
 }
+
+// A peer that missed a heartbeat and is back is noticed soon, though no call
+// waits.
+func TestPeerThatIsBackIsNoticed(t *testing.T) {
+	listener, addr := listenOn(t)
+	server := NewServer()
+	go func() { _ = server.Serve(listener) }()
+	reports := make(chan bool, 64)
+	peer := NewPeer(addr, quick, func(alive bool) { reports <- alive })
+	defer peer.Close()
+	<-reports
+	server.Close()
+	_ = listener.Close()
+	peer.Poke()
+	for <-reports {
+	}
+	again, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	back := NewServer()
+	defer back.Close()
+	go func() { _ = back.Serve(again) }()
+	deadline := time.After(10 * time.Second)
+	for {
+		select {
+		case alive := <-reports:
+			if alive {
+				return
+			}
+		case <-deadline:
+			t.Fatal("not noticed within 10 s; the idle heartbeat is an hour")
+		}
+	}
+}
