Dispatch steps are recorded in the time line's format and replay to the same decisions

Change: a queue's calls and decisions go to a file if a setting names one; papayarudder replay carries them out anew and fails at the first difference. Times lose their monotonic reading before they reach the queue, for a record has none; teams are configured in the order of their names.

Fails first: with the urgencies turned round the replay differs.

Noticed while recording: a worker that goes on with work whose connection was closed at its deadline had 5 of 2 slots in use.

--- a/cmd/papayarudder/main.go
+++ b/cmd/papayarudder/main.go
@@ -42,6 +42,7 @@
 	Host          *hostCommand     `arg:"subcommand:host" help:"list hosts"`
 	Member        *memberCommand   `arg:"subcommand:member" help:"list the processes of the system"`
 	Timeline      *timelineCommand `arg:"subcommand:timeline" help:"merge the time lines of all processes"`
+	Replay        *replayCommand   `arg:"subcommand:replay" help:"replay recorded dispatch steps"`
 	Request       *requestCommand  `arg:"subcommand:request" help:"send one request as a caller would"`
 	Version       *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -27,6 +27,7 @@
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/fleet"
 	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/internal/trace"
 )
 
 // ErrNotOwner is returned for a pool that another process is responsible for.
@@ -58,8 +59,10 @@
 	// Held asks every live member for its grants of a pool. Members that can't
 	// be reached are left out of holdings; those that are gone are not in live.
 	Held func(ctx context.Context, pool string) (holdings []Holding, live []string)
-	Log  *event.Log
-	Now  func() time.Time
+	// Trace takes every step of every queue; nil for none.
+	Trace trace.Sink
+	Log   *event.Log
+	Now   func() time.Time
 }
 
 // Broker runs the queues of some pools. It is safe for concurrent use.
--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -11,6 +11,7 @@
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/fleet"
 	"github.com/papayarudder/papayarudder/internal/sched"
+	"github.com/papayarudder/papayarudder/internal/trace"
 )
 
 // grantsOfDesk is how many grants a desk may give before its numbers could meet
@@ -25,7 +26,7 @@
 	ready  chan struct{} // closed once the grants in use are known
 
 	mu       sync.Mutex
-	queue    *sched.Queue
+	queue    *trace.Queue
 	calls    map[string]chan sched.Decision // by request
 	granted  map[string]sched.Grant         // by request
 	requests map[uint64]string              // by grant
@@ -37,7 +38,7 @@
 		pool:     pool,
 		config:   config,
 		ready:    make(chan struct{}),
-		queue:    sched.NewQueue(sched.Config{}),
+		queue:    trace.NewQueue(pool, sched.NewQueue(sched.Config{}), config.Trace),
 		calls:    map[string]chan sched.Decision{},
 		granted:  map[string]sched.Grant{},
 		requests: map[uint64]string{},
@@ -55,7 +56,8 @@
 		share := sched.ServiceShare{Name: s.Name, Weight: s.Weight, QueueLimit: s.QueueLimit, RunTime: s.RunTime}
 		config.Services = append(config.Services, share)
 	}
-	for _, t := range state.Teams {
+	for _, name := range slices.Sorted(maps.Keys(state.Teams)) {
+		t := state.Teams[name]
 		config.Teams = append(config.Teams, sched.TeamQuota{Name: t.Name, Slots: t.Slots})
 	}
 	var workers []sched.Worker
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -49,6 +49,7 @@
 	LogLevel     string // "error", "warn", "info" or "debug"
 	TimelineSize int    // events
 	TimelineFile string // recording, empty for none
+	DispatchFile string // recording of every dispatch step, empty for none
 }
 
 // Fault is one thing wrong with a settings file.
@@ -97,6 +98,7 @@
 		{Section: "log", Name: "level", Default: "info", Allowed: "error, warn, info or debug", Help: "least level that is logged", set: setChoice(func(s *Settings) *string { return &s.LogLevel }, "error", "warn", "info", "debug")},
 		{Section: "timeline", Name: "size", Default: "8192", Allowed: "16 to 1000000", Help: "events kept in memory", set: setInt(func(s *Settings) *int { return &s.TimelineSize }, 16, 1_000_000)},
 		{Section: "timeline", Name: "file", Optional: true, Allowed: "a path", Help: "file that every event is also written to", set: func(s *Settings, value string) bool { s.TimelineFile = value; return true }},
+		{Section: "timeline", Name: "dispatch-file", Optional: true, Allowed: "a path", Help: "file that every step of the dispatch queues is written to, for replay", set: func(s *Settings, value string) bool { s.DispatchFile = value; return true }},
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	HostReadmit     Kind = "host-readmit"
 	DispatchStart   Kind = "dispatch-start"
 	DispatchRecover Kind = "dispatch-recover"
+	DispatchStep    Kind = "dispatch-step"
 	DispatchStop    Kind = "dispatch-stop"
 	RequestRefused  Kind = "request-refused"
 	RequestUnknown  Kind = "request-unknown"
@@ -93,10 +94,13 @@
 	return nil
 }
 
+const maxLine = 16 << 20 // bytes of an event
+
 // Read reads JSON lines up to the end of r.
 func Read(r io.Reader) ([]Event, error) {
 	var events []Event
 	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
 		var w eventWire
 		if err := json.Unmarshal(lines.Bytes(), &w); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/papayarudder/papayarudder/internal/member"
 	"github.com/papayarudder/papayarudder/internal/plat"
 	"github.com/papayarudder/papayarudder/internal/store"
+	"github.com/papayarudder/papayarudder/internal/trace"
 	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
@@ -48,8 +49,9 @@
 	platform plat.Platform
 	store    *store.Store
 	log      *event.Log
+	steps    *event.Log // of the dispatch queues
 	logger   *logrus.Entry
-	record   *os.File
+	files    []*os.File // recordings
 
 	state  atomic.Pointer[fleet.State]
 	loaded atomic.Bool
@@ -83,6 +85,7 @@
 		store:    store.New(platform.Table, platform.Objects),
 		reader:   member.NewReader(platform.Table),
 		log:      event.NewLog(settings.Name, settings.TimelineSize, time.Now),
+		steps:    event.NewLog(settings.Name, 1, time.Now),
 		logger:   logger.WithField("process", settings.Name),
 	}
 	n.state.Store(fleet.NewState())
@@ -100,7 +103,11 @@
 	n.lease = member.NewLease(info, timing)
 	n.roster = newRoster(info, settings.Members, timing, n.log)
 	n.wireRoles()
-	if err := n.openRecording(); err != nil {
+	err := errors.CombineErrors(
+		n.openRecording(n.log, settings.TimelineFile),
+		n.openRecording(n.steps, settings.DispatchFile),
+	)
+	if err != nil {
 		return nil, err
 	}
 	return n, n.listen()
@@ -117,7 +124,7 @@
 }
 
 func (n *Node) wireRoles() {
-	n.broker = broker.New(broker.Config{Held: n.roster.held, Log: n.log, Now: time.Now})
+	n.broker = broker.New(broker.Config{Held: n.roster.held, Trace: n.traceSink(), Log: n.log, Now: time.Now})
 	n.keys = newKeys(n.roster, n.platform.Table, n.log, &n.health)
 	n.outage = newOutage(n.roster, &n.health, n.log)
 	n.keys.settle = n.outage.settle
@@ -148,25 +155,37 @@
 	return limits
 }
 
-func (n *Node) openRecording() error {
-	if n.settings.TimelineFile == "" {
+// openRecording opens a file that a time line is also written to; no path means
+// none.
+func (n *Node) openRecording(log *event.Log, path string) error {
+	if path == "" {
 		return nil
 	}
-	file, err := os.Create(n.settings.TimelineFile)
+	file, err := os.Create(path)
 	if err != nil {
-		return errors.Wrap(err, "open the time line's recording")
+		return errors.Wrap(err, "open a recording")
 	}
-	n.record = file
-	n.log.Record(file)
+	n.files = append(n.files, file)
+	log.Record(file)
 	return nil
 }
 
-func (n *Node) closeRecording() error {
-	if n.record == nil {
+func (n *Node) closeRecordings() error {
+	n.log.Record(nil)
+	n.steps.Record(nil)
+	var failed error
+	for _, file := range n.files {
+		failed = errors.CombineErrors(failed, file.Close())
+	}
+	return errors.Wrap(failed, "close the recordings")
+}
+
+// traceSink returns where the queues' steps go, nil if they are not recorded.
+func (n *Node) traceSink() trace.Sink {
+	if n.settings.DispatchFile == "" {
 		return nil
 	}
-	n.log.Record(nil)
-	return errors.Wrap(n.record.Close(), "close the time line's recording")
+	return trace.Record(n.steps)
 }
 
 func (n *Node) listen() (err error) {
@@ -208,7 +227,7 @@
 	n.roster.close()
 	n.log.Add(event.ProcessStop, n.settings.Name, 0, "")
 	n.logger.Info("stopped")
-	return errors.CombineErrors(err, n.closeRecording())
+	return errors.CombineErrors(err, n.closeRecordings())
 }
 
 // tree returns the supervisor of every loop.
