--- a/cmd/papayarudder/session_test.go
+++ b/cmd/papayarudder/session_test.go
@@ -75,7 +75,7 @@
 	s.t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	platform := plat.Platform{Table: s.table.Adapter(), Objects: stand.NewObjects().Adapter()}
+	platform := plat.Platform{Table: s.table.Adapter(), Objects: stand.NewObjects().Adapter(), Hosts: stand.NoHosts()}
 	n, err := node.New(settings, platform, logger)
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/delay/delay.go
+++ b/internal/delay/delay.go
@@ -88,7 +88,7 @@
 	r.admins = append(r.admins, settings.AdminAddr)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return node.New(settings, plat.Platform{Table: table.Adapter(), Objects: stand.NewObjects().Adapter()}, logger)
+	return node.New(settings, plat.Platform{Table: table.Adapter(), Objects: stand.NewObjects().Adapter(), Hosts: stand.NoHosts()}, logger)
 }
 
 // prepare puts a ticket in force everywhere and waits until both members know
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -151,15 +151,13 @@
 	if len(ownPools(n.roster, n.state.Load().PoolNames())) == 0 {
 		return nil
 	}
-	hosts, err := n.platform.Hosts.List(ctx)
+	names, err := n.platform.Hosts.Leaving(ctx)
 	if err != nil {
 		return nil
 	}
 	leaving := map[string]bool{}
-	for _, h := range hosts {
-		if h.Leaving {
-			leaving[h.Name] = true
-		}
+	for _, name := range names {
+		leaving[name] = true
 	}
 	before := *n.leavingHosts.Swap(&leaving)
 	if maps.Equal(before, leaving) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,8 @@
 
 // Times between the rounds of a node's loops.
 const (
-	pollEvery  = time.Second
+	pollEvery  = 2 * time.Second // for what a push did not bring
+	hostsEvery = time.Second
 	planEvery  = 250 * time.Millisecond
 	trimEvery  = 5 * time.Second
 	finishPoll = 10 * time.Millisecond
@@ -238,7 +239,7 @@
 		{"members", n.settings.LeaseRenew, n.observe},
 		{"configuration", pollEvery, n.catchUp},
 		{"planner", planEvery, n.planRound},
-		{"hosts", pollEvery, n.readHosts},
+		{"hosts", hostsEvery, n.readHosts},
 		{"trim", trimEvery, n.trim},
 	}
 	for _, l := range loops {
--- a/internal/plat/http.go
+++ b/internal/plat/http.go
@@ -20,7 +20,7 @@
 	PathScan    = "/table/scan"
 	PathCommit  = "/table/commit"
 	PathObjects = "/objects/"
-	PathHosts   = "/hosts"
+	PathHosts   = "/hosts" // with ?state=leaving for just those
 	PathReboot  = "/hosts/reboot"
 )
 
@@ -57,7 +57,7 @@
 	Deletes []string  `json:"deletes,omitempty"`
 }
 
-// HostWire is the JSON form of a [HostStatus].
+// HostWire is the JSON form of an entry of the list of hosts.
 type HostWire struct {
 	Name    string `json:"name"`
 	Leaving bool   `json:"leaving"`
@@ -90,7 +90,7 @@
 	return Platform{
 		Table:   Table{Read: c.read, Scan: c.scan, Commit: c.commit},
 		Objects: Objects{Put: c.putObject, Get: c.getObject},
-		Hosts:   Hosts{List: c.listHosts, Reboot: c.reboot},
+		Hosts:   Hosts{Leaving: c.leavingHosts, Reboot: c.reboot},
 	}
 }
 
@@ -149,8 +149,8 @@
 	return data, err
 }
 
-func (c *client) listHosts(ctx context.Context) ([]HostStatus, error) {
-	_, data, err := c.do(ctx, http.MethodGet, PathHosts, nil)
+func (c *client) leavingHosts(ctx context.Context) ([]string, error) {
+	_, data, err := c.do(ctx, http.MethodGet, PathHosts+"?state=leaving", nil)
 	if err != nil {
 		return nil, err
 	}
@@ -158,11 +158,13 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, errors.Wrapf(ErrUnavailable, "%s: %v", PathHosts, err)
 	}
-	hosts := make([]HostStatus, 0, len(w))
+	var names []string
 	for _, h := range w {
-		hosts = append(hosts, HostStatus(h))
+		if h.Leaving {
+			names = append(names, h.Name)
+		}
 	}
-	return hosts, nil
+	return names, nil
 }
 
 func (c *client) reboot(ctx context.Context, host string, addr netip.AddrPort) error {
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -76,16 +76,11 @@
 	Get func(ctx context.Context, name string) ([]byte, error)
 }
 
-// HostStatus is an entry of the platform's list of hosts, which lags.
-type HostStatus struct {
-	Name    string
-	Leaving bool
-}
-
-// Hosts is the platform's list of hosts and what can be asked of one.
+// Hosts is the platform's list of hosts, which lags, and what can be asked of one.
 type Hosts struct {
-	List   func(ctx context.Context) ([]HostStatus, error)
-	Reboot func(ctx context.Context, host string, addr netip.AddrPort) error
+	// Leaving returns the names of the hosts that are leaving.
+	Leaving func(ctx context.Context) ([]string, error)
+	Reboot  func(ctx context.Context, host string, addr netip.AddrPort) error
 }
 
 // Platform is all that the platform offers.
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -46,6 +46,8 @@
 	HeadReadWire  = "head-read-wire"
 	RenewWire     = "renew-wire"
 	RenewCPU      = "renew-cpu"
+	SharesWire    = "key-shares-wire"
+	LeavingWire   = "leaving-wire"
 )
 
 // Slopes returns all slopes.
@@ -70,6 +72,8 @@
 		{BeatCPU, "ns", "members", members, func(n int) float64 { return beat(n).cpu }},
 		{HeadReadWire, "bytes", "members", members, func(n int) float64 { return headRead(n).wire }},
 		{RenewWire, "bytes", "members", members, func(n int) float64 { return renew(n).wire }},
+		{SharesWire, "bytes", "members", members, func(n int) float64 { return sharesRead(n).wire }},
+		{LeavingWire, "bytes", "leaving hosts", []int{1, 10, 100}, func(n int) float64 { return leavingRead(n).wire }},
 		{RenewCPU, "ns", "members", members, func(n int) float64 { return renew(n).cpu }},
 	}
 }
@@ -398,6 +402,50 @@
 	})
 }
 
+// sharesRead reads the row of the owners of key shards.
+func sharesRead(members int) cost {
+	var shares once.Shares
+	for i := range shares {
+		shares[i] = once.Share{Owner: info(i % members).Incarnation, Epoch: 100}
+	}
+	written := false
+	return withPlatform(members, func(table plat.Table) {
+		if !written {
+			written = true
+			txn := plat.Txn{Puts: []plat.Put{{Key: "keys", Value: once.EncodeShares(shares)}}}
+			if err := table.Commit(context.Background(), txn); err != nil {
+				panic(err)
+			}
+		}
+		if _, err := table.Read(context.Background(), []string{"keys"}); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// leavingRead reads the list of hosts that are leaving.
+func leavingRead(hosts int) cost {
+	var bytes atomic.Int64
+	workers := map[string]*stand.Worker{}
+	for i := range hosts {
+		workers[host(i).Spec.Name] = nil
+	}
+	platform := stand.NewServer(stand.NewTable(), workers)
+	for name := range workers {
+		platform.SetLeaving(name, true)
+	}
+	listener, addr := listen(&bytes)
+	server := &http.Server{Handler: platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	remote := plat.Dial(addr, time.Second).Hosts
+	return costOf(&bytes, func() {
+		if _, err := remote.Leaving(context.Background()); err != nil {
+			panic(err)
+		}
+	})
+}
+
 func renew(members int) cost {
 	lease := member.NewLease(info(1000), member.DefaultTiming())
 	return withPlatform(members, func(table plat.Table) {
--- a/internal/scale/rows.go
+++ b/internal/scale/rows.go
@@ -21,6 +21,8 @@
 	Renew       float64 // seconds between renewals of a lease
 	Heartbeat   float64 // seconds between heartbeats of two members
 	PlanRound   float64 // seconds between rounds of the planner
+	SharesPoll  float64 // seconds between reads of the key shards' owners
+	HostPoll    float64 // seconds between reads of the list of hosts
 	BurstHourly float64 // changes in the worst hour
 }
 
@@ -41,11 +43,13 @@
 		Restarts:    590,
 		Keyed:       1000,
 		Events:      8192,
-		HeadPoll:    1,
+		HeadPoll:    2,
 		LeasePoll:   2,
 		Renew:       2,
 		Heartbeat:   10,
 		PlanRound:   0.25,
+		SharesPoll:  2,
+		HostPoll:    1,
 		BurstHourly: 12_000,
 	}
 }
@@ -144,6 +148,18 @@
 			CPU:       lines[BeatCPU].At(peers) / s.Heartbeat * nanoseconds,
 			Mechanism: "every pair of members, at speed only while a call waits",
 		},
+		{
+			Role: "membership", What: "reading who owns the shards of keys, every " + fmt.Sprint(s.SharesPoll) + " s",
+			Wire:      (lines[SharesWire].At(s.Members) + headers) / s.SharesPoll,
+			Reads:     s.Members / s.SharesPoll,
+			Mechanism: "one row for all shards, told to all when it changes",
+		},
+		{
+			Role: "dispatch", What: "reading the hosts that are leaving, every " + fmt.Sprint(s.HostPoll) + " s",
+			Wire:      (lines[LeavingWire].At((s.Failures+s.Restarts)/24) + headers) / s.HostPoll,
+			Mechanism: "only those that are leaving, only by dispatchers; an hour's failures and restarts",
+			Estimate:  true,
+		},
 		{
 			Role: "configuration", What: "polling the head, every " + fmt.Sprint(s.HeadPoll) + " s",
 			Wire:      (lines[HeadReadWire].At(s.Members) + headers) / s.HeadPoll,
--- a/internal/stand/objects.go
+++ b/internal/stand/objects.go
@@ -41,3 +41,8 @@
 	}
 	return data, nil
 }
+
+// NoHosts returns a list of hosts on which nobody is leaving.
+func NoHosts() plat.Hosts {
+	return plat.Hosts{Leaving: func(context.Context) ([]string, error) { return nil, nil }}
+}
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -154,11 +154,14 @@
 	_, _ = w.Write(data)
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) listHosts(w http.ResponseWriter, hr *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var hosts []plat.HostWire
+	hosts := []plat.HostWire{}
 	for name := range s.workers {
+		if hr.URL.Query().Get("state") == "leaving" && !s.leaving[name] {
+			continue
+		}
 		hosts = append(hosts, plat.HostWire{Name: name, Leaving: s.leaving[name]})
 	}
 	slices.SortFunc(hosts, func(a, b plat.HostWire) int { return strings.Compare(a.Name, b.Name) })
