--- a/internal/flood/policy.go
+++ b/internal/flood/policy.go
@@ -25,9 +25,6 @@
 	Release func(grant uint64, outcome sched.Outcome, now time.Time) []sched.Decision
 	Cancel  func(request string, now time.Time) []sched.Decision
 	Tick    func(now time.Time) []sched.Decision
-	// Reuse, if it is not nil, lets an entry start its own next request of the same
-	// class in a slot that it would give back; see [sched.Queue.Reuse].
-	Reuse func(grant uint64, outcome sched.Outcome, request string, now time.Time) (bool, []sched.Decision)
 	// GrantHop is how long a request and its grant are on their way, and
 	// ReleaseHop how long a release is.
 	GrantHop   time.Duration
@@ -52,14 +49,6 @@
 	}
 }
 
-// Reusing is the project's policy with entries that reuse their slots.
-func Reusing(s Scenario) Policy {
-	q := s.queue()
-	p := Policy{Name: "dispatcher, slots reused", Arrive: q.Arrive, Release: q.Release, Cancel: q.Cancel, Tick: q.Tick, Reuse: q.Reuse}
-	p.GrantHop, p.ReleaseHop = 2*Hop, Hop
-	return p
-}
-
 // Ideal is the project's order without any hop, the bound for what a
 // dispatcher can reach.
 func Ideal(s Scenario) Policy {
--- a/internal/flood/run.go
+++ b/internal/flood/run.go
@@ -120,7 +120,6 @@
 	gone    bool // cancelled or ended
 	queued  bool // at the dispatcher
 	running bool
-	taken   bool // started in a slot that its entry reused
 }
 
 // happening is something that is due at a time.
@@ -168,7 +167,6 @@
 	inUse    int
 	queued   int // jobs that wait for a slot anywhere
 	measured time.Time
-	noReuse  map[string]time.Time // by entry
 	result   *Result
 }
 
@@ -183,7 +181,6 @@
 		jobs:     map[string]*job{},
 		waiting:  map[string][]*job{},
 		busy:     map[string]int{},
-		noReuse:  map[string]time.Time{},
 		result:   &Result{Policy: policy.Name, Classes: map[string]*ClassResult{}},
 	}
 	for i := range s.Kinds {
@@ -233,8 +230,6 @@
 const (
 	tickEvery = 20 * time.Millisecond
 	rateLook  = 200 * time.Millisecond
-
-	reusePause = 100 * time.Millisecond // after the dispatcher asked for slots
 )
 
 func (r *runner) tick() {
@@ -301,15 +296,6 @@
 		if !waits {
 			continue // its cancellation was confirmed
 		}
-		if j.taken {
-			// It was started in another slot meanwhile; this grant is given back.
-			if d.Grant != nil {
-				r.after(r.policy.GrantHop/2+r.policy.ReleaseHop, func() {
-					r.take(r.policy.Release(d.Grant.ID, sched.Unused, r.now))
-				})
-			}
-			continue
-		}
 		r.leaveQueue(j)
 		if d.Refusal != nil {
 			r.finish(j, func(c *ClassResult) { c.Refused++ })
@@ -386,9 +372,7 @@
 		c.Good++
 		_ = c.Times.RecordValue(max(1, r.now.Sub(j.arrived).Microseconds()))
 	})
-	if !r.reuse(j) {
-		r.release(j, sched.Succeeded)
-	}
+	r.release(j, sched.Succeeded)
 	if queue := r.waiting[j.worker]; len(queue) > 0 {
 		r.waiting[j.worker] = queue[1:]
 		r.leaveQueue(queue[0])
@@ -396,45 +380,6 @@
 	}
 }
 
-// reuse starts the entry's own next request of the same class in the slot of a job
-// that ended, and tells the dispatcher.
-func (r *runner) reuse(j *job) bool {
-	if r.policy.Reuse == nil || r.now.Before(r.noReuse[j.request.Entry]) {
-		return false
-	}
-	next := r.ownNext(j)
-	if next == nil {
-		return false
-	}
-	r.leaveQueue(next)
-	next.taken = true
-	next.grant, next.worker = j.grant, j.worker
-	r.begin(next)
-	r.after(r.policy.ReleaseHop, func() {
-		more, decisions := r.policy.Reuse(j.grant, sched.Succeeded, next.request.ID, r.now)
-		r.take(decisions)
-		if !more {
-			r.after(r.policy.ReleaseHop, func() { r.noReuse[j.request.Entry] = r.now.Add(reusePause) })
-		}
-	})
-	return true
-}
-
-// ownNext returns the queued job of the same entry and class with the earliest
-// deadline.
-func (r *runner) ownNext(j *job) *job {
-	var best *job
-	for _, other := range r.jobs {
-		if !other.queued || other.kind != j.kind || other.request.Entry != j.request.Entry || !other.request.Deadline.After(r.now) {
-			continue
-		}
-		if best == nil || other.request.Deadline.Before(best.request.Deadline) {
-			best = other
-		}
-	}
-	return best
-}
-
 func (r *runner) release(j *job, outcome sched.Outcome) {
 	r.after(r.policy.ReleaseHop, func() { r.take(r.policy.Release(j.grant, outcome, r.now)) })
 }
--- a/internal/flood/table.go
+++ b/internal/flood/table.go
@@ -8,7 +8,7 @@
 // Policies returns the project's policy, its bound and the baselines, anew for a
 // scenario.
 func Policies(s Scenario) []Policy {
-	return []Policy{Dispatcher(s), Reusing(s), Ideal(s), FirstCome(s), StaticShares(s), LeastOutstanding(s)}
+	return []Policy{Dispatcher(s), Ideal(s), FirstCome(s), StaticShares(s), LeastOutstanding(s)}
 }
 
 // Kept is what the work that does not flood kept of its run without a flood.
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -1,7 +1,5 @@
 package sched
 
-import "time"
-
 // serviceFloor returns the slots that a service is guaranteed.
 func (q *Queue) serviceFloor(name string) float64 {
 	s, known := q.services[name]
@@ -117,41 +115,3 @@
 	}
 	return a.waiting[0].arrived > b.waiting[0].arrived
 }
-
-// Reuse tells that the entry of a grant has started another request of the same
-// class in its slot, without waiting for a grant. It returns whether it may go on
-// doing so: not while work waits that ranks before the class.
-func (q *Queue) Reuse(id uint64, outcome Outcome, request string, now time.Time) (more bool, decisions []Decision) {
-	g, held := q.grants[id]
-	if !held {
-		return false, nil
-	}
-	q.learn(g, outcome, now)
-	g.Request = request
-	g.At = now
-	q.grants[id] = g
-	if w, waits := q.waiters[request]; waits {
-		q.remove(w)
-	}
-	return q.ranksFirst(classKey{g.Service, g.Urgency, g.Team}), q.dispatch(now)
-}
-
-// ranksFirst reports whether no permitted work waits that ranks before a class.
-// Deadlines do not count: among equals each entry may keep its slots.
-func (q *Queue) ranksFirst(key classKey) bool {
-	own, known := q.classes[key]
-	if !known {
-		return false
-	}
-	standing := q.standing(own)
-	for _, c := range q.classes {
-		if c == own || len(c.waiting) == 0 || !q.permitted(c) {
-			continue
-		}
-		other := q.standing(c)
-		if other.rank < standing.rank || other.rank == standing.rank && (other.fill < standing.fill || c.key.urgency > key.urgency) {
-			return false
-		}
-	}
-	return true
-}
