ticket plan tells what a ticket would do; a budget can't be set below what is away

Cause: an operator saw what a ticket does only after it was in force, and a ticket could lower a pool's budget below the hosts that are away, which breaks the promise of the budget at once.

Decide refuses a budget that is passed already, and names the least that fits.

Golden sessions show the plan. Left of the issue's plan: expected duration, buffer by availability zone.

--- a/cmd/papayarudder/session_test.go
+++ b/cmd/papayarudder/session_test.go
@@ -188,6 +188,12 @@
   "hosts": [{"name": "host-1", "pool": "north", "address": "WORKER", "zone": "z", "rack": "z-r1"}]
 }`
 
+const moveTicket = `{
+  "number": NUMBER, "author": "clerk", "reason": "a host for the south",
+  "pools": [{"name": "south", "away-percent": 30}],
+  "hosts": [{"name": "host-1", "pool": "south", "address": "WORKER", "zone": "z", "rack": "z-r1"}]
+}`
+
 const secondTicket = `{
   "number": 2, "author": "clerk", "reason": "a larger share away",
   "pools": [{"name": "south", "away-percent": 20}]
@@ -199,6 +205,8 @@
 	s.write("good.ini", "[process]\nname = entry-1\nzone = z\n[listen]\ncaller = 10.0.0.1:8101\nadmin = 10.0.0.1:8301\npeer = 10.0.0.1:8501\n[platform]\naddress = 10.0.0.2:7000\n")
 	s.write("short-lease.ini", "[process]\nname = entry-1\nzone = z\n[listen]\ncaller = 10.0.0.1:8101\nadmin = 10.0.0.1:8301\npeer = 10.0.0.1:8301\n[platform]\naddress = 10.0.0.2:7000\n[lease]\nrenew = 4s\n")
 	s.write("conflict.json", strings.ReplaceAll(secondTicket, "20}", "30}"))
+	s.write("move.json", strings.ReplaceAll(strings.ReplaceAll(moveTicket, "WORKER", s.worker.Addr().String()), "NUMBER", "40"))
+	s.write("conflict-1.json", strings.ReplaceAll(strings.ReplaceAll(moveTicket, "WORKER", s.worker.Addr().String()), "NUMBER", "1"))
 	s.write("bad-ticket.json", `{"number": 0, "pools": [{"name": "North!", "away-percent": 120}, {"name": "b"}, {"name": "b"}],
 		"services": [{"name": "s", "pool": "p", "weight": 0, "run-time": "soon"}],
 		"hosts": [{"name": "h", "pool": "p", "address": "nowhere", "zone": "z", "rack": "", "slots": 0}]}`)
@@ -224,8 +232,11 @@
 			tr.command("serve --settings bad.ini")
 		}},
 		{"tickets", func(tr *transcript) {
+			tr.command("ticket plan" + admin + " ticket-1.json")
 			tr.command("ticket submit" + admin + " ticket-1.json")
 			tr.command("ticket submit" + admin + " ticket-1.json")
+			tr.command("ticket plan" + admin + " move.json")
+			tr.command("ticket plan" + admin + " conflict-1.json")
 			tr.command("ticket submit" + admin + " --json ticket-2.json")
 			tr.command("ticket submit" + admin + " conflict.json")
 			tr.command("ticket submit" + admin + " old.json")
--- a/cmd/papayarudder/ticket.go
+++ b/cmd/papayarudder/ticket.go
@@ -17,6 +17,7 @@
 
 // ticketCommand groups the commands about change tickets.
 type ticketCommand struct {
+	Plan   *ticketPlan   `arg:"subcommand:plan" help:"tell what a ticket would do, without submitting it"`
 	Submit *ticketSubmit `arg:"subcommand:submit" help:"submit a ticket"`
 	Show   *ticketShow   `arg:"subcommand:show" help:"show an accepted ticket with its content"`
 	List   *ticketList   `arg:"subcommand:list" help:"list accepted tickets"`
@@ -41,7 +42,30 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	return c.report(out, decision)
+}
+
+// ticketPlan tells what a ticket would do.
+type ticketPlan struct {
+	remote
+	File string `arg:"positional,required" placeholder:"FILE" help:"ticket in JSON, - for standard input"`
+}
+
+func (c *ticketPlan) run(ctx context.Context, out io.Writer) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	decision, err := c.client().Plan(ctx, data)
+	if err != nil {
+		return err
+	}
+	return c.report(out, decision)
+}
+
+// report prints a decision; one that leaves the ticket out of force is an error.
+func (r remote) report(out io.Writer, decision admin.DecisionWire) error {
+	if r.JSON {
 		if err := printJSON(out, decision); err != nil {
 			return err
 		}
@@ -59,6 +83,9 @@
 	for _, f := range d.Faults {
 		fmt.Fprintf(out, "  %s: %q is not allowed: %s\n", f.Field, f.Value, f.Allowed)
 	}
+	for _, effect := range d.Effects {
+		fmt.Fprintf(out, "  would: %s\n", effect)
+	}
 	if d.Version > 0 {
 		fmt.Fprintf(out, "in force from version %d\n", d.Version)
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -61,7 +61,9 @@
 
 // Config holds what the interface needs of its surroundings.
 type Config struct {
-	Submit  func(ctx context.Context, data []byte) (ticket.Decision, error)
+	Submit func(ctx context.Context, data []byte) (ticket.Decision, error)
+	// Plan decides a ticket without putting it in force, and tells what it would do.
+	Plan    func(ctx context.Context, data []byte) (ticket.Decision, []string, error)
 	Ticket  func(ctx context.Context, number uint64) (store.TicketRecord, bool, error)
 	Tickets func(ctx context.Context) ([]store.TicketRecord, error)
 	State   func() *fleet.State
@@ -98,6 +100,10 @@
 		writeError(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the ticket is over %d bytes", maxTicket))
 		return
 	}
+	if r.URL.Query().Get("plan") == "true" {
+		h.plan(w, r, data)
+		return
+	}
 	decision, err := h.config.Submit(r.Context(), data)
 	if err != nil {
 		writeError(w, http.StatusServiceUnavailable, "it is not known whether the ticket is in force; submit it again: "+err.Error())
@@ -106,6 +112,18 @@
 	writeJSON(w, statusOf(decision.Verdict), decisionToWire(decision))
 }
 
+func (h handler) plan(w http.ResponseWriter, r *http.Request, data []byte) {
+	decision, effects, err := h.config.Plan(r.Context(), data)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	wire := decisionToWire(decision)
+	wire.Version = 0
+	wire.Effects = effects
+	writeJSON(w, statusOf(decision.Verdict), wire)
+}
+
 func statusOf(verdict ticket.Verdict) int {
 	switch verdict {
 	case ticket.Accepted, ticket.Repeated:
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -32,8 +32,17 @@
 
 // Submit submits a ticket. A decision other than accepted is no error.
 func (c *Client) Submit(ctx context.Context, data []byte) (DecisionWire, error) {
+	return c.decide(ctx, PathTickets, data)
+}
+
+// Plan asks what a ticket would do, without putting it in force.
+func (c *Client) Plan(ctx context.Context, data []byte) (DecisionWire, error) {
+	return c.decide(ctx, PathTickets+"?plan=true", data)
+}
+
+func (c *Client) decide(ctx context.Context, path string, data []byte) (DecisionWire, error) {
 	var w DecisionWire
-	status, body, err := c.do(ctx, http.MethodPost, PathTickets, data)
+	status, body, err := c.do(ctx, http.MethodPost, path, data)
 	if err != nil {
 		return w, err
 	}
--- a/internal/admin/wire.go
+++ b/internal/admin/wire.go
@@ -27,6 +27,7 @@
 	Reason  string      `json:"reason"`
 	Version uint64      `json:"version,omitempty"`
 	Faults  []FaultWire `json:"faults,omitempty"`
+	Effects []string    `json:"effects,omitempty"` // of a plan
 }
 
 // PoolWire is the JSON form of a pool as operators see it. Waiting, Running and
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -12,6 +12,7 @@
 func (n *Node) adminHandler() http.Handler {
 	return admin.Handler(admin.Config{
 		Submit: n.submit,
+		Plan:   n.planTicket,
 		Ticket: n.store.Ticket,
 		Tickets: func(ctx context.Context) ([]store.TicketRecord, error) {
 			return n.store.Tickets(ctx)
--- a/internal/node/tickets.go
+++ b/internal/node/tickets.go
@@ -17,7 +17,7 @@
 func (n *Node) submit(ctx context.Context, data []byte) (ticket.Decision, error) {
 	t, faults := ticket.Parse(data)
 	if len(faults) > 0 {
-		return ticket.Decision{Verdict: ticket.Invalid, Reason: "the ticket has faults", Faults: faults}, nil
+		return ticket.Decision{Verdict: ticket.Invalid, Reason: faultyTicket, Faults: faults}, nil
 	}
 	for range submitTries {
 		decision, err := n.submitOnce(ctx, t, data)
@@ -33,6 +33,31 @@
 	return ticket.Decision{}, errors.Newf("ticket %d lost %d races with other changes", t.Number, submitTries)
 }
 
+// planTicket decides a ticket without putting it in force, and tells what it would
+// do.
+func (n *Node) planTicket(ctx context.Context, data []byte) (ticket.Decision, []string, error) {
+	t, faults := ticket.Parse(data)
+	if len(faults) > 0 {
+		return ticket.Decision{Verdict: ticket.Invalid, Reason: faultyTicket, Faults: faults}, nil, nil
+	}
+	if err := n.refresh(ctx); err != nil {
+		return ticket.Decision{}, nil, err
+	}
+	record, _, err := n.store.Ticket(ctx, t.Number)
+	if err != nil {
+		return ticket.Decision{}, nil, err
+	}
+	state := n.state.Load()
+	decision := ticket.Decide(t, state, record.Digest, time.Now())
+	if decision.Verdict != ticket.Accepted {
+		return decision, nil, nil
+	}
+	return decision, ticket.Effects(decision.Change, state), nil
+}
+
+// faultyTicket is the reason of a ticket that can't be read whole.
+const faultyTicket = "the ticket has faults"
+
 func (n *Node) submitOnce(ctx context.Context, t ticket.Ticket, data []byte) (ticket.Decision, error) {
 	if err := n.refresh(ctx); err != nil {
 		return ticket.Decision{}, err
--- a/internal/stand/worker.go
+++ b/internal/stand/worker.go
@@ -90,6 +90,9 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
+// Addr returns the address that the worker listens on.
+func (w *Worker) Addr() netip.AddrPort { return w.listener.Addr().(*net.TCPAddr).AddrPort() }
+
 // Close stops the worker and cuts its connections.
 func (w *Worker) Close() {
 	_ = w.listener.Close()
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -184,8 +184,8 @@
 	Change  fleet.Change
 }
 
-// Decide weighs a ticket against the state in force. digests gives the digest
-// of the ticket accepted under the same number, empty if there is none.
+// Decide weighs a ticket against the state in force. acceptedDigest is that of the
+// ticket accepted under the same number, empty if there is none.
 func Decide(t Ticket, state *fleet.State, acceptedDigest string, now time.Time) Decision {
 	if acceptedDigest == t.Digest {
 		return Decision{Verdict: Repeated, Reason: fmt.Sprintf("ticket %d is in force already", t.Number)}
@@ -234,7 +234,8 @@
 }
 
 // references checks that every pool named by the ticket exists, in force or in
-// the ticket itself, and that no two hosts share an address.
+// the ticket itself, that no budget is passed by hosts which are away already, and
+// that no two hosts share an address.
 func references(t Ticket, state *fleet.State) []fleet.Fault {
 	pools := map[string]bool{}
 	for _, p := range t.Pools {
@@ -255,9 +256,26 @@
 			faults = append(faults, fleet.Fault{Field: fmt.Sprintf("hosts[%d].pool", i), Value: h.Pool, Allowed: "a pool in force or in this ticket"})
 		}
 	}
+	faults = append(faults, passedBudgets(t, state)...)
 	return append(faults, sharedAddresses(t, state)...)
 }
 
+// passedBudgets finds the budgets that the hosts which are away now would pass.
+func passedBudgets(t Ticket, state *fleet.State) []fleet.Fault {
+	var faults []fleet.Fault
+	for i, p := range t.Pools {
+		away, _ := state.AwayCount(p.Name)
+		if hosts := len(state.PoolHosts(p.Name)); away > p.Budget(hosts) {
+			faults = append(faults, fleet.Fault{
+				Field:   fmt.Sprintf("pools[%d].away-percent", i),
+				Value:   fmt.Sprint(p.AwayPercent),
+				Allowed: fmt.Sprintf("at least %d, for %d of %d hosts are away now", (100*away+hosts-1)/hosts, away, hosts),
+			})
+		}
+	}
+	return faults
+}
+
 func sharedAddresses(t Ticket, state *fleet.State) []fleet.Fault {
 	owners := map[string]string{}
 	touched := map[string]bool{}
