A process that gives up its lease decides nothing more; rounds do not overlap

Cause, found by reading: between giving up the lease and its end a stopping process could still decide on keys whose shards it had failed to hand over, and its last round could run beside the loop's own, which could open a shard whose transfer was on its way.

Change: all shards are closed before the lease row says left; one round at a time. The unused removal of lease rows and its time are gone: names are reused, so rows do not grow.

Fails first: TestLapsedOwnerDecidesNothingUntilItHasRead, whose last part has all 64 shards open again without the closing.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -46,7 +46,6 @@
 	Hold   time.Duration // how long the holder relies on a renewal
 	Lapse  time.Duration // how long an observer waits before it counts on a lapse
 	MaxGap time.Duration // longest time between two reads that count as unbroken
-	Keep   time.Duration // how long a lapsed row is kept
 }
 
 // DefaultTiming returns the timing of production.
@@ -56,7 +55,6 @@
 		Hold:   6 * time.Second,
 		Lapse:  8 * time.Second,
 		MaxGap: 4 * time.Second,
-		Keep:   30 * time.Minute,
 	}
 }
 
@@ -174,16 +172,6 @@
 	return l.Renew(ctx, table, l.info.Version, now)
 }
 
-// Remove deletes the rows of members that left or lapsed long ago.
-func Remove(ctx context.Context, table plat.Table, name string, row uint64) error {
-	key := leasePrefix + name
-	txn := plat.Txn{
-		Checks:  []plat.Check{{Key: key, Version: row}},
-		Deletes: []string{key, placePrefix + name},
-	}
-	return table.Commit(ctx, txn)
-}
-
 // sighting is when an observer first saw a row as it is now.
 type sighting struct {
 	info  Info
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -42,6 +42,8 @@
 	// settle asks a majority to count silent processes as gone.
 	settle func(ctx context.Context) bool
 
+	rounds sync.Mutex // held while a round goes on
+
 	mu     sync.Mutex
 	shares once.Shares
 	row    uint64 // version of the row that shares were read from
@@ -50,6 +52,8 @@
 	// one is sent even if it changes nothing: once the row has another version,
 	// nothing can come of the first any more.
 	limbo bool
+	// closed tells that this process has given up its lease.
+	closed bool
 }
 
 // keyDesk is this process's part in one shard. It stays after the shard was
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,6 @@
 	"github.com/papayarudder/papayarudder/internal/plat"
 	"github.com/papayarudder/papayarudder/internal/store"
 	"github.com/papayarudder/papayarudder/internal/trace"
-	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
 // Times between the rounds of a node's loops.
@@ -72,7 +71,6 @@
 	callerListener net.Listener
 	adminListener  net.Listener
 	peerListener   net.Listener
-	peerServer     *wire.Server
 	leaving        atomic.Bool
 	leaseMu        sync.Mutex
 	reading        sync.Mutex // held while the members' rows are read
@@ -289,7 +287,10 @@
 	}
 }
 
+// giveUpLease marks the lease row as left. From then on others may take what is
+// still owned here, so nothing is decided any more.
 func (n *Node) giveUpLease(ctx context.Context) {
+	n.keys.close()
 	n.leaseMu.Lock()
 	defer n.leaseMu.Unlock()
 	if err := n.lease.Leave(ctx, n.platform.Table, time.Now()); err != nil {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -150,7 +150,6 @@
 		return nil, err
 	}
 	go func() { _ = server.Serve(n.peerListener) }()
-	n.peerServer = server
 	return server, nil
 }
 
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -34,6 +34,8 @@
 // round gives, takes and fetches shards. Without the table service nothing
 // changes hands.
 func (k *keys) round(ctx context.Context) {
+	k.rounds.Lock()
+	defer k.rounds.Unlock()
 	tenure := k.health.currentTenure()
 	if tenure == 0 || k.read(ctx) != nil {
 		return
@@ -150,6 +152,16 @@
 	})
 }
 
+// close stops deciding for good, because the lease is given up.
+func (k *keys) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	for _, d := range k.desks {
+		d.open = false
+	}
+}
+
 // fetch opens the shards that this process owns and has not opened yet.
 func (k *keys) fetch(ctx context.Context, tenure uint64) {
 	for shard, share := range k.unopened(tenure) {
@@ -161,7 +173,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	shards := map[int]once.Share{}
-	if k.limbo {
+	if k.limbo || k.closed {
 		return shards
 	}
 	for shard, share := range k.shares {
@@ -190,7 +202,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.shares[shard] == share {
+	if k.shares[shard] == share && !k.closed {
 		k.desks[shard] = &keyDesk{registry: registry, epoch: share.Epoch, open: true, tenure: tenure}
 	}
 }
@@ -201,7 +213,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d, known := k.desks[shard]
-	if !known || d.epoch != share.Epoch || k.shares[shard] != share {
+	if !known || k.closed || d.epoch != share.Epoch || k.shares[shard] != share {
 		return false
 	}
 	d.open = true
--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -109,4 +109,9 @@
 	if got := k.openShards(); got != once.Shards {
 		t.Errorf("%d shards are open, want all that are still owned", got)
 	}
+	k.close()
+	k.round(ctx)
+	if got := k.openShards(); got != 0 {
+		t.Errorf("%d shards are open after the lease was given up", got)
+	}
 }
