--- a/internal/node/shards_test.go
+++ b/internal/node/shards_test.go
@@ -59,14 +59,18 @@
 
 	other := wire.NewPeer(netip.MustParseAddrPort("127.0.0.1:1"), wire.DefaultTiming(), nil)
 	defer other.Close()
+	roster.mu.Lock()
 	roster.peers["other-1"] = &peer{info: member.Info{Name: "other", Incarnation: "other-1", State: member.Ready}, wire: other}
+	roster.mu.Unlock()
 	delay = true
 	k.round(ctx)
 	given := once.Shards - k.openShards()
 	if given == 0 || len(delayed) == 0 {
 		t.Fatalf("%d shards were given away in %d transactions", given, len(delayed))
 	}
+	roster.mu.Lock()
 	delete(roster.peers, "other-1") // now this process should keep them
+	roster.mu.Unlock()
 	k.round(ctx)
 	if got := k.openShards(); got != once.Shards-given {
 		t.Errorf("%d shards are open while it is in doubt whether they were given away", got)
