A woken dispatcher gives no slot to those who went away, and loses none it took over

A woken dispatcher took over grants of the one that had stood in for it; those were given back to the other one, and the woken one counted them as in use until they were 3 s old. And it gave freed slots to requests that had waited over the pause and were long served elsewhere.

Change: a grant that was taken over is taken back as soon as its entry does not hold it; what waited over a pause is refused; grants are checked for 2 s after a pause.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -37,7 +37,7 @@
 	tickEvery    = 20 * time.Millisecond
 	pauseNoticed = 300 * time.Millisecond // between two ticks
 
-	pauseChecks     = 5
+	pauseChecks     = 10
 	pauseCheckEvery = 200 * time.Millisecond
 	reconcileEvery  = 2 * time.Second
 	// A grant younger than this may still be on its way to its entry, surely or
@@ -150,6 +150,14 @@
 	return d.acquire(ctx, r)
 }
 
+// Runs reports whether a pool's queue is run here.
+func (b *Broker) Runs(pool string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, running := b.desks[pool]
+	return running
+}
+
 // Release gives back the slots of some grants.
 func (b *Broker) Release(pool string, releases []Release) error {
 	d, err := b.desk(pool)
--- a/internal/broker/desk.go
+++ b/internal/broker/desk.go
@@ -83,9 +83,14 @@
 }
 
 // afterPause checks all grants, because another may have dispatched while this
-// process was paused. The first calls after a pause may find connections that
-// were given up meanwhile.
+// process was paused. What waited has asked elsewhere by now, so it is refused
+// first: a slot granted to it would be lost. It is checked for a while, because
+// connections that were given up meanwhile have to be made anew, and because the
+// other dispatcher goes on until it sees that this one is back.
 func (d *desk) afterPause() {
+	d.mu.Lock()
+	d.deliver(d.queue.Refuse(sched.Stopping))
+	d.mu.Unlock()
 	for range pauseChecks {
 		d.resync(grantArrives, false)
 		time.Sleep(pauseCheckEvery)
@@ -154,7 +159,7 @@
 // that their entries do not hold, or whose entries are gone. With given it also
 // takes over what the last dispatcher gave lately. It returns how many it took
 // over.
-func (d *desk) resync(settle time.Duration, given bool) int {
+func (d *desk) resync(settle time.Duration, given bool) (restored int) {
 	asked := d.config.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -163,7 +168,6 @@
 	answered := map[string]bool{}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	restored := 0
 	for _, h := range holdings {
 		answered[h.Member] = true
 		for _, g := range h.Grants {
@@ -182,13 +186,22 @@
 	for _, g := range slices.Collect(maps.Values(d.granted)) {
 		gone := !slices.Contains(live, g.Entry)
 		forgotten := answered[g.Entry] && !held[g.ID]
-		if asked.Sub(g.At) > settle && (gone || forgotten) {
+		if asked.Sub(g.At) > d.settles(g, settle) && (gone || forgotten) {
 			d.releaseLocked(Release{Grant: g.ID, Outcome: sched.Unused})
 		}
 	}
 	return restored
 }
 
+// settles returns how old a grant must be to be taken back. One that was taken over
+// has reached its entry long ago, whoever it was given back to.
+func (d *desk) settles(g sched.Grant, settle time.Duration) time.Duration {
+	if d.gave(g) {
+		return settle
+	}
+	return min(settle, grantArrives)
+}
+
 // restore takes over a grant of another dispatcher. One of this desk's own that
 // is not known any more was given back since the entries were asked.
 func (d *desk) restore(g sched.Grant, asked time.Time) bool {
--- a/internal/node/slots.go
+++ b/internal/node/slots.go
@@ -101,7 +101,7 @@
 // in one message; one that is lost is found by the dispatcher's reconciliation.
 func (s *slots) release(pool string, grant sched.Grant, outcome sched.Outcome) {
 	release := broker.Release{Grant: grant.ID, Outcome: outcome}
-	if err := s.broker.Release(pool, []broker.Release{release}); err == nil {
+	if s.broker.Runs(pool) && s.broker.Release(pool, []broker.Release{release}) == nil {
 		return
 	}
 	s.mu.Lock()
