--- a/internal/stand/relay.go
+++ b/internal/stand/relay.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -129,9 +128,8 @@
 			_, _ = to.Write(buffer[:n])
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				_ = to.Close()
-			}
+			_ = to.Close()
+			_ = from.Close()
 			return
 		}
 	}
