A member that is cut from the table service gets pushes that overtook each other

Pushes run side by side, so a later one may come first; the receiver rightly puts nothing in force over a gap, dropped it, and could not read the missing one from the table service.

Change: changes of late are kept in memory, and a member that answers a push with an older version is sent all that it lacks.

Left: a member that is cut off and started anew has no peer to load the whole state from.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,6 +13,7 @@
 
 const (
 	changesPage = 100 // changes read at once
+	recentKept  = 256 // changes kept for members that lack them
 	submitTries = 20  // of a ticket that races with other changes
 )
 
@@ -77,8 +79,10 @@
 	for _, change := range changes {
 		if next, err := state.Apply(change); err == nil {
 			state = next
+			n.recent = append(n.recent, change)
 		}
 	}
+	n.recent = n.recent[max(0, len(n.recent)-recentKept):]
 	n.state.Store(state)
 	n.admit.Unlock()
 	if state.Version == before.Version {
@@ -88,14 +92,41 @@
 	n.assign()
 }
 
-// push sends a change that took effect to every member.
+// recentSince returns the changes after a version that are still kept in memory,
+// oldest first; none if there is a gap.
+func (n *Node) recentSince(version uint64) []fleet.Change {
+	n.admit.Lock()
+	defer n.admit.Unlock()
+	for i, change := range n.recent {
+		if change.Version == version+1 {
+			return slices.Clone(n.recent[i:])
+		}
+	}
+	return nil
+}
+
+// push sends a change that took effect to every member. Pushes may overtake each
+// other, so a member that answers with an older version is sent what it lacks: it
+// may not be able to read it from the table service.
 func (n *Node) push(change fleet.Change) {
 	n.apply([]fleet.Change{change}, "committed here")
-	data := fleet.EncodeChange(change)
 	go n.roster.each(func(p *peer) {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		var reply PushReply
-		_ = p.wire.Call(ctx, "Member.Push", PushArgs{Changes: [][]byte{data}}, &reply)
+		inForce, err := pushTo(p, []fleet.Change{change})
+		if err == nil && inForce < change.Version {
+			_, _ = pushTo(p, n.recentSince(inForce))
+		}
 	})
 }
+
+// pushTo sends changes to a member and returns the version in force there then.
+func pushTo(p *peer, changes []fleet.Change) (uint64, error) {
+	var args PushArgs
+	for _, change := range changes {
+		args.Changes = append(args.Changes, fleet.EncodeChange(change))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var reply PushReply
+	err := p.wire.Call(ctx, "Member.Push", args, &reply)
+	return reply.Version, err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	lease        *member.Lease
 	reader       *member.Reader
 	admit        sync.Mutex // held while the state in force changes
+	recent       []fleet.Change
 
 	callerListener net.Listener
 	adminListener  net.Listener
