Jobs run on the platform: the path from submission to the end of its tasks, thin

Cause: the platform's callers submit jobs; the product served requests only. What: platform/ translates (settings, store, workers, machines, advice, callers); internal/jobs holds the domain, internal/place decides where tasks run (pure), internal/pool makes jobs durable and owns a pool, internal/upkeep does waves, internal/daemon is one process. papayarudder daemon runs it. Ruled out: entries that write rows themselves. Only an owner that knows every id of its pool can say truly that a job has not run. Before: nothing was served. Looks are far too many: a worker that lists ends not yet acknowledged answers every hold at once.

--- a/cmd/papayarudder/main.go
+++ b/cmd/papayarudder/main.go
@@ -36,6 +36,7 @@
 // commandLine is what go-arg reads the arguments into.
 type commandLine struct {
 	Serve         *serveCommand    `arg:"subcommand:serve" help:"run one process of the system"`
+	Daemon        *daemonCommand   `arg:"subcommand:daemon" help:"run one process of the system on the users' platform"`
 	CheckSettings *settingsCommand `arg:"subcommand:check-settings" help:"check settings files whole"`
 	Ticket        *ticketCommand   `arg:"subcommand:ticket" help:"submit, show and list change tickets"`
 	Pool          *poolCommand     `arg:"subcommand:pool" help:"list pools"`
--- /dev/null
+++ b/internal/daemon/callers.go
@@ -0,0 +1,254 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+const (
+	defaultPatience = 3 * time.Second        // of a caller who names none
+	answerMargin    = 150 * time.Millisecond // before a caller's patience ends
+	ownerRetry      = 40 * time.Millisecond  // between tries to reach a pool's owner
+	defaultBody     = 256 << 10              // bytes, where the configuration sets no limit
+)
+
+var metricAnswers = func(kind string, status int) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(`papayarudder_answer_seconds{kind="` + kind + `",status="` + strconv.Itoa(status) + `"}`)
+}
+
+// errOwner tells that a pool's owner could not be asked.
+var errOwner = errors.New("the pool's owner can't be reached")
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.config.Load() == nil || d.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveCaller answers one request of a caller.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	kind, status := d.route(w, r, began)
+	metricAnswers(kind, status).UpdateDuration(began)
+}
+
+// route finds what a request is for and returns its kind and the status that it
+// was answered with.
+func (d *Daemon) route(w http.ResponseWriter, r *http.Request, began time.Time) (kind string, status int) {
+	c := d.config.Load()
+	if c == nil {
+		return "none", d.refuse(w, http.StatusServiceUnavailable, "no configuration yet")
+	}
+	q, rest, found := findQueue(c.Queues, r.Host, r.URL.Path)
+	if !found {
+		return "none", d.refuse(w, http.StatusNotFound, "no such queue")
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), began.Add(patience(r)))
+	defer cancel()
+	if rest == "" && r.Method == http.MethodGet {
+		return "pending", d.servePending(ctx, w, q)
+	}
+	id, err := jobs.ParseID(rest)
+	if err != nil {
+		return "none", d.refuse(w, http.StatusBadRequest, err.Error())
+	}
+	switch r.Method {
+	case http.MethodPost:
+		return "submit", d.serveSubmit(ctx, w, r, c, q, id)
+	case http.MethodGet:
+		return "state", d.serveState(ctx, w, q, id)
+	case http.MethodDelete:
+		return "cancel", d.serveCancel(ctx, w, q, id)
+	}
+	return "none", d.refuse(w, http.StatusMethodNotAllowed, "no such method")
+}
+
+// findQueue returns the queue with the longest prefix of a path at a host.
+func findQueue(queues []platform.Queue, host, path string) (platform.Queue, string, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	host = strings.ToLower(host)
+	best := -1
+	for i, q := range queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best < 0 || len(q.Prefix) > len(queues[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return platform.Queue{}, "", false
+	}
+	return queues[best], path[len(queues[best].Prefix):], true
+}
+
+// patience returns how long a caller waits for an answer, less a margin.
+func patience(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(platform.DeadlineHeader))
+	if err != nil || ms <= 0 {
+		return defaultPatience - answerMargin
+	}
+	limit := time.Duration(ms) * time.Millisecond
+	return max(limit/2, limit-answerMargin)
+}
+
+func (d *Daemon) refuse(w http.ResponseWriter, status int, reason string) int {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(2)))
+	}
+	http.Error(w, reason, status)
+	return status
+}
+
+func (d *Daemon) answer(w http.ResponseWriter, body []byte) int {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if _, err := w.Write(body); err != nil {
+		d.log.WithError(err).Debug("caller went away")
+	}
+	return http.StatusOK
+}
+
+func (d *Daemon) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, c *configuration, q platform.Queue, id jobs.ID) int {
+	limit := c.MaxBody
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return d.refuse(w, http.StatusBadRequest, "the body can't be read")
+	}
+	if int64(len(body)) > limit {
+		return d.refuse(w, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	j, err := platform.DecodeJob(body)
+	if err == nil {
+		j.ID, j.Queue, j.Pool, j.Submitted = id, q.Name, q.Pool, time.Now()
+		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
+		err = j.Validate()
+	}
+	if err != nil {
+		d.log.WithField("job", id).WithError(err).Info("job refused: invalid")
+		return d.refuse(w, http.StatusBadRequest, err.Error())
+	}
+	data, err := j.Encode()
+	if err != nil {
+		return d.refuse(w, http.StatusInternalServerError, err.Error())
+	}
+	reply := d.askOwner(ctx, q.Pool, "Peer.Submit", SubmitArgs{q.Pool, data}, func(o *pool.Owner) Reply {
+		return Reply{Verdict: o.Submit(ctx, j)}
+	})
+	switch reply.Verdict {
+	case pool.Accepted:
+		return d.answer(w, []byte("{}"))
+	case pool.Refused:
+		return d.refuse(w, http.StatusServiceUnavailable, "the job can't be stored now; it has not run")
+	case pool.Unknown, pool.Missing:
+	}
+	d.log.WithFields(logrus.Fields{"job": id, "pool": q.Pool}).Info("no verdict on a job in time")
+	return d.refuse(w, http.StatusGatewayTimeout, "not known whether the job was accepted; send it again")
+}
+
+func (d *Daemon) serveState(ctx context.Context, w http.ResponseWriter, q platform.Queue, id jobs.ID) int {
+	reply := d.askOwner(ctx, q.Pool, "Peer.State", JobArgs{q.Pool, string(id)}, func(o *pool.Owner) Reply {
+		s, v := o.State(ctx, id)
+		return Reply{Verdict: v, State: string(s)}
+	})
+	switch reply.Verdict {
+	case pool.Accepted:
+		return d.answer(w, platform.EncodeState(jobs.State(reply.State)))
+	case pool.Missing:
+		return d.refuse(w, http.StatusGone, "no such job")
+	case pool.Refused, pool.Unknown:
+	}
+	return d.refuse(w, http.StatusGatewayTimeout, "the job's state is not known now")
+}
+
+func (d *Daemon) serveCancel(ctx context.Context, w http.ResponseWriter, q platform.Queue, id jobs.ID) int {
+	reply := d.askOwner(ctx, q.Pool, "Peer.Cancel", JobArgs{q.Pool, string(id)}, func(o *pool.Owner) Reply {
+		return Reply{Verdict: o.Cancel(ctx, id)}
+	})
+	switch reply.Verdict {
+	case pool.Accepted:
+		return d.answer(w, []byte("{}"))
+	case pool.Missing:
+		return d.refuse(w, http.StatusGone, "no such job")
+	case pool.Refused, pool.Unknown:
+	}
+	return d.refuse(w, http.StatusGatewayTimeout, "not known whether the job was cancelled; send it again")
+}
+
+func (d *Daemon) servePending(ctx context.Context, w http.ResponseWriter, q platform.Queue) int {
+	reply := d.askOwner(ctx, q.Pool, "Peer.Pending", JobArgs{q.Pool, q.Name}, func(o *pool.Owner) Reply {
+		n, v := o.Pending(ctx, q.Name)
+		return Reply{Verdict: v, Count: n}
+	})
+	if reply.Verdict != pool.Accepted {
+		return d.refuse(w, http.StatusGatewayTimeout, "the queue's length is not known now")
+	}
+	return d.answer(w, platform.EncodePending(reply.Count))
+}
+
+// askOwner asks the owner of a pool, wherever it is, until there is a verdict or
+// ctx ends. Asking again is safe: a job is known by its id.
+func (d *Daemon) askOwner(ctx context.Context, name, method string, args any, here func(*pool.Owner) Reply) Reply {
+	for ctx.Err() == nil {
+		reply, err := d.askOnce(ctx, name, method, args, here)
+		if err == nil && reply.Verdict != pool.Unknown {
+			return reply
+		}
+		pause(ctx, ownerRetry)
+	}
+	return Reply{Verdict: pool.Unknown}
+}
+
+func (d *Daemon) askOnce(ctx context.Context, name, method string, args any, here func(*pool.Owner) Reply) (Reply, error) {
+	d.mu.Lock()
+	o := d.owners[name]
+	own := d.owned[name]
+	p := d.peers[own.Owner.Node]
+	d.mu.Unlock()
+	if o != nil {
+		return here(o), nil
+	}
+	if p == nil {
+		return Reply{}, errOwner
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	var reply Reply
+	if err := p.link.Call(callCtx, method, args, &reply); err != nil {
+		return Reply{}, err
+	}
+	if !reply.Owner {
+		return Reply{}, errOwner
+	}
+	return reply, nil
+}
+
+// vacate asks a pool's owner to empty a worker and returns what still runs there.
+func (d *Daemon) vacate(ctx context.Context, name, worker string) (int, error) {
+	reply, err := d.askOnce(ctx, name, "Peer.Vacate", JobArgs{name, worker}, func(o *pool.Owner) Reply {
+		n, v := o.Vacate(ctx, worker)
+		return Reply{Verdict: v, Count: n}
+	})
+	if err == nil && reply.Verdict != pool.Accepted {
+		err = errOwner
+	}
+	return reply.Count, err
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/internal/upkeep"
+	"github.com/papayarudder/papayarudder/internal/wire"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings platform.Settings
+	self     pool.Identity
+	store    *platform.Store
+	machines *platform.Machines
+	advisor  *platform.Advisor // nil where there is none
+	log      *logrus.Entry
+	server   *wire.Server
+
+	config    atomic.Pointer[configuration]
+	stopping  atomic.Bool
+	storeSeen atomic.Int64 // Unix time in ms of the last answer of the store
+
+	mu       sync.Mutex
+	peers    map[string]*peer                // by node
+	owners   map[string]*pool.Owner          // that this process runs
+	owned    map[string]pool.Ownership       // the newest that is known, by pool
+	read     bool                            // the table of owners has been read
+	vacant   map[string]time.Time            // since when a pool seems to have no owner
+	claiming map[string]bool                 // pools with a claim on its way
+	workers  map[string]platform.WorkerEntry // by id
+	waves    map[int]platform.Wave
+	keeper   *upkeep.Keeper
+	began    time.Time
+}
+
+// New returns a process that is not running yet.
+func New(settings platform.Settings, log *logrus.Entry) *Daemon {
+	addr := netip.AddrPortFrom(settings.Callers.Addr(), settings.FirstPort)
+	d := &Daemon{
+		settings: settings, log: log,
+		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
+		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
+		server: wire.NewServer(), peers: map[string]*peer{}, owners: map[string]*pool.Owner{},
+		owned: map[string]pool.Ownership{}, vacant: map[string]time.Time{}, claiming: map[string]bool{},
+		workers: map[string]platform.WorkerEntry{}, waves: map[int]platform.Wave{},
+	}
+	if settings.Advice.IsValid() {
+		d.advisor = platform.NewAdvisor(settings.Advice)
+	}
+	return d
+}
+
+// metricsOffset is the port of the metrics, counted from the first free port.
+const metricsOffset = 1
+
+// Run serves until ctx ends. Then it leaves the balancer, hands its pools over
+// and finishes what callers wait for.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.began = time.Now()
+	d.log.WithFields(logrus.Fields{"life": d.self.Life, "zone": d.settings.Zone}).Info("process started")
+	if err := d.server.Register("Peer", &peerService{d}); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", d.self.Addr)
+	if err != nil {
+		return errors.Wrap(err, "peers' address")
+	}
+	front := &http.Server{Addr: d.settings.Callers.String(), Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
+	health := http.NewServeMux()
+	health.HandleFunc("GET "+platform.ReadyPath, d.serveReady)
+	ready := &http.Server{Addr: d.settings.Readiness.String(), Handler: health, ReadHeaderTimeout: 3 * time.Second}
+	meters := http.NewServeMux()
+	meters.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	metricsAddr := netip.AddrPortFrom(d.settings.Callers.Addr(), d.settings.FirstPort+metricsOffset)
+	meter := &http.Server{Addr: metricsAddr.String(), Handler: meters, ReadHeaderTimeout: 3 * time.Second}
+
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	tree := suture.New("papayarudder", suture.Spec{EventHook: func(e suture.Event) { d.log.WithField("event", e.String()).Error("part failed") }})
+	add := func(f func(ctx context.Context) error) { tree.Add(part(f)) }
+	add(func(context.Context) error { return d.server.Serve(listener) })
+	add(serveHTTP(front))
+	add(serveHTTP(ready))
+	add(serveHTTP(meter))
+	add(d.register)
+	add(d.watch(platform.TableOperator, d.readOperator, d.operatorRow))
+	add(d.watch(platform.TableWorkers, d.readWorkers, d.workerRow))
+	add(d.watch(pool.TableOwner, d.readOwners, d.ownerRow))
+	add(d.watch(tableMember, d.readMembers, d.memberRow))
+	add(d.pingPeers)
+	add(d.claimPools)
+	done := tree.ServeBackground(work)
+
+	<-ctx.Done()
+	d.log.Info("process stopping")
+	d.handOver()
+	shutCtx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace/2)
+	defer cancel()
+	err = front.Shutdown(shutCtx)
+	stop()
+	<-done
+	d.server.Close()
+	d.log.Info("process stopped")
+	return errors.Wrap(err, "callers' connections")
+}
+
+// part is a part of the supervisor tree.
+type part func(ctx context.Context) error
+
+// Serve runs the part.
+func (p part) Serve(ctx context.Context) error { return p(ctx) }
+
+// serveHTTP returns a part that runs a server.
+func serveHTTP(s *http.Server) part {
+	return func(ctx context.Context) error {
+		context.AfterFunc(ctx, func() { _ = s.Close() }) // the process is ending
+		err := s.ListenAndServe()
+		if errors.Is(err, http.ErrServerClosed) {
+			return suture.ErrDoNotRestart
+		}
+		return errors.Wrap(err, "serve")
+	}
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/jobs/codec.go
@@ -0,0 +1,153 @@
+package jobs
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// stepRow is the stored form of a [Step].
+type stepRow struct {
+	Count          int    `json:"count"`
+	Millicores     int    `json:"cpu,omitempty"`
+	MemoryMB       int    `json:"memory,omitempty"`
+	Accelerators   int    `json:"accelerators,omitempty"`
+	EstimateMS     int64  `json:"estimate-ms,omitempty"`
+	After          []int  `json:"after,omitempty"`
+	Gang           bool   `json:"gang,omitempty"`
+	RackLocal      bool   `json:"rack-local,omitempty"`
+	Checkpoints    bool   `json:"checkpoints,omitempty"`
+	Speculative    bool   `json:"speculative,omitempty"`
+	Lasting        bool   `json:"lasting,omitempty"`
+	Fills          bool   `json:"fills,omitempty"`
+	Label          string `json:"label,omitempty"`
+	Rack           string `json:"rack,omitempty"`
+	MaxPerWorker   int    `json:"max-per-worker,omitempty"`
+	MaxUnavailable int    `json:"max-unavailable,omitempty"`
+	Image          string `json:"image,omitempty"`
+	TargetMS       int64  `json:"target-ms,omitempty"`
+}
+
+// jobRow is the stored form of a [Job].
+type jobRow struct {
+	ID          string    `json:"id"`
+	Spec        string    `json:"spec"`
+	Steps       []stepRow `json:"steps"`
+	Repetitions int       `json:"repetitions,omitempty"`
+	FirstMS     int64     `json:"first-ms,omitempty"`
+	EveryMS     int64     `json:"every-ms,omitempty"`
+	Priority    int       `json:"priority,omitempty"`
+	MaxAttempts int       `json:"max-attempts,omitempty"`
+	Slack       float64   `json:"slack,omitempty"`
+	TargetMS    int64     `json:"target-ms,omitempty"`
+	Queue       string    `json:"queue"`
+	Pool        string    `json:"pool"`
+	SubmittedMS int64     `json:"submitted-ms"`
+}
+
+// Encode returns the stored form of a job.
+func (j Job) Encode() ([]byte, error) {
+	row := jobRow{
+		ID: string(j.ID), Spec: j.Spec, Repetitions: j.Repetitions, EveryMS: j.Every.Milliseconds(),
+		Priority: j.Priority, MaxAttempts: j.MaxAttempts, Slack: j.Slack, TargetMS: j.Target.Milliseconds(),
+		Queue: j.Queue, Pool: j.Pool, SubmittedMS: j.Submitted.UnixMilli(),
+	}
+	if j.Repetitions > 0 {
+		row.FirstMS = j.FirstAt.UnixMilli()
+	}
+	for _, s := range j.Steps {
+		row.Steps = append(row.Steps, stepRow{
+			s.Count, s.Size.Millicores, s.Size.MemoryMB, s.Size.Accelerators, s.Estimate.Milliseconds(), s.After,
+			s.Gang, s.RackLocal, s.Checkpoints, s.Speculative, s.Lasting, s.Fills,
+			s.Label, s.Rack, s.MaxPerWorker, s.MaxUnavailable, s.Image, s.Target.Milliseconds(),
+		})
+	}
+	data, err := json.Marshal(row)
+	return data, errors.Wrap(err, "encode job")
+}
+
+// Decode reads the stored form of a job.
+func Decode(data []byte) (Job, error) {
+	var row jobRow
+	if err := json.Unmarshal(data, &row); err != nil {
+		return Job{}, errors.Wrap(err, "stored job")
+	}
+	j := Job{
+		ID: ID(row.ID), Spec: row.Spec, Repetitions: row.Repetitions,
+		Every:    time.Duration(row.EveryMS) * time.Millisecond,
+		Priority: row.Priority, MaxAttempts: row.MaxAttempts, Slack: row.Slack,
+		Target: time.Duration(row.TargetMS) * time.Millisecond,
+		Queue:  row.Queue, Pool: row.Pool, Submitted: time.UnixMilli(row.SubmittedMS),
+	}
+	if row.Repetitions > 0 {
+		j.FirstAt = time.UnixMilli(row.FirstMS)
+	}
+	for _, s := range row.Steps {
+		j.Steps = append(j.Steps, Step{
+			Count: s.Count, Size: Size{s.Millicores, s.MemoryMB, s.Accelerators},
+			Estimate: time.Duration(s.EstimateMS) * time.Millisecond, After: s.After,
+			Gang: s.Gang, RackLocal: s.RackLocal, Checkpoints: s.Checkpoints, Speculative: s.Speculative,
+			Lasting: s.Lasting, Fills: s.Fills, Label: s.Label, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker,
+			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: time.Duration(s.TargetMS) * time.Millisecond,
+		})
+	}
+	return j, j.Validate()
+}
+
+// progressRow is the stored form of a [Progress].
+type progressRow struct {
+	State string    `json:"state,omitempty"`
+	Begun bool      `json:"begun,omitempty"`
+	Done  []string  `json:"done,omitempty"` // bits of each step of each occurrence
+	Tries []taskRow `json:"tries,omitempty"`
+}
+
+// taskRow holds what is kept of a task that is not done.
+type taskRow struct {
+	Task       string `json:"task"`
+	Failures   int    `json:"failures,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Encode returns the stored form of the progress.
+func (p *Progress) Encode() ([]byte, error) {
+	row := progressRow{State: string(p.Final), Begun: p.Begun}
+	if p.Final == "" {
+		for _, bits := range p.done {
+			row.Done = append(row.Done, bits.encode())
+		}
+		for t, tries := range p.tries {
+			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failures, tries.Checkpoint})
+		}
+	}
+	data, err := json.Marshal(row)
+	return data, errors.Wrap(err, "encode progress")
+}
+
+// DecodeProgress reads the stored progress of a job.
+func DecodeProgress(j Job, data []byte) (*Progress, error) {
+	var row progressRow
+	if err := json.Unmarshal(data, &row); err != nil {
+		return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
+	}
+	p := NewProgress(j)
+	p.Final = State(row.State)
+	p.Begun = row.Begun
+	if len(row.Done) > len(p.done) {
+		return nil, errors.Newf("stored progress of job %s: %d steps, the job has %d", j.ID, len(row.Done), len(p.done))
+	}
+	for i, text := range row.Done {
+		if err := p.done[i].decode(text); err != nil {
+			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
+		}
+	}
+	for _, r := range row.Tries {
+		t, err := ParseTask(r.Task)
+		if err != nil {
+			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
+		}
+		p.tries[t] = Tries{Failures: r.Failures, Checkpoint: r.Checkpoint}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/jobs/progress.go
@@ -0,0 +1,176 @@
+package jobs
+
+import (
+	"encoding/hex"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Tries is what is kept of a task that is not done.
+type Tries struct {
+	Failures   int
+	Checkpoint string // the newest that is known, empty for none
+}
+
+// Progress is how far a job has come: which tasks are done, how often others
+// failed, and their checkpoints. It changes only by what workers reported.
+type Progress struct {
+	Final State // empty while the job goes on
+	Begun bool  // a task has started
+
+	job   Job
+	done  []bitset // of each step of each occurrence
+	tries map[Task]Tries
+}
+
+// NewProgress returns the progress of a job of which nothing ran.
+func NewProgress(j Job) *Progress {
+	p := &Progress{job: j, tries: map[Task]Tries{}}
+	for range j.Occurrences() {
+		for _, s := range j.Steps {
+			p.done = append(p.done, newBitset(s.Count))
+		}
+	}
+	return p
+}
+
+func (p *Progress) bits(occurrence, step int) *bitset {
+	return &p.done[occurrence*len(p.job.Steps)+step]
+}
+
+// Has reports whether the job has such a task.
+func (p *Progress) Has(t Task) bool {
+	return t.Occurrence < p.job.Occurrences() && t.Step < len(p.job.Steps) && t.Index < p.job.Steps[t.Step].Count
+}
+
+// Done reports whether a task is done.
+func (p *Progress) Done(t Task) bool { return p.bits(t.Occurrence, t.Step).has(t.Index) }
+
+// StepDone reports whether all tasks of a step are done.
+func (p *Progress) StepDone(occurrence, step int) bool { return p.bits(occurrence, step).full() }
+
+// Ready reports whether all steps that a step waits for are done.
+func (p *Progress) Ready(occurrence, step int) bool {
+	for _, before := range p.job.Steps[step].After {
+		if !p.StepDone(occurrence, before) {
+			return false
+		}
+	}
+	return true
+}
+
+// Tries returns what is kept of a task.
+func (p *Progress) Tries(t Task) Tries { return p.tries[t] }
+
+// MarkDone records that a task is done; of a gang, all its tasks.
+func (p *Progress) MarkDone(t Task) {
+	bits := p.bits(t.Occurrence, t.Step)
+	if p.job.Steps[t.Step].Gang {
+		for i := range p.job.Steps[t.Step].Count {
+			bits.set(i)
+			delete(p.tries, Task{t.Job, t.Occurrence, t.Step, i})
+		}
+		return
+	}
+	bits.set(t.Index)
+	delete(p.tries, t)
+}
+
+// MarkFailed records a failed attempt and returns how many there were. The
+// attempts of a gang fail together and are counted at its first task.
+func (p *Progress) MarkFailed(t Task) int {
+	t = p.counted(t)
+	tries := p.tries[t]
+	tries.Failures++
+	p.tries[t] = tries
+	return tries.Failures
+}
+
+// Failures returns how many attempts of a task, or of its gang, failed.
+func (p *Progress) Failures(t Task) int { return p.tries[p.counted(t)].Failures }
+
+func (p *Progress) counted(t Task) Task {
+	if p.job.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return t
+}
+
+// Save records a task's newest checkpoint. The one of any member is valid for
+// its gang, so that a gang's is kept at its first task.
+func (p *Progress) Save(t Task, checkpoint string) {
+	if checkpoint == "" || p.Done(t) {
+		return
+	}
+	t = p.counted(t)
+	tries := p.tries[t]
+	tries.Checkpoint = checkpoint
+	p.tries[t] = tries
+}
+
+// Checkpoint returns the newest checkpoint of a task, empty if there is none.
+func (p *Progress) Checkpoint(t Task) string { return p.tries[p.counted(t)].Checkpoint }
+
+// AllDone reports whether every task of every occurrence is done.
+func (p *Progress) AllDone() bool {
+	for i := range p.done {
+		if !p.done[i].full() {
+			return false
+		}
+	}
+	return true
+}
+
+// State returns what a caller sees.
+func (p *Progress) State() State {
+	switch {
+	case p.Final != "":
+		return p.Final
+	case p.Begun:
+		return Active
+	}
+	return Queued
+}
+
+// bitset is a set of small numbers below a size.
+type bitset struct {
+	size  int
+	count int
+	words []byte
+}
+
+func newBitset(size int) bitset { return bitset{size: size, words: make([]byte, (size+7)/8)} }
+
+func (b *bitset) has(i int) bool { return b.words[i/8]&(1<<(i%8)) != 0 }
+
+func (b *bitset) set(i int) {
+	if !b.has(i) {
+		b.words[i/8] |= 1 << (i % 8)
+		b.count++
+	}
+}
+
+func (b *bitset) full() bool { return b.count == b.size }
+
+func (b *bitset) encode() string {
+	if b.count == 0 {
+		return ""
+	}
+	return hex.EncodeToString(b.words)
+}
+
+func (b *bitset) decode(text string) error {
+	if text == "" {
+		return nil
+	}
+	words, err := hex.DecodeString(text)
+	if err != nil || len(words) != len(b.words) {
+		return errors.Newf("done %.40q: want %d bytes in hexadecimal", text, len(b.words))
+	}
+	for i := range b.size {
+		if words[i/8]&(1<<(i%8)) != 0 {
+			b.set(i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/place/decide.go
@@ -0,0 +1,453 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+)
+
+// Decide returns what is to be done now.
+func (b *Board) Decide(now time.Time) Orders {
+	var o Orders
+	b.openSteps(now)
+	b.moveOff(now)
+	b.stall(now)
+	b.stops(&o, now)
+	b.place(&o, now)
+	return o
+}
+
+// openSteps makes the tasks of steps whose turn has come wait for a place.
+func (b *Board) openSteps(now time.Time) {
+	for _, e := range b.jobs {
+		if e.progress.Final != "" {
+			continue
+		}
+		for t, r := range e.retry {
+			if r.delay > 0 && !r.at.After(now) && len(e.attempts[t]) == 0 {
+				key := stepKey{t.Occurrence, t.Step}
+				if !slices.Contains(e.waiting[key], t) {
+					e.waiting[key] = append(e.waiting[key], t)
+				}
+			}
+		}
+		for k := range e.job.Occurrences() {
+			if e.job.Repetitions > 0 && e.job.Due(k).After(now) {
+				break
+			}
+			for i, s := range e.job.Steps {
+				key := stepKey{k, i}
+				if e.opened[key] || e.progress.StepDone(k, i) || !e.progress.Ready(k, i) {
+					continue
+				}
+				e.opened[key] = true
+				for index := range s.Count {
+					t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
+					if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
+						e.waiting[key] = append(e.waiting[key], t)
+					}
+				}
+			}
+		}
+	}
+}
+
+// stops orders the stops that are wanted and not yet ordered.
+func (b *Board) stops(o *Orders, now time.Time) {
+	for _, key := range b.workerKeys() {
+		w := b.workers[key]
+		for _, a := range w.attempts {
+			if !a.stop || a.Phase == Starting {
+				continue // a start is on its way; its answer comes first
+			}
+			if a.Phase != Unsure {
+				a.Phase = Stopping
+			}
+			a.stop = false
+			o.Stops = append(o.Stops, StopOrder{w.Key, a.Task, a.Number, "no longer wanted"})
+		}
+	}
+}
+
+func (b *Board) workerKeys() []string {
+	keys := make([]string, 0, len(b.workers))
+	for key := range b.workers {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// stall moves tasks whose percentage stands still.
+func (b *Board) stall(now time.Time) {
+	for _, w := range b.workers {
+		if w.Silent {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.Phase != Live || a.stop || a.step.Lasting || a.step.Gang || a.Percent >= 100 {
+				continue
+			}
+			limit := max(b.policy.StallTime, a.step.Estimate/4)
+			if now.Sub(a.MovedOn) > limit {
+				a.stop, a.moved = true, true
+				w.health.failed(now)
+			}
+		}
+	}
+}
+
+// moveOff stops lasting tasks on workers that are leaving or wanted elsewhere,
+// where their step allows one more to be away.
+func (b *Board) moveOff(now time.Time) {
+	for _, key := range b.workerKeys() {
+		w := b.workers[key]
+		if !w.Draining && !w.Vacate {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.Phase != Live || a.stop || !a.step.Lasting {
+				continue
+			}
+			if b.mayTake(a, now) && b.roomElsewhere(a, now) {
+				a.stop, a.moved = true, true
+			}
+		}
+	}
+}
+
+// mayTake reports whether a lasting task may be taken away now.
+func (b *Board) mayTake(a *Attempt, now time.Time) bool {
+	if a.step.MaxUnavailable == 0 || a.AtWork.IsZero() {
+		return true
+	}
+	return b.unavailable(a.Task, now) < a.step.MaxUnavailable
+}
+
+// unavailable counts the tasks of a lasting step that are not at work.
+func (b *Board) unavailable(t jobs.Task, now time.Time) int {
+	e := b.jobs[t.Job]
+	n := 0
+	for i := range e.job.Steps[t.Step].Count {
+		o := jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: i}
+		if o == t {
+			continue
+		}
+		at := false
+		for _, a := range e.attempts[o] {
+			w := b.workers[a.Worker]
+			at = at || a.Phase == Live && !a.stop && !a.AtWork.IsZero() && w != nil && !w.Silent
+		}
+		if !at {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Board) roomElsewhere(a *Attempt, now time.Time) bool {
+	e := b.jobs[a.Task.Job]
+	for _, w := range b.workers {
+		if w.Key != a.Worker && b.eligible(e, a.step, a.Task, w, now) && a.step.Claim().Fits(w.free()) {
+			return true
+		}
+	}
+	return false
+}
+
+// candidate is a step of a job with tasks that wait.
+type candidate struct {
+	entry *entry
+	key   stepKey
+	class int // lasting first, then jobs that can make their objective, then late ones
+	start time.Time
+}
+
+// candidates returns all steps with waiting tasks in the order in which they are
+// placed: by class, then by priority, then by the latest start that still makes
+// the job's objective.
+func (b *Board) candidates(now time.Time) []candidate {
+	var all []candidate
+	for _, e := range b.jobs {
+		if e.progress.Final != "" {
+			continue
+		}
+		factor := b.learnt.of(e.job.Queue)
+		for key, tasks := range e.waiting {
+			if len(tasks) == 0 {
+				continue
+			}
+			all = append(all, b.candidate(e, key, factor, now))
+		}
+	}
+	slices.SortFunc(all, func(x, y candidate) int {
+		return cmp.Or(
+			cmp.Compare(x.class, y.class),
+			cmp.Compare(x.entry.job.Priority, y.entry.job.Priority),
+			x.start.Compare(y.start),
+			strings.Compare(string(x.entry.job.ID), string(y.entry.job.ID)),
+			cmp.Compare(x.key.occurrence, y.key.occurrence),
+			cmp.Compare(x.key.step, y.key.step),
+		)
+	})
+	return all
+}
+
+// The classes of candidates.
+const (
+	classLasting = iota
+	classTimely
+	classLate
+	classFills
+)
+
+func (b *Board) candidate(e *entry, key stepKey, factor float64, now time.Time) candidate {
+	step := &e.job.Steps[key.step]
+	longest := slices.Max(e.chain)
+	scaled := func(d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
+	c := candidate{entry: e, key: key, class: classTimely}
+	c.start = e.job.Objective(key.occurrence, scaled(longest)).Add(-scaled(e.chain[key.step]))
+	switch {
+	case step.Lasting && step.Fills:
+		c.class = classFills
+	case step.Lasting:
+		c.class = classLasting
+	case c.start.Before(now):
+		c.class = classLate
+	}
+	return c
+}
+
+// place starts waiting tasks where there is room.
+func (b *Board) place(o *Orders, now time.Time) {
+	for _, w := range b.workers {
+		w.reserved = false
+	}
+	reservations := 1
+	for _, c := range b.candidates(now) {
+		step := &c.entry.job.Steps[c.key.step]
+		if b.advised[c.entry.job.Queue] && !b.adviceReady(o, c, now) {
+			continue
+		}
+		if step.Gang {
+			b.placeGang(o, c, now)
+			continue
+		}
+		left := b.placeStep(o, c, now)
+		if left == 0 {
+			continue
+		}
+		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(b.largest())
+		if step.Lasting && !step.Fills || large && reservations > 0 && c.class == classTimely {
+			b.reserve(c, step, now)
+			reservations--
+		}
+	}
+}
+
+// largest returns the processor of the largest worker.
+func (b *Board) largest() int {
+	most := 0
+	for _, w := range b.workers {
+		most = max(most, w.Size.Millicores)
+	}
+	return most
+}
+
+// reserve keeps the worker that has most room for a step that does not fit.
+func (b *Board) reserve(c candidate, step *jobs.Step, now time.Time) {
+	var best *worker
+	for _, w := range b.workers {
+		if w.reserved || !step.Claim().Fits(w.Size) || !b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
+			continue
+		}
+		if best == nil || w.free().Millicores > best.free().Millicores || w.free() == best.free() && w.Key < best.Key {
+			best = w
+		}
+	}
+	if best != nil {
+		best.reserved = true
+	}
+}
+
+// placeStep starts what it can of a step and returns how many tasks still wait.
+func (b *Board) placeStep(o *Orders, c candidate, now time.Time) int {
+	e := c.entry
+	step := &e.job.Steps[c.key.step]
+	tasks := e.waiting[c.key]
+	var left []jobs.Task
+	for i, t := range tasks {
+		if b.inDoubt(e, now) {
+			left = append(left, tasks[i:]...)
+			break
+		}
+		w := b.choose(e, step, t, now)
+		if w == nil {
+			left = append(left, tasks[i:]...)
+			break
+		}
+		b.start(o, e, w, t, max(b.base, e.last[t])+1, now)
+	}
+	e.waiting[c.key] = left
+	return len(left)
+}
+
+// inDoubt reports whether tasks of a job may run unseen on a worker that did not
+// answer when this owner took over.
+func (b *Board) inDoubt(e *entry, now time.Time) bool {
+	return now.Before(b.doubt) && e.inherited
+}
+
+func (b *Board) start(o *Orders, e *entry, w *worker, t jobs.Task, number int, now time.Time) {
+	a := &Attempt{Task: t, Number: number, Worker: w.Key, Phase: Starting, Ordered: now, MovedOn: now}
+	b.put(e, w, a)
+	order := StartOrder{Worker: w.Key, Task: t, Attempt: number, Spec: e.job.Spec, Checkpoint: e.progress.Checkpoint(t)}
+	if advice := e.advice[stepKey{t.Occurrence, t.Step}]; advice != nil {
+		order.Ticket = advice.tickets[w.ID]
+	}
+	o.Starts = append(o.Starts, order)
+}
+
+// eligible reports whether a worker may run a task of a step, whatever room it has.
+func (b *Board) eligible(e *entry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
+	if !w.open() || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.setAside(b.policy, now) && b.enoughOthers(now) {
+		return false
+	}
+	if step.MaxPerWorker > 0 && b.onWorker(w, t) >= step.MaxPerWorker {
+		return false
+	}
+	if b.advised[e.job.Queue] {
+		advice := e.advice[stepKey{t.Occurrence, t.Step}]
+		return advice != nil && advice.tickets[w.ID] != ""
+	}
+	return true
+}
+
+// enoughOthers reports whether no more than the allowed share of the workers is
+// set aside; otherwise it is no longer the workers that are at fault.
+func (b *Board) enoughOthers(now time.Time) bool {
+	aside := 0
+	for _, w := range b.workers {
+		if w.health.setAside(b.policy, now) {
+			aside++
+		}
+	}
+	return float64(aside) <= b.policy.MaxSetAside*float64(len(b.workers))
+}
+
+// onWorker counts the attempts of a task's step on a worker.
+func (b *Board) onWorker(w *worker, t jobs.Task) int {
+	n := 0
+	for o := range w.attempts {
+		if o.Job == t.Job && o.Occurrence == t.Occurrence && o.Step == t.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns the best worker for a task, nil if it fits nowhere.
+func (b *Board) choose(e *entry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
+	claim := step.Claim()
+	var best *worker
+	var bestCost int64
+	for _, w := range b.workers {
+		if w.reserved && !(step.Lasting && !step.Fills) || !claim.Fits(w.free()) || !b.eligible(e, step, t, w, now) {
+			continue
+		}
+		if w.health.doubtful(b.policy, now) && (len(w.attempts) > 0 || e.progress.Failures(t) > 0) {
+			continue // one task at a time, and none that failed before
+		}
+		cost := b.cost(e, step, t, w)
+		if best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// Costs of a place, in millicores of room that would be left.
+const (
+	costOtherRack = 1 << 24 // runs longer there
+	costSameStep  = 1 << 22 // of lasting tasks that should spread
+	costSameRack  = 1 << 20
+	costServing   = 1 << 21 // filling work beside work that serves
+)
+
+// cost weighs a worker for a task: least is best. Batch tasks pack tightly,
+// lasting tasks spread over workers and racks.
+func (b *Board) cost(e *entry, step *jobs.Step, t jobs.Task, w *worker) int64 {
+	var cost int64
+	if step.Rack != "" && w.Rack != step.Rack || step.RackLocal && b.otherRack(e, t, w.Rack) {
+		cost += costOtherRack
+	}
+	if !step.Lasting {
+		return cost + int64(w.free().Millicores)
+	}
+	cost += int64(b.onWorker(w, t)) * costSameStep
+	for _, attempts := range e.attempts {
+		for _, a := range attempts {
+			if o := b.workers[a.Worker]; a.Task.Step == t.Step && o != nil && o.Rack == w.Rack {
+				cost += costSameRack
+			}
+		}
+	}
+	for _, a := range w.attempts {
+		if step.Fills && a.step.Target > 0 || step.Target > 0 && a.step.Fills {
+			cost += costServing
+		}
+	}
+	return cost - int64(w.free().Millicores)
+}
+
+// otherRack reports whether tasks of a step run on another rack already.
+func (b *Board) otherRack(e *entry, t jobs.Task, rack string) bool {
+	for _, attempts := range e.attempts {
+		for _, a := range attempts {
+			if w := b.workers[a.Worker]; a.Task.Step == t.Step && a.Task.Occurrence == t.Occurrence && w != nil && w.Rack != rack {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// placeGang starts all tasks of a gang if there is room for all.
+func (b *Board) placeGang(o *Orders, c candidate, now time.Time) {
+	e := c.entry
+	step := &e.job.Steps[c.key.step]
+	tasks := e.waiting[c.key]
+	if len(tasks) < step.Count || b.inDoubt(e, now) {
+		return
+	}
+	number := b.base
+	for _, t := range tasks {
+		number = max(number, e.last[t])
+	}
+	var trial Orders
+	for _, t := range tasks {
+		w := b.choose(e, step, t, now)
+		if w == nil {
+			for _, s := range trial.Starts {
+				b.undo(e, s)
+			}
+			return
+		}
+		b.start(&trial, e, w, t, number+1, now)
+	}
+	e.waiting[c.key] = nil
+	o.Starts = append(o.Starts, trial.Starts...)
+}
+
+// undo takes back a start that was not ordered.
+func (b *Board) undo(e *entry, s StartOrder) {
+	w := b.workers[s.Worker]
+	a := w.attempts[s.Task]
+	delete(w.attempts, s.Task)
+	w.used = w.used.Sub(a.step.Claim())
+	delete(e.attempts, s.Task)
+	e.last[s.Task] = s.Attempt - 1
+}
--- /dev/null
+++ b/internal/upkeep/keeper.go
@@ -0,0 +1,293 @@
+// Package upkeep takes the hosts of maintenance waves down and up again, in time
+// and without cutting work: a host is emptied by the owner of its pool first,
+// and no more hosts are down at once than the wave allows.
+//
+// # Usage
+//
+//	k := upkeep.New(upkeep.Settings{Own: own, Store: store, Machines: machines, ...})
+//	k.Run() // until another process holds the fleet, or Stop
+//
+// One process at a time holds the fleet. The machine API does not check fencing
+// tokens everywhere, so a holder orders only while its last renewal is younger
+// than the lease less a margin, and a new holder waits a whole lease before its
+// first order.
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+var metricOrders = metrics.NewCounter("papayarudder_host_orders_total")
+
+const (
+	loopTime   = 100 * time.Millisecond
+	listPeriod = time.Second            // between looks at the platform's list of hosts
+	callTime   = 800 * time.Millisecond // for an answer of the store or the machine API
+	renewEvery = 700 * time.Millisecond
+	orderEnd   = 1200 * time.Millisecond // before the lease ends no order is begun
+	leaseSlack = 300 * time.Millisecond  // a new holder waits this much beyond the lease
+
+	tableWave = "wave" // what a holder knows of its waves, in its own part
+	tableSeq  = "log"  // renewed, so that a later holder is noticed
+	keyOwner  = "owner"
+)
+
+// Settings is what a keeper needs.
+type Settings struct {
+	Own      pool.Ownership
+	Store    *platform.Store
+	Machines *platform.Machines
+	Bounds   platform.Bounds
+	Log      *logrus.Entry
+	Waves    func() []platform.Wave
+	Config   func() *platform.Config
+	Vacate   func(ctx context.Context, pool, worker string) (int, error)
+}
+
+// Keeper holds the fleet.
+type Keeper struct {
+	Settings
+	log    *logrus.Entry
+	ctx    context.Context
+	cancel context.CancelFunc
+	ended  chan struct{}
+
+	mu      sync.Mutex
+	plans   map[int]*wavePlan
+	hosts   []platform.Host
+	listed  time.Time // when the list was asked for
+	renewed time.Time // when the last renewal that took effect was sent
+	began   time.Time
+}
+
+// New returns a keeper that is not running yet.
+func New(s Settings) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Keeper{
+		Settings: s, log: s.Log.WithField("fleet-token", s.Own.Token), ctx: ctx, cancel: cancel,
+		ended: make(chan struct{}), plans: map[int]*wavePlan{}, began: time.Now(), renewed: time.Now(),
+	}
+}
+
+// Stop ends the keeper; after it returns no order is on its way.
+func (k *Keeper) Stop() {
+	k.cancel()
+	<-k.ended
+}
+
+// Run plans and orders until the keeper is stopped or has lost the fleet.
+func (k *Keeper) Run() {
+	defer close(k.ended)
+	k.log.Info("fleet held")
+	var renewing time.Time
+	for k.ctx.Err() == nil {
+		now := time.Now()
+		if k.pending() {
+			if now.Sub(renewing) > renewEvery {
+				renewing = now
+				if err := k.renew(now); errors.Is(err, platform.ErrConflict) {
+					k.log.Info("fleet lost to another holder")
+					return
+				} else if err != nil {
+					k.log.WithError(err).Info("fleet not renewed")
+				}
+			}
+			k.look()
+			k.work()
+		}
+		timer := time.NewTimer(loopTime)
+		select {
+		case <-k.ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// pending takes in new waves and reports whether one is not complete.
+func (k *Keeper) pending() bool {
+	open := false
+	for _, w := range k.Waves() {
+		p := k.plans[w.Number]
+		if p == nil {
+			p = k.open(w)
+		}
+		open = open || p != nil && !p.done
+	}
+	return open
+}
+
+// open reads what an earlier holder knew of a wave. It returns nil if the store
+// does not answer.
+func (k *Keeper) open(w platform.Wave) *wavePlan {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	r, err := k.Store.ReadRow(ctx, tableWave, k.Own.Pool, strconv.Itoa(w.Number))
+	if err != nil {
+		return nil
+	}
+	p := newWavePlan(w, time.Now())
+	k.plans[w.Number] = p
+	if r.Version == 0 {
+		k.tellStatus(w.Number, false)
+		return p
+	}
+	var row waveRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		k.log.WithField("wave", w.Number).WithError(err).Error("stored wave can't be read")
+		return p
+	}
+	p.done = row.Complete
+	for _, name := range row.Begun {
+		if hp := p.hosts[name]; hp != nil {
+			hp.begun = true
+		}
+	}
+	return p
+}
+
+// waveRow is the stored form of a wave's progress.
+type waveRow struct {
+	Begun    []string `json:"begun"`
+	Complete bool     `json:"complete,omitempty"`
+}
+
+// renew makes sure that this process still holds the fleet.
+func (k *Keeper) renew(now time.Time) error {
+	var row waveRow
+	t := platform.Transaction{
+		Expect: []platform.Row{{Table: pool.TableOwner, Part: k.Own.Pool, Key: keyOwner, Version: k.Own.Version}},
+		Write:  []platform.Row{{Table: tableSeq, Part: k.Own.Pool, Key: "renewed", Value: []byte(strconv.FormatInt(now.UnixMilli(), 10))}},
+	}
+	for number, p := range k.plans {
+		row = waveRow{Complete: p.done}
+		for name, hp := range p.hosts {
+			if hp.begun {
+				row.Begun = append(row.Begun, name)
+			}
+		}
+		data, err := json.Marshal(row)
+		if err != nil {
+			return errors.Wrap(err, "wave row")
+		}
+		t.Write = append(t.Write, platform.Row{Table: tableWave, Part: k.Own.Pool, Key: strconv.Itoa(number), Value: data})
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	_, _, err := k.Store.Commit(ctx, t)
+	if err == nil {
+		k.renewed = now
+	}
+	return err
+}
+
+// mayOrder reports whether orders are safe: no other process can hold the fleet
+// yet, and the holder before has no order on its way.
+func (k *Keeper) mayOrder(now time.Time) bool {
+	if k.Own.Token > 1 && now.Sub(k.began) < k.Bounds.MachineLease+leaseSlack {
+		return false
+	}
+	return now.Sub(k.renewed) < k.Bounds.MachineLease-orderEnd
+}
+
+// look reads the platform's list of hosts.
+func (k *Keeper) look() {
+	now := time.Now()
+	if now.Sub(k.listed) < listPeriod {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	hosts, err := k.Machines.List(ctx)
+	if err != nil {
+		k.log.WithError(err).Info("list of hosts not read")
+		return
+	}
+	k.hosts, k.listed = hosts, now
+}
+
+// work carries out what the plans want now.
+func (k *Keeper) work() {
+	policy := DefaultPolicy(k.Bounds.Maintenance)
+	for _, p := range k.plans {
+		if p.done {
+			continue
+		}
+		now := time.Now()
+		k.mu.Lock()
+		actions, complete := p.decide(policy, k.hosts, k.listed, now)
+		k.mu.Unlock()
+		if complete {
+			p.done = k.tellStatus(p.wave.Number, true)
+			continue
+		}
+		var tasks sync.WaitGroup
+		for _, a := range actions {
+			if a.order && !k.mayOrder(now) {
+				continue
+			}
+			tasks.Go(func() { k.carryOut(p, a) })
+		}
+		tasks.Wait()
+	}
+}
+
+func (k *Keeper) carryOut(p *wavePlan, a action) {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	hp := p.hosts[a.host.Name]
+	if !a.order {
+		left, err := k.Vacate(ctx, a.host.Pool, a.host.Worker)
+		now := time.Now()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if hp.emptying.IsZero() {
+			hp.emptying = now
+		}
+		if err == nil {
+			hp.left, hp.asked = left, now
+		}
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	hp.ordered = now
+	k.mu.Unlock()
+	metricOrders.Inc()
+	err := k.Machines.Maintain(ctx, platform.Holder{Name: k.Own.Owner.Node, Token: k.Own.Token}, a.host.Name, p.wave.Number)
+	k.log.WithFields(logrus.Fields{
+		"wave": p.wave.Number, "host": a.host.Name, "pool": a.host.Pool, "worker": a.host.Worker,
+		"ms": time.Since(now).Milliseconds(),
+	}).WithError(err).Info("maintenance ordered")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		hp.begun, hp.begunAt = true, now
+	case errors.Is(err, platform.ErrWave):
+		hp.begun = true // not of this wave after all
+	}
+}
+
+// tellStatus writes how a wave stands for the operator and reports whether that
+// took effect.
+func (k *Keeper) tellStatus(number int, complete bool) bool {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	_, _, err := k.Store.Commit(ctx, platform.Transaction{Write: []platform.Row{{
+		Table: platform.TableStatus, Key: platform.PrefixWave + strconv.Itoa(number), Value: platform.EncodeWaveStatus(complete),
+	}}})
+	k.log.WithFields(logrus.Fields{"wave": number, "complete": complete}).WithError(err).Info("wave status written")
+	return err == nil
+}
