Holds wait until listed ends are acknowledged; ends are written within 30 ms

Cause: a worker that lists ends answers a hold at once, so every look after an end was followed by others until the end was durable, up to 250 ms later.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -22,6 +22,7 @@
 	clockDrift  = 0.03                   // a worker's clock may be 2% slow
 	lapseMargin = 150 * time.Millisecond // for answers that were on their way
 	orderQueue  = 512                    // orders that wait for one worker
+	ackWait     = 120 * time.Millisecond // for listed ends to become durable; a worker with such ends answers holds at once
 	orderLoops  = 2                      // orders to one worker that may be on their way at once
 )
 
@@ -46,6 +47,7 @@
 	clockAt time.Time
 	lapseBy time.Time // all leases that were granted have run out by then
 	ack     uint64
+	acked   chan struct{} // closed when ack rises
 	busy    bool
 
 	entry   platform.WorkerEntry // belongs to the owner's loop, as all below
@@ -62,7 +64,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
 		key: lifetimeKey(e), owner: o, worker: platform.NewWorker(e), cancel: cancel,
-		orders: make(chan order, orderQueue), entry: e,
+		orders: make(chan order, orderQueue), acked: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
 	for range orderLoops {
@@ -116,7 +118,33 @@
 func (a *agent) setAck(number uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ack = max(a.ack, number)
+	if number > a.ack {
+		a.ack = number
+		close(a.acked)
+		a.acked = make(chan struct{})
+	}
+}
+
+// awaitAck waits until ends up to a number may be acknowledged, for a bounded
+// time.
+func (a *agent) awaitAck(ctx context.Context, number uint64) {
+	timer := time.NewTimer(ackWait)
+	defer timer.Stop()
+	for {
+		a.mu.Lock()
+		ack, acked := a.ack, a.acked
+		a.mu.Unlock()
+		if ack >= number {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-acked:
+		}
+	}
 }
 
 func (a *agent) setBusy(busy bool) {
@@ -156,6 +184,9 @@
 		a.setClock(l.Clock, time.Now())
 		quick = quick && !known // a first answer tells the clock: renew at once
 		a.owner.post(func() { a.owner.listed(a, l, asked) })
+		if n := len(l.Ended); n > 0 {
+			a.awaitAck(ctx, l.Ended[n-1].Number)
+		}
 	}
 }
 
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -27,7 +27,7 @@
 	commitRetry   = 100 * time.Millisecond // after a transaction without an effect
 	maxCommitRows = 90                     // of 100 entries that the store takes
 	maxCommitSize = 500_000                // bytes of values; the store takes 1 MB in base64
-	maxProgWait   = 250 * time.Millisecond // for progress that nobody waits for
+	maxProgWait   = 30 * time.Millisecond  // that ends gather before they are written
 )
 
 // logRow is the stored form of the log's row.
