--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -304,6 +304,9 @@
 		return
 	}
 	key := stepKey{a.Task.Occurrence, a.Task.Step}
+	if !e.opened[key] {
+		return // opening the step finds the task
+	}
 	if a.step.Gang && b.gangLive(e, key) {
 		return // its last member brings back all
 	}
--- /dev/null
+++ b/internal/place/board_test.go
@@ -0,0 +1,256 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fleet is a board with workers and a clock.
+type fleet struct {
+	*place.Board
+	now     time.Time
+	orders  place.Orders
+	workers int
+}
+
+func newFleet(base, workers int) *fleet {
+	f := &fleet{Board: place.NewBoard(place.DefaultPolicy(), base), now: start, workers: workers}
+	for i := range workers {
+		f.SetWorker(worker(i))
+	}
+	return f
+}
+
+func worker(i int) place.Worker {
+	return place.Worker{
+		Key: key(i), ID: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/2),
+		Labels: []string{"a", fmt.Sprintf("r%d", i/2)}, Size: jobs.Size{Millicores: 4000, MemoryMB: 8000},
+	}
+}
+
+func key(i int) string { return fmt.Sprintf("w%d@1", i) }
+
+func newJob(id byte, steps ...jobs.Step) jobs.Job {
+	return jobs.Job{
+		ID: jobs.ID(fmt.Sprintf("%016x", id)), Spec: "spec", Steps: steps, Queue: "q", Pool: "p",
+		Submitted: start, MaxAttempts: 2, Slack: 1.6, Target: 600 * time.Millisecond,
+	}
+}
+
+func batch(count, cpu int) jobs.Step {
+	return jobs.Step{Count: count, Size: jobs.Size{Millicores: cpu, MemoryMB: 100}, Estimate: time.Second}
+}
+
+func (f *fleet) add(js ...jobs.Job) {
+	for _, j := range js {
+		f.Add(j, jobs.NewProgress(j), f.now)
+	}
+}
+
+// decide decides, and every start succeeds.
+func (f *fleet) decide() []place.StartOrder {
+	f.orders = f.Decide(f.now)
+	for _, s := range f.orders.Starts {
+		f.Started(s.Worker, s.Task, s.Attempt, f.now)
+	}
+	return f.orders.Starts
+}
+
+func (f *fleet) end(s place.StartOrder, outcome jobs.Outcome) {
+	f.now = f.now.Add(10 * time.Millisecond)
+	f.Listed(s.Worker, f.running(s.Worker, s.Task), []place.Ended{{Task: s.Task, Attempt: s.Attempt, Outcome: outcome}}, f.now.Add(-time.Millisecond), f.now)
+}
+
+// running returns what a worker lists, without one task.
+func (f *fleet) running(key string, without jobs.Task) []place.Running {
+	var all []place.Running
+	for _, a := range f.Attempts(key) {
+		if a.Task != without {
+			all = append(all, place.Running{Task: a.Task, Attempt: a.Number, Percent: a.Percent})
+		}
+	}
+	return all
+}
+
+func (f *fleet) state(t *testing.T, j jobs.Job, want jobs.State) {
+	t.Helper()
+	ids, _ := f.Dirty()
+	for _, id := range ids {
+		_, s, err := f.Progress(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Written(id, s)
+	}
+	if have, _ := f.State(j.ID); have != want {
+		t.Errorf("job %s is %s, want %s", j.ID, have, want)
+	}
+}
+
+func TestStepsRunInTheirOrder(t *testing.T) {
+	f := newFleet(0, 2)
+	second := batch(1, 1000)
+	second.After = []int{0}
+	j := newJob(1, batch(3, 1000), second)
+	f.add(j)
+	first := f.decide()
+	if len(first) != 3 {
+		t.Fatalf("%d starts, want the 3 tasks of the first step", len(first))
+	}
+	f.state(t, j, jobs.Active)
+	for _, s := range first {
+		if more := f.decide(); len(more) != 0 {
+			t.Fatalf("started %v before the first step was done", more)
+		}
+		f.end(s, jobs.Done)
+	}
+	last := f.decide()
+	if len(last) != 1 || last[0].Task.Step != 1 {
+		t.Fatalf("started %v, want the second step", last)
+	}
+	f.end(last[0], jobs.Done)
+	f.state(t, j, jobs.Complete)
+}
+
+func TestCapacityIsKept(t *testing.T) {
+	for _, tt := range []struct {
+		in   jobs.Step
+		want int // starts on two workers of 4 cores and 8,000 MB
+	}{
+		{batch(10, 1500), 4},
+		{batch(10, 4000), 2},
+		{batch(3, 4001), 0},
+		{jobs.Step{Count: 9, Size: jobs.Size{Millicores: 100, MemoryMB: 4000}}, 4},
+		{jobs.Step{Count: 9, Size: jobs.Size{Millicores: 9000, MemoryMB: 8000}, Fills: true, Lasting: true}, 2},
+		{jobs.Step{Count: 9, Size: jobs.Size{Millicores: 100}, MaxPerWorker: 1}, 2},
+		{jobs.Step{Count: 9, Size: jobs.Size{Millicores: 100}, Label: "b"}, 0},
+		{jobs.Step{Count: 3, Size: jobs.Size{Millicores: 3000}, Gang: true}, 0},
+		{jobs.Step{Count: 2, Size: jobs.Size{Millicores: 3000}, Gang: true}, 2},
+	} {
+		f := newFleet(0, 2)
+		f.add(newJob(1, tt.in))
+		if have := len(f.decide()); have != tt.want {
+			t.Errorf("%+v: %d starts, want %d", tt.in, have, tt.want)
+		}
+	}
+}
+
+func TestTaskThatFailsTooOftenEndsItsJob(t *testing.T) {
+	f := newFleet(0, 3)
+	j := newJob(1, batch(1, 1000))
+	f.add(j)
+	for range j.MaxAttempts {
+		starts := f.decide()
+		if len(starts) != 1 {
+			t.Fatalf("%d starts, want 1", len(starts))
+		}
+		f.end(starts[0], jobs.Failed)
+	}
+	if more := f.decide(); len(more) != 0 {
+		t.Fatalf("started %v after %d failures", more, j.MaxAttempts)
+	}
+	f.state(t, j, jobs.Aborted)
+}
+
+// An end that an earlier owner left on a worker is listed before the new owner
+// has opened the step: the task must wait once, not twice.
+func TestEndListedBeforeItsStepIsOpened(t *testing.T) {
+	f := newFleet(1000, 4)
+	j := newJob(1, batch(1, 1000))
+	f.add(j)
+	task := jobs.Task{Job: j.ID}
+	f.Listed(key(0), nil, []place.Ended{{Task: task, Attempt: 1, Outcome: jobs.Failed}}, f.now, f.now)
+	if starts := f.decide(); len(starts) != 1 {
+		t.Errorf("%d starts of one task, want 1", len(starts))
+	}
+}
+
+func TestRunningTaskOfAnEarlierOwnerIsAdopted(t *testing.T) {
+	f := newFleet(1000, 2)
+	j := newJob(1, batch(2, 1000))
+	f.add(j)
+	task := jobs.Task{Job: j.ID}
+	strays := f.Listed(key(0), []place.Running{{Task: task, Attempt: 7}}, nil, f.now, f.now)
+	if len(strays) != 0 {
+		t.Errorf("strays %v, want none", strays)
+	}
+	starts := f.decide()
+	if len(starts) != 1 || starts[0].Task.Index != 1 || starts[0].Attempt <= 1000 {
+		t.Errorf("started %v, want the other task with an attempt above 1000", starts)
+	}
+}
+
+func TestAttemptWithoutAnAnswerIsSettledFirst(t *testing.T) {
+	f := newFleet(0, 2)
+	f.add(newJob(1, batch(1, 1000)))
+	s := f.Decide(f.now).Starts[0]
+	f.Unsure(s.Worker, s.Task, s.Attempt)
+	o := f.Decide(f.now)
+	if len(o.Starts) != 0 || len(o.Stops) != 1 {
+		t.Fatalf("orders %+v, want one stop", o)
+	}
+	f.Listed(s.Worker, nil, nil, f.now.Add(time.Millisecond), f.now)
+	if o := f.Decide(f.now); len(o.Starts) != 0 {
+		t.Fatal("started again before the stop was answered")
+	}
+	f.StopAnswered(s.Worker, s.Task, s.Attempt, f.now)
+	f.Listed(s.Worker, nil, nil, f.now, f.now)
+	if o := f.Decide(f.now); len(o.Starts) != 0 {
+		t.Fatal("started again on a listing that was asked for before the stop was answered")
+	}
+	f.Listed(s.Worker, nil, nil, f.now.Add(time.Millisecond), f.now)
+	if o := f.Decide(f.now); len(o.Starts) != 1 || o.Starts[0].Attempt <= s.Attempt {
+		t.Fatalf("orders %+v, want a later attempt", o)
+	}
+}
+
+func TestTasksOfASilentWorkerWaitForItsLease(t *testing.T) {
+	f := newFleet(0, 2)
+	f.add(newJob(1, batch(1, 1000)))
+	s := f.decide()[0]
+	f.SetSilent(s.Worker, true)
+	f.now = f.now.Add(time.Minute)
+	if more := f.decide(); len(more) != 0 {
+		t.Fatalf("started %v while it may run", more)
+	}
+	f.Lapse(s.Worker, f.now)
+	more := f.decide()
+	if len(more) != 1 || more[0].Worker == s.Worker {
+		t.Fatalf("started %v, want it on the other worker", more)
+	}
+}
+
+func TestLastingTasksLeaveOneByOne(t *testing.T) {
+	f := newFleet(0, 4)
+	j := newJob(1, jobs.Step{Count: 2, Size: jobs.Size{Millicores: 1000}, Lasting: true, MaxPerWorker: 1, MaxUnavailable: 1})
+	f.add(j)
+	starts := f.decide()
+	for _, s := range starts {
+		f.now = f.now.Add(time.Second)
+		f.Listed(s.Worker, []place.Running{{Task: s.Task, Attempt: s.Attempt, Percent: 100}}, nil, f.now, f.now)
+	}
+	for _, s := range starts {
+		f.SetVacate(s.Worker, true)
+	}
+	f.decide()
+	if len(f.orders.Stops) != 1 {
+		t.Fatalf("%d stops, want 1 of 2", len(f.orders.Stops))
+	}
+	stopped := f.orders.Stops[0]
+	f.end(place.StartOrder{Worker: stopped.Worker, Task: stopped.Task, Attempt: stopped.Attempt}, jobs.Stopped)
+	again := f.decide()
+	if len(again) != 1 || len(f.orders.Stops) != 0 {
+		t.Fatalf("orders %+v, want one start and no stop", f.orders)
+	}
+	f.Listed(again[0].Worker, []place.Running{{Task: again[0].Task, Attempt: again[0].Attempt, Percent: 100}}, nil, f.now, f.now)
+	f.decide()
+	if len(f.orders.Stops) != 1 {
+		t.Fatalf("%d stops once the first is at work again, want 1", len(f.orders.Stops))
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -131,6 +131,7 @@
 	commitAfter time.Time
 	storeDown   time.Time // since when, zero if it answers
 	expired     []jobs.ID
+	loadedJobs  bool // the stored jobs are on the board
 	started     bool // decisions are made
 	flushing    bool
 	closed      bool
@@ -311,6 +312,7 @@
 		}
 		o.board.Add(j, p, now)
 	}
+	o.loadedJobs = true
 	for _, e := range o.entries {
 		o.addAgent(e)
 	}
@@ -439,6 +441,9 @@
 			}
 		}
 		o.entries = next
+		if !o.loadedJobs {
+			return // what a worker lists means nothing before the jobs are known
+		}
 		for _, e := range entries {
 			o.addAgent(e)
 		}
