--- a/cmd/papayarudder/daemon.go
+++ b/cmd/papayarudder/daemon.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/daemon"
@@ -32,5 +34,19 @@
 	}
 	logger, flush := logs.New(out, settings.Node, time.Now)
 	defer flush()
-	return daemon.New(settings, logger).Run(ctx)
+	d := daemon.New(settings, logger)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			changed, err := platform.LoadSettings(c.Settings)
+			if err != nil {
+				logger.WithError(err).Error("changed settings have faults; the last ones stay in force")
+				continue
+			}
+			d.Reload(changed)
+		}
+	}()
+	return d.Run(ctx)
 }
--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -197,7 +197,7 @@
 		d.runKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log}
+	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log, GiveAway: d.giveAway}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
@@ -223,7 +223,7 @@
 
 func (d *Daemon) runKeeper(own pool.Ownership) {
 	k := upkeep.New(upkeep.Settings{
-		Own: own, Store: d.store, Machines: d.machines, Bounds: d.settings.Bounds, Log: d.log,
+		Own: own, Store: d.store, Machines: d.machines, Bounds: d.bounds(), Log: d.log,
 		Waves: d.knownWaves, Config: func() *platform.Config {
 			if c := d.config.Load(); c != nil {
 				return &c.Config
@@ -286,8 +286,9 @@
 	}
 }
 
-// giveAway asks the best candidates in turn to take a pool.
-func (d *Daemon) giveAway(name string) {
+// giveAway asks the best candidates in turn to take a pool and reports whether
+// one did.
+func (d *Daemon) giveAway(name string) bool {
 	now := time.Now()
 	d.mu.Lock()
 	var candidates []candidate
@@ -306,6 +307,7 @@
 		peers[p.node] = p
 	}
 	d.mu.Unlock()
+	tries := 0
 	for _, i := range order(name, candidates) {
 		ctx, cancel := context.WithTimeout(context.Background(), takeTime)
 		var taken bool
@@ -313,8 +315,16 @@
 		cancel()
 		if err == nil && taken {
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
-			return
+			return true
+		}
+		if tries++; tries == maxTries {
+			break
 		}
 	}
 	d.log.WithField("pool", name).Warn("nobody took the pool")
+	return false
 }
+
+// maxTries is how many processes are asked in turn to take a pool; where none
+// of so many reaches the store, none does.
+const maxTries = 3
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,7 +109,7 @@
 	<-ctx.Done()
 	d.log.Info("process stopping")
 	d.handOver()
-	shutCtx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace/2)
+	shutCtx, cancel := context.WithTimeout(context.Background(), d.bounds().Grace/2)
 	defer cancel()
 	err = front.Shutdown(shutCtx)
 	stop()
@@ -119,6 +119,22 @@
 	return errors.Wrap(err, "callers' connections")
 }
 
+// Reload takes in settings that have changed while the process runs. Addresses
+// stay as they were at the start.
+func (d *Daemon) Reload(settings platform.Settings) {
+	d.log.WithField("grace-s", settings.Bounds.Grace.Seconds()).Info("settings read again")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settings.Bounds = settings.Bounds
+}
+
+// bounds returns the platform's bounds in force.
+func (d *Daemon) bounds() platform.Bounds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settings.Bounds
+}
+
 // part is a part of the supervisor tree.
 type part func(ctx context.Context) error
 
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -106,7 +106,7 @@
 // taskRow holds what is kept of a task that is not done.
 type taskRow struct {
 	Task       string `json:"task"`
-	Failures   int    `json:"failures,omitempty"`
+	Failed     []int  `json:"failed,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
@@ -118,7 +118,7 @@
 			row.Done = append(row.Done, bits.encode())
 		}
 		for t, tries := range p.tries {
-			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failures, tries.Checkpoint})
+			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint})
 		}
 	}
 	data, err := json.Marshal(row)
@@ -147,7 +147,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
 		}
-		p.tries[t] = Tries{Failures: r.Failures, Checkpoint: r.Checkpoint}
+		p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
 	}
 	return p, nil
 }
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/hex"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Tries is what is kept of a task that is not done.
 type Tries struct {
-	Failures   int
+	Failed     []int  // numbers of the attempts that failed
 	Checkpoint string // the newest that is known, empty for none
 }
 
@@ -76,18 +77,21 @@
 	delete(p.tries, t)
 }
 
-// MarkFailed records a failed attempt and returns how many there were. The
-// attempts of a gang fail together and are counted at its first task.
-func (p *Progress) MarkFailed(t Task) int {
+// MarkFailed records a failed attempt and returns how many there were. A worker
+// lists an end until it is acknowledged, so that one may be told twice: it counts
+// once. The attempts of a gang fail together and are counted at its first task.
+func (p *Progress) MarkFailed(t Task, attempt int) int {
 	t = p.counted(t)
 	tries := p.tries[t]
-	tries.Failures++
-	p.tries[t] = tries
-	return tries.Failures
+	if !slices.Contains(tries.Failed, attempt) {
+		tries.Failed = append(slices.Clone(tries.Failed), attempt)
+		p.tries[t] = tries
+	}
+	return len(tries.Failed)
 }
 
 // Failures returns how many attempts of a task, or of its gang, failed.
-func (p *Progress) Failures(t Task) int { return p.tries[p.counted(t)].Failures }
+func (p *Progress) Failures(t Task) int { return len(p.tries[p.counted(t)].Failed) }
 
 func (p *Progress) counted(t Task) Task {
 	if p.job.Steps[t.Step].Gang {
--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -254,3 +254,26 @@
 		t.Fatalf("%d stops once the first is at work again, want 1", len(f.orders.Stops))
 	}
 }
+
+// Two failed attempts of one task, left on two workers by an earlier owner, use
+// up its attempts in whatever order the workers are heard; an end that is listed
+// again after it was stored counts once.
+func TestFailuresUnderAnEarlierOwnerCount(t *testing.T) {
+	for _, tt := range []struct {
+		in   [][2]int // worker and attempt, in the order heard
+		want jobs.State
+	}{
+		{[][2]int{{0, 1}, {1, 2}}, jobs.Aborted},
+		{[][2]int{{1, 2}, {0, 1}}, jobs.Aborted},
+		{[][2]int{{0, 1}, {0, 1}}, jobs.Active},
+	} {
+		f := newFleet(1000, 4)
+		j := newJob(1, batch(1, 1000))
+		f.add(j)
+		for _, e := range tt.in {
+			f.Listed(key(e[0]), nil, []place.Ended{{Task: jobs.Task{Job: j.ID}, Attempt: e[1], Outcome: jobs.Failed}}, f.now, f.now)
+		}
+		f.decide()
+		f.state(t, j, tt.want)
+	}
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -212,15 +212,8 @@
 	}
 	a := b.find(w.Key, r.Task, r.Attempt)
 	if a == nil {
-		if r.Attempt > b.base || e.last[r.Task] > r.Attempt || e.progress.Final != "" || e.progress.Done(r.Task) {
-			return
-		}
-		a = &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, Ordered: now, Known: now}
-		if w.attempts[r.Task] != nil {
-			return
-		}
-		b.put(e, w, a) // an attempt of an earlier owner
-		e.dequeue(r.Task)
+		b.endElsewhere(e, w, r, now)
+		return
 	}
 	b.begun(r.Task)
 	e.progress.Save(r.Task, r.Checkpoint)
@@ -235,6 +228,37 @@
 	b.drop(a, now)
 }
 
+// endElsewhere takes in the end of an attempt that is not on the board: one that
+// this owner has given up, which changes nothing, or one of an earlier owner. A
+// failure of the latter always counts, in whatever order the ends are listed.
+func (b *Board) endElsewhere(e *entry, w *worker, r Ended, now time.Time) {
+	if r.Attempt > b.base || e.progress.Final != "" || e.progress.Done(r.Task) {
+		return
+	}
+	b.begun(r.Task)
+	b.touch(e)
+	step := &e.job.Steps[r.Task.Step]
+	switch {
+	case r.Outcome == jobs.Failed && !step.Lasting:
+		w.health.failed(now)
+		if e.progress.MarkFailed(r.Task, r.Attempt) >= e.job.Attempts() {
+			b.finish(e, jobs.Aborted, now)
+		}
+	case e.last[r.Task] > r.Attempt:
+	case r.Outcome == jobs.Done && !step.Lasting:
+		e.progress.MarkDone(r.Task)
+		e.dequeue(r.Task)
+		if step.Gang {
+			e.waiting[stepKey{r.Task.Occurrence, r.Task.Step}] = nil
+		}
+		if e.progress.AllDone() {
+			b.finish(e, jobs.Complete, now)
+		}
+	default:
+		e.progress.Save(r.Task, r.Checkpoint)
+	}
+}
+
 func (b *Board) succeeded(e *entry, w *worker, a *Attempt, now time.Time) {
 	w.health.done()
 	if a.step.Lasting || e.progress.Final != "" {
@@ -259,7 +283,7 @@
 	if a.step.Lasting || e.progress.Final != "" || e.progress.Done(a.Task) {
 		return
 	}
-	if e.progress.MarkFailed(a.Task) >= e.job.Attempts() {
+	if e.progress.MarkFailed(a.Task, a.Number) >= e.job.Attempts() {
 		b.finish(e, jobs.Aborted, now)
 	}
 }
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -70,7 +70,9 @@
 			reply <- Accepted
 		case s != nil:
 			s.waiters = append(s.waiters, reply)
-		case !o.storeDown.IsZero() || o.flushing:
+		case !o.storeDown.IsZero() && !o.storeGone() || o.flushing:
+			reply <- Unknown // the next owner decides
+		case o.storeGone():
 			o.log.WithField("job", j.ID).WithField("store-down-ms", time.Since(o.storeDown).Milliseconds()).Info("job refused: it can't be stored")
 			reply <- Refused
 		default:
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -50,6 +50,20 @@
 	unknown bool                   // a try of it had no answer
 }
 
+// keepWaiting puts submissions that still wait for a verdict back at the head of
+// the queue and forgets the others, whose callers ask again.
+func (o *Owner) keepWaiting(subs []*submission) {
+	var kept []*submission
+	for _, s := range subs {
+		if len(s.waiters) > 0 {
+			kept = append(kept, s)
+		} else {
+			delete(o.pending, s.job.ID)
+		}
+	}
+	o.queue = append(kept, o.queue...)
+}
+
 // errDeposed tells that another process owns the pool.
 var errDeposed = errors.New("another process owns the pool")
 
@@ -203,7 +217,10 @@
 		o.storeLost(err)
 		o.logVersion = version
 		o.commitAfter = now.Add(commitRetry)
-		o.answer(c.subs, Refused)
+		if o.storeGone() {
+			o.answer(c.subs, Refused)
+		}
+		o.keepWaiting(c.subs)
 		for id := range c.states {
 			o.board.Rewrite(id)
 		}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -130,6 +130,9 @@
 	dirtySince  time.Time
 	commitAfter time.Time
 	storeDown   time.Time // since when, zero if it answers
+	asking      bool      // other processes are asked to take the pool over
+	asked       time.Time // when that came to nothing, since the store was lost
+	giveAway    func(name string) bool
 	expired     []jobs.ID
 	loadedJobs  bool // the stored jobs are on the board
 	started     bool // decisions are made
@@ -143,10 +146,13 @@
 
 // Settings is what an owner needs besides its ownership.
 type Settings struct {
-	Self   Identity
-	Store  *platform.Store
-	Log    *logrus.Entry
-	Advise func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	Self  Identity
+	Store *platform.Store
+	Log   *logrus.Entry
+	// GiveAway tries to make another process own the pool, after the store was
+	// lost here. It reports whether one does.
+	GiveAway func(name string) bool
+	Advise   func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 }
 
 const acquireTime = 900 * time.Millisecond
@@ -181,7 +187,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
-		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise,
+		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, giveAway: s.GiveAway,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueue), ended: make(chan struct{}),
 		board:  place.NewBoard(place.DefaultPolicy(), int(own.Token-1)*attemptsBlock),
 		agents: map[string]*agent{}, vacate: map[string]time.Time{},
@@ -391,8 +397,9 @@
 
 // tick does what time alone brings about.
 func (o *Owner) tick(now time.Time) {
+	o.offer(now)
 	for _, s := range o.pending {
-		if o.inFlight != nil && now.Sub(s.came) > patience {
+		if now.Sub(s.came) > patience {
 			o.answer([]*submission{s}, Unknown) // it may still become durable
 		}
 	}
@@ -608,9 +615,36 @@
 	if !o.storeDown.IsZero() {
 		o.log.WithField("ms", time.Since(o.storeDown).Milliseconds()).Info("store regained")
 	}
-	o.storeDown = time.Time{}
+	o.storeDown, o.asked = time.Time{}, time.Time{}
 }
 
+const (
+	lostPatience  = 250 * time.Millisecond // without the store before others are asked to take over
+	lostAskPeriod = time.Second            // between such questions
+)
+
+// offer asks other processes to take the pool over while only this one has lost
+// the store.
+func (o *Owner) offer(now time.Time) {
+	if o.storeDown.IsZero() || now.Sub(o.storeDown) < lostPatience || o.asking || now.Sub(o.asked) < lostAskPeriod || o.giveAway == nil {
+		return
+	}
+	o.asking = true
+	go func() {
+		taken := o.giveAway(o.name)
+		o.post(func() {
+			o.asking = false
+			o.asked = time.Now()
+			if taken {
+				o.depose("handed over: the store is lost here")
+			}
+		})
+	}()
+}
+
+// storeGone reports whether the store is down and nobody else reaches it either.
+func (o *Owner) storeGone() bool { return !o.storeDown.IsZero() && !o.asked.IsZero() }
+
 func (o *Owner) askAdvice(q place.AdviceOrder) {
 	if o.advise == nil {
 		return
