--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,7 +108,10 @@
 
 	<-ctx.Done()
 	d.log.Info("process stopping")
+	front.SetKeepAlivesEnabled(false)
+	left := time.Now().Add(leaveTime(d.bounds().Grace))
 	d.handOver()
+	pause(work, time.Until(left)) // calls that still come are passed on to the new owners
 	shutCtx, cancel := context.WithTimeout(context.Background(), d.bounds().Grace/2)
 	defer cancel()
 	err = front.Shutdown(shutCtx)
@@ -119,6 +122,14 @@
 	return errors.Wrap(err, "callers' connections")
 }
 
+// leaveTime returns how long a process that stops goes on answering, so that the
+// balancer, which asks once a second and needs two misses, has sent its callers
+// elsewhere.
+func leaveTime(grace time.Duration) time.Duration {
+	const balancer = 2500 * time.Millisecond
+	return min(balancer, grace*2/5)
+}
+
 // Reload takes in settings that have changed while the process runs. Addresses
 // stay as they were at the start.
 func (d *Daemon) Reload(settings platform.Settings) {
