Leases of silent workers run out; first claims wait for peers

Ruled out: a takeover's adoption, the board's requeue (its test passes). Also one process claimed all six names at a cold start, before it saw the others.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -22,6 +22,7 @@
 const (
 	claimPeriod = 50 * time.Millisecond
 	startTime   = 300 * time.Millisecond // after a start, for peers to be found
+	firstTime   = time.Second            // the same for pools that never had an owner: all processes may be starting
 	rankDelay   = 400 * time.Millisecond // the next candidate waits this much longer
 )
 
@@ -89,6 +90,9 @@
 	}
 	var due []string
 	for _, name := range without {
+		if d.owned[name].Token == 0 && now.Sub(d.began) < firstTime {
+			continue
+		}
 		since, known := d.vacant[name]
 		if !known {
 			since = now
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -13,17 +13,17 @@
 
 // Times of the calls to a worker.
 const (
-	leaseTime   = 4 * time.Second        // how long a worker goes on without us; a takeover fits in, a crash costs no more
-	busyWait    = time.Second            // longest wait of a hold while something runs
-	idleWait    = 2 * time.Second        // longest wait of a hold otherwise, the platform's most
-	answerTime  = 700 * time.Millisecond // for an answer, beyond the wait that was asked for
-	orderTime   = 600 * time.Millisecond // for the answer to a start or a stop
-	retryPause  = 150 * time.Millisecond // after a call that failed
-	clockDrift  = 0.03                   // a worker's clock may be 2% slow
-	lapseMargin = 150 * time.Millisecond // for answers that were on their way
-	orderQueue  = 512                    // orders that wait for one worker
-	ackWait     = 120 * time.Millisecond // for listed ends to become durable; a worker with such ends answers holds at once
-	orderLoops  = 2                      // orders to one worker that may be on their way at once
+	defaultLease = 4 * time.Second        // how long a worker goes on without us; a takeover fits in, a crash costs no more
+	busyWait     = time.Second            // longest wait of a hold while something runs
+	idleWait     = 2 * time.Second        // longest wait of a hold otherwise, the platform's most
+	answerTime   = 700 * time.Millisecond // for an answer, beyond the wait that was asked for
+	orderTime    = 600 * time.Millisecond // for the answer to a start or a stop
+	retryPause   = 150 * time.Millisecond // after a call that failed
+	clockDrift   = 0.03                   // a worker's clock may be 2% slow
+	lapseMargin  = 150 * time.Millisecond // for answers that were on their way
+	orderQueue   = 512                    // orders that wait for one worker
+	ackWait      = 120 * time.Millisecond // for listed ends to become durable; a worker with such ends answers holds at once
+	orderLoops   = 2                      // orders to one worker that may be on their way at once
 )
 
 // order is a start, a stop or a pace that an agent carries out.
@@ -79,13 +79,6 @@
 	a.worker.Close()
 }
 
-// now returns an estimate of the worker's clock and whether it is known.
-func (a *agent) now() (time.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.clock + time.Since(a.clockAt), !a.clockAt.IsZero()
-}
-
 // lease returns the end of a new lease on the worker's clock and notes when it
 // has surely run out.
 func (a *agent) lease() time.Duration {
@@ -94,7 +87,7 @@
 	if a.clockAt.IsZero() {
 		return 0
 	}
-	until := a.clock + time.Since(a.clockAt) + leaseTime
+	until := a.clock + time.Since(a.clockAt) + a.owner.lease
 	remaining := time.Duration(float64(until-a.clock) * (1 + clockDrift))
 	if by := a.clockAt.Add(remaining + lapseMargin); by.After(a.lapseBy) {
 		a.lapseBy = by
@@ -160,16 +153,17 @@
 		a.mu.Lock()
 		ack, busy := a.ack, a.busy
 		a.mu.Unlock()
-		wait := idleWait
-		if busy {
-			wait = busyWait
-		}
-		if quick {
-			wait = 0
+		o := platform.HoldOrder{Token: a.owner.token, Ack: ack}
+		if !quick {
+			o.Until = a.lease() // not for a worker that may be gone: its leases have to run out
+			o.Wait = idleWait
+			if busy {
+				o.Wait = busyWait
+			}
 		}
 		asked := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, wait+answerTime)
-		l, err := a.worker.Hold(callCtx, platform.HoldOrder{Until: a.lease(), Token: a.owner.token, Ack: ack, Wait: wait})
+		callCtx, cancel := context.WithTimeout(ctx, o.Wait+answerTime)
+		l, err := a.worker.Hold(callCtx, o)
 		cancel()
 		if err != nil {
 			if ctx.Err() != nil {
@@ -180,9 +174,8 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		_, known := a.now()
 		a.setClock(l.Clock, time.Now())
-		quick = quick && !known // a first answer tells the clock: renew at once
+		quick = false
 		a.owner.post(func() { a.owner.listed(a, l, asked) })
 		if n := len(l.Ended); n > 0 {
 			a.awaitAck(ctx, l.Ended[n-1].Number)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -133,6 +133,7 @@
 	asking      bool      // other processes are asked to take the pool over
 	asked       time.Time // when that came to nothing, since the store was lost
 	giveAway    func(name string) bool
+	lease       time.Duration
 	expired     []jobs.ID
 	loadedJobs  bool // the stored jobs are on the board
 	started     bool // decisions are made
@@ -149,6 +150,7 @@
 	Self  Identity
 	Store *platform.Store
 	Log   *logrus.Entry
+	Lease time.Duration // of what runs on workers, 0 for the default
 	// GiveAway tries to make another process own the pool, after the store was
 	// lost here. It reports whether one does.
 	GiveAway func(name string) bool
@@ -184,10 +186,13 @@
 
 // New returns the owner of a pool that this process has claimed.
 func New(ctx context.Context, own Ownership, s Settings) *Owner {
+	if s.Lease == 0 {
+		s.Lease = defaultLease
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
-		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, giveAway: s.GiveAway,
+		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, giveAway: s.GiveAway, lease: s.Lease,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueue), ended: make(chan struct{}),
 		board:  place.NewBoard(place.DefaultPolicy(), int(own.Token-1)*attemptsBlock),
 		agents: map[string]*agent{}, vacate: map[string]time.Time{},
@@ -344,7 +349,7 @@
 		return
 	}
 	if missing > 0 && o.token > 1 {
-		o.board.SetDoubt(now.Add(time.Duration(float64(leaseTime)*(1+clockDrift)) + lapseMargin))
+		o.board.SetDoubt(now.Add(time.Duration(float64(o.lease)*(1+clockDrift)) + lapseMargin))
 	}
 	o.started = true
 	o.log.WithField("workers-silent", missing).Info("pool taken over")
