--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -27,6 +27,7 @@
 	opened   map[stepKey]bool        // steps whose turn has come
 	retry    map[jobs.Task]retryAt   // lasting tasks that ended
 	advice   map[stepKey]*advice
+	failedAt string // key of the worker on which a task failed first
 }
 
 type retryAt struct {
--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -277,3 +277,41 @@
 		f.state(t, j, tt.want)
 	}
 }
+
+// A worker with failures is tried with one batch task at a time, also where
+// lasting tasks run, and is trusted again after a success.
+func TestDoubtedWorkerWithLastingTasksIsTriedAgain(t *testing.T) {
+	f := newFleet(0, 1)
+	f.add(newJob(1, jobs.Step{Count: 1, Size: jobs.Size{Millicores: 100}, Lasting: true}))
+	f.decide()
+	for id := byte(2); id < 5; id++ { // several jobs fail there
+		f.add(newJob(id, batch(1, 100)))
+		for _, s := range f.decide() {
+			f.end(s, jobs.Failed)
+		}
+	}
+	f.now = f.now.Add(time.Minute)
+	f.add(newJob(9, batch(3, 100)))
+	probe := f.decide()
+	if len(probe) != 1 {
+		t.Fatalf("%d starts on a doubted worker, want one", len(probe))
+	}
+	f.end(probe[0], jobs.Done)
+	if more := f.decide(); len(more) < 2 {
+		t.Errorf("%d starts after a success, want the rest", len(more))
+	}
+}
+
+// A job that fails wherever it runs does not cost the workers their trust.
+func TestJobThatFailsEverywhereIsToBlame(t *testing.T) {
+	f := newFleet(0, 4)
+	bad := newJob(1, batch(8, 1000))
+	bad.MaxAttempts = 9
+	f.add(bad)
+	for _, s := range f.decide() {
+		f.end(s, jobs.Failed)
+	}
+	if s := f.Summary(f.now); s.Doubtful > 1 {
+		t.Errorf("%d workers doubted for one job's failures, want at most 1", s.Doubtful)
+	}
+}
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -4,8 +4,8 @@
 
 // health is what the ends on a worker tell of it. A worker that fails what it
 // starts must not use up the attempts of job after job: after a failure it gets
-// one task at a time, after several in a row nothing for a while, then one task
-// as a probe.
+// one batch task at a time, after several in a row nothing for a while, then one
+// task as a probe. A job whose tasks fail on several workers is at fault itself.
 type health struct {
 	failures int       // in a row, of different jobs
 	last     time.Time // failure or stall
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -240,7 +240,7 @@
 	step := &e.job.Steps[r.Task.Step]
 	switch {
 	case r.Outcome == jobs.Failed && !step.Lasting:
-		w.health.failed(now)
+		b.blame(e, w, now)
 		if e.progress.MarkFailed(r.Task, r.Attempt) >= e.job.Attempts() {
 			b.finish(e, jobs.Aborted, now)
 		}
@@ -278,8 +278,21 @@
 	}
 }
 
+// blame counts a failure against the worker, unless tasks of the same job failed
+// on another one before.
+func (b *Board) blame(e *entry, w *worker, now time.Time) {
+	if e.failedAt == "" {
+		e.failedAt = w.Key
+	}
+	if e.failedAt == w.Key {
+		w.health.failed(now)
+	}
+}
+
 func (b *Board) failed(e *entry, w *worker, a *Attempt, now time.Time) {
-	w.health.failed(now)
+	if !a.step.Lasting {
+		b.blame(e, w, now)
+	}
 	if a.step.Lasting || e.progress.Final != "" || e.progress.Done(a.Task) {
 		return
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -115,6 +115,17 @@
 
 func (w *worker) free() jobs.Size { return w.Size.Sub(w.used) }
 
+// batch returns the number of attempts that do not last.
+func (w *worker) batch() int {
+	n := 0
+	for _, a := range w.attempts {
+		if !a.step.Lasting {
+			n++
+		}
+	}
+	return n
+}
+
 // open reports whether the worker may get new tasks at all.
 func (w *worker) open() bool { return !w.Draining && !w.Silent && !w.Vacate }
 
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -49,6 +49,7 @@
 	firstLook     = 600 * time.Millisecond  // for workers to answer a new owner
 	missingTime   = 2500 * time.Millisecond // an entry that is gone this long is gone for good
 	patience      = 1200 * time.Millisecond // of a submitter whose transaction has no answer
+	summaryTime   = time.Second             // between lines on a pool's state
 	attemptsBlock = 1000                    // attempt numbers of each owner
 	postQueue     = 4096                    // events that wait for the loop
 )
@@ -137,6 +138,7 @@
 	expired     []jobs.ID
 	loadedJobs  bool // the stored jobs are on the board
 	started     bool // decisions are made
+	summed      time.Time
 	flushing    bool
 	closed      bool
 	deposed     bool
@@ -403,6 +405,12 @@
 // tick does what time alone brings about.
 func (o *Owner) tick(now time.Time) {
 	o.offer(now)
+	if now.Sub(o.summed) > summaryTime {
+		o.summed = now
+		if s := o.board.Summary(now); s.Jobs > 0 {
+			o.log.WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
+		}
+	}
 	for _, s := range o.pending {
 		if now.Sub(s.came) > patience {
 			o.answer([]*submission{s}, Unknown) // it may still become durable
