Pools follow demand: idle hosts go to standby, hosts come from there to pools in need

What: one planner (pure, internal/upkeep) sizes pools by what runs, 0.8 of what waits and the rate of arrival, gives idle hosts away after 0.7 s, and does waves in idle and parked hosts first, in quiet pools next, in busy ones only when time is short. Transactions at least 20 ms apart; looks at the table of workers 150 ms apart.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -252,3 +253,15 @@
 	}
 	return reply.Count, err
 }
+
+// load asks a pool's owner what the pool needs and has.
+func (d *Daemon) load(ctx context.Context, name string) (place.Load, error) {
+	reply, err := d.askOnce(ctx, name, "Peer.Load", JobArgs{Pool: name}, func(o *pool.Owner) Reply {
+		l, v := o.Load(ctx)
+		return Reply{Verdict: v, Load: l}
+	})
+	if err == nil && reply.Verdict != pool.Accepted {
+		err = errOwner
+	}
+	return reply.Load, err
+}
--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -234,7 +234,7 @@
 			}
 			return nil
 		},
-		Vacate: d.vacate,
+		Vacate: d.vacate, Load: d.load,
 	})
 	d.mu.Lock()
 	d.keeper = k
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/wire"
 	"github.com/papayarudder/papayarudder/platform"
@@ -206,6 +207,7 @@
 	Verdict pool.Verdict
 	State   string
 	Count   int
+	Load    place.Load
 }
 
 // peerService is what other processes may call.
@@ -289,6 +291,13 @@
 	})
 }
 
+// Load returns what a pool needs and has.
+func (s *peerService) Load(args JobArgs, reply *Reply) error {
+	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
+		reply.Load, reply.Verdict = o.Load(ctx)
+	})
+}
+
 func (s *peerService) withOwner(name string, reply *Reply, f func(ctx context.Context, o *pool.Owner)) error {
 	s.d.mu.Lock()
 	o := s.d.owners[name]
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -18,6 +18,8 @@
 	feedAnswer = 700 * time.Millisecond // for the answer beyond the wait
 	readTime   = 2 * time.Second        // for a whole table
 	watchRetry = 150 * time.Millisecond
+
+	workersPause = 150 * time.Millisecond // between looks at the workers, of which many change together
 )
 
 // configuration is a configuration in force.
@@ -36,6 +38,9 @@
 			cancel()
 			for err == nil {
 				version, err = d.follow(ctx, table, version, change)
+				if table == platform.TableWorkers {
+					pause(ctx, workersPause)
+				}
 			}
 			if ctx.Err() == nil {
 				d.log.WithField("table", table).WithError(err).Info("reading the table anew")
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -37,14 +37,15 @@
 
 // Board is the state of one pool.
 type Board struct {
-	policy  Policy
-	base    int // attempts of this owner are numbered above it
-	jobs    map[jobs.ID]*entry
-	workers map[string]*worker
-	dirty   map[jobs.ID]*entry
-	doubt   time.Time // attempts of an earlier owner may run unseen until then
-	learnt  estimates
-	advised map[string]bool // queues whose steps need advice
+	policy   Policy
+	base     int // attempts of this owner are numbered above it
+	jobs     map[jobs.ID]*entry
+	workers  map[string]*worker
+	dirty    map[jobs.ID]*entry
+	doubt    time.Time // attempts of an earlier owner may run unseen until then
+	learnt   estimates
+	arrivals rate
+	advised  map[string]bool // queues whose steps need advice
 }
 
 // NewBoard returns an empty board. Attempts are numbered from base+1.
@@ -72,6 +73,12 @@
 	b.jobs[j.ID] = e
 	if p.Final != "" {
 		e.finalAt = now
+		return
+	}
+	for _, s := range j.Steps {
+		if !s.Lasting && j.Repetitions == 0 && now.Sub(j.Submitted) < rateTime {
+			b.arrivals.add(s.Count*s.Claim().Millicores, s.Estimate, now)
+		}
 	}
 }
 
--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -315,3 +315,17 @@
 		t.Errorf("%d workers doubted for one job's failures, want at most 1", s.Doubtful)
 	}
 }
+
+// A task that may have come to work since its worker last listed it is not taken
+// away while another one of its step is.
+func TestTaskNotYetListedAtWorkIsNotTaken(t *testing.T) {
+	f := newFleet(0, 4)
+	f.add(newJob(1, jobs.Step{Count: 2, Size: jobs.Size{Millicores: 1000}, Lasting: true, MaxPerWorker: 1, MaxUnavailable: 1}))
+	for _, s := range f.decide() {
+		f.SetVacate(s.Worker, true)
+	}
+	f.decide()
+	if n := len(f.orders.Stops); n > 1 {
+		t.Errorf("%d of 2 tasks stopped at once, want at most 1", n)
+	}
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -119,9 +119,10 @@
 	}
 }
 
-// mayTake reports whether a lasting task may be taken away now.
+// mayTake reports whether a lasting task may be taken away now. One that is not
+// known to be at work counts as if it were: its worker's list may be old.
 func (b *Board) mayTake(a *Attempt, now time.Time) bool {
-	if a.step.MaxUnavailable == 0 || a.AtWork.IsZero() {
+	if a.step.MaxUnavailable == 0 {
 		return true
 	}
 	return b.unavailable(a.Task, now) < a.step.MaxUnavailable
@@ -400,6 +401,9 @@
 			cost += costServing
 		}
 	}
+	if len(w.attempts) > 0 {
+		cost -= costSameRack / 2 // hosts without work can be given away
+	}
 	return cost - int64(w.free().Millicores)
 }
 
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -36,3 +37,25 @@
 	}
 	return 1
 }
+
+// rate is the work that arrives in a unit of time, weighed by age.
+type rate struct {
+	value float64 // millicores
+	as    time.Time
+}
+
+const rateTime = time.Second // after which a sample counts for a third
+
+// at returns the rate as of now.
+func (r *rate) at(now time.Time) float64 {
+	if r.as.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-now.Sub(r.as).Seconds()/rateTime.Seconds())
+}
+
+// add takes in work that has arrived, in millicores times time.
+func (r *rate) add(millicores int, took time.Duration, now time.Time) {
+	r.value = r.at(now) + float64(millicores)*took.Seconds()/rateTime.Seconds()
+	r.as = now
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,6 +111,7 @@
 	reserved bool // in this round, for a task that does not fit yet
 
 	pausedUntil time.Time // after it refused a start
+	idleSince   time.Time // when it was first seen with nothing to run, zero if it runs something
 }
 
 func (w *worker) free() jobs.Size { return w.Size.Sub(w.used) }
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -141,7 +142,8 @@
 const vacateTime = 2 * time.Second
 
 // Vacate asks for a worker to become empty: it gets no new tasks, and lasting
-// tasks move elsewhere. It returns how many attempts are still there.
+// tasks move elsewhere. It returns how many attempts are still there. Missing
+// means that the pool knows no such worker.
 func (o *Owner) Vacate(ctx context.Context, worker string) (int, Verdict) {
 	left := 0
 	v := o.ask(ctx, func(reply chan Verdict) {
@@ -149,18 +151,36 @@
 			reply <- Unknown
 			return
 		}
-		o.vacate[worker] = time.Now().Add(vacateTime)
-		o.refresh(worker)
+		verdict := Missing
 		for _, a := range o.agents {
-			if a.entry.ID == worker && !a.left {
+			if a.entry.ID == worker && !a.left && a.heard {
 				left += len(o.board.Attempts(a.key))
+				verdict = Accepted
 			}
 		}
-		reply <- Accepted
+		if verdict == Accepted {
+			o.vacate[worker] = time.Now().Add(vacateTime)
+			o.refresh(worker)
+		}
+		reply <- verdict
 	})
 	return left, v
 }
 
+// Load returns what the pool needs and has.
+func (o *Owner) Load(ctx context.Context) (place.Load, Verdict) {
+	var l place.Load
+	v := o.ask(ctx, func(reply chan Verdict) {
+		if !o.started {
+			reply <- Unknown
+			return
+		}
+		l = o.board.Load(time.Now())
+		reply <- Accepted
+	})
+	return l, v
+}
+
 // SetQueues tells the configuration of the pool's queues.
 func (o *Owner) SetQueues(queues []platform.Queue) {
 	o.post(func() {
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -27,6 +27,7 @@
 	commitRetry   = 100 * time.Millisecond // after a transaction without an effect
 	maxCommitRows = 90                     // of 100 entries that the store takes
 	maxCommitSize = 500_000                // bytes of values; the store takes 1 MB in base64
+	commitGap     = 20 * time.Millisecond  // between transactions; what comes meanwhile shares one
 	maxProgWait   = 30 * time.Millisecond  // that ends gather before they are written
 )
 
@@ -236,6 +237,7 @@
 		return
 	}
 	o.storeFound()
+	o.commitAfter = c.sent.Add(commitGap)
 	o.seq, o.logVersion = c.seq, version
 	metricCommit.UpdateDuration(c.sent)
 	for _, s := range c.subs {
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -14,8 +14,10 @@
 package upkeep
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,14 +26,22 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
-var metricOrders = metrics.NewCounter("papayarudder_host_orders_total")
+var (
+	metricOrders = metrics.NewCounter("papayarudder_host_orders_total")
+	metricMoves  = metrics.NewCounter("papayarudder_host_moves_total")
+)
 
 const (
 	loopTime   = 100 * time.Millisecond
+	listSoon   = 300 * time.Millisecond // the same while hosts are on their way
+	loadPeriod = 150 * time.Millisecond // between questions to the pools' owners
+	loadTime   = 300 * time.Millisecond // for their answers
+	moveSlack  = 3 * time.Second        // until a move that had no effect is forgotten
 	listPeriod = time.Second            // between looks at the platform's list of hosts
 	callTime   = 800 * time.Millisecond // for an answer of the store or the machine API
 	renewEvery = 700 * time.Millisecond
@@ -53,6 +63,7 @@
 	Waves    func() []platform.Wave
 	Config   func() *platform.Config
 	Vacate   func(ctx context.Context, pool, worker string) (int, error)
+	Load     func(ctx context.Context, pool string) (place.Load, error)
 }
 
 // Keeper holds the fleet.
@@ -65,18 +76,28 @@
 
 	mu      sync.Mutex
 	plans   map[int]*wavePlan
-	hosts   []platform.Host
-	listed  time.Time // when the list was asked for
-	renewed time.Time // when the last renewal that took effect was sent
+	view    fleetView
+	listed  time.Time            // when the list was asked for
+	asked   time.Time            // when the loads were asked for
+	moved   map[string]moving    // hosts on their way, by name
+	arrived map[string]time.Time // hosts that came to their pool
+	renewed time.Time            // when the last renewal that took effect was sent
 	began   time.Time
 }
 
+// moving is a host on its way to another pool.
+type moving struct {
+	pool string
+	at   time.Time
+}
+
 // New returns a keeper that is not running yet.
 func New(s Settings) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Keeper{
 		Settings: s, log: s.Log.WithField("fleet-token", s.Own.Token), ctx: ctx, cancel: cancel,
-		ended: make(chan struct{}), plans: map[int]*wavePlan{}, began: time.Now(), renewed: time.Now(),
+		ended: make(chan struct{}), plans: map[int]*wavePlan{}, moved: map[string]moving{},
+		arrived: map[string]time.Time{}, began: time.Now(), renewed: time.Now(),
 	}
 }
 
@@ -93,7 +114,8 @@
 	var renewing time.Time
 	for k.ctx.Err() == nil {
 		now := time.Now()
-		if k.pending() {
+		pending := k.pending()
+		if pending || k.hasStandby() {
 			if now.Sub(renewing) > renewEvery {
 				renewing = now
 				if err := k.renew(now); errors.Is(err, platform.ErrConflict) {
@@ -104,7 +126,9 @@
 				}
 			}
 			k.look()
+			k.askLoads()
 			k.work()
+			k.move()
 		}
 		timer := time.NewTimer(loopTime)
 		select {
@@ -201,10 +225,20 @@
 	return now.Sub(k.renewed) < k.Bounds.MachineLease-orderEnd
 }
 
+// hasStandby reports whether hosts can be given away at all.
+func (k *Keeper) hasStandby() bool {
+	c := k.Config()
+	return c != nil && slices.ContainsFunc(c.Pools, func(p platform.PoolConfig) bool { return p.Standby })
+}
+
 // look reads the platform's list of hosts.
 func (k *Keeper) look() {
 	now := time.Now()
-	if now.Sub(k.listed) < listPeriod {
+	period := listPeriod
+	if len(k.moved) > 0 {
+		period = listSoon
+	}
+	if now.Sub(k.listed) < period {
 		return
 	}
 	ctx, cancel := context.WithTimeout(k.ctx, callTime)
@@ -214,10 +248,59 @@
 		k.log.WithError(err).Info("list of hosts not read")
 		return
 	}
-	k.hosts, k.listed = hosts, now
+	k.view.hosts, k.listed, k.view.listed = hosts, now, now
+	for i, h := range hosts {
+		m, moved := k.moved[h.Name]
+		if !moved {
+			continue
+		}
+		if h.Pool == m.pool && h.State == platform.HostUp || now.Sub(m.at) > k.Bounds.Migration+moveSlack {
+			delete(k.moved, h.Name)
+			k.arrived[h.Name] = now
+			continue
+		}
+		hosts[i].Pool, hosts[i].State = m.pool, platform.HostMoving
+	}
 }
 
-// work carries out what the plans want now.
+// askLoads asks the owners of all pools what they need and have.
+func (k *Keeper) askLoads() {
+	c := k.Config()
+	now := time.Now()
+	if c == nil || now.Sub(k.asked) < loadPeriod {
+		return
+	}
+	k.asked = now
+	ctx, cancel := context.WithTimeout(k.ctx, loadTime)
+	defer cancel()
+	k.view.standby = map[string]bool{}
+	loads := make([]*place.Load, len(c.Pools))
+	var calls sync.WaitGroup
+	for i, p := range c.Pools {
+		if p.Standby {
+			k.view.standby[p.Name] = true
+			continue
+		}
+		calls.Go(func() {
+			if l, err := k.Load(ctx, p.Name); err == nil {
+				loads[i] = &l
+			}
+		})
+	}
+	calls.Wait()
+	k.view.loads, k.view.workers = map[string]place.Load{}, map[string]place.WorkerLoad{}
+	for i, l := range loads {
+		if l == nil {
+			continue
+		}
+		k.view.loads[c.Pools[i].Name] = *l
+		for _, w := range l.Workers {
+			k.view.workers[w.ID] = w
+		}
+	}
+}
+
+// work carries out what the waves want now.
 func (k *Keeper) work() {
 	policy := DefaultPolicy(k.Bounds.Maintenance)
 	for _, p := range k.plans {
@@ -225,9 +308,7 @@
 			continue
 		}
 		now := time.Now()
-		k.mu.Lock()
-		actions, complete := p.decide(policy, k.hosts, k.listed, now)
-		k.mu.Unlock()
+		actions, complete := p.decide(policy, &k.view, now)
 		if complete {
 			p.done = k.tellStatus(p.wave.Number, true)
 			continue
@@ -243,6 +324,90 @@
 	}
 }
 
+// busy reports whether a host must stay where it is: it is being emptied for a
+// wave, was ordered somewhere, or has just arrived.
+func (k *Keeper) busy(name string) bool {
+	if _, moved := k.moved[name]; moved {
+		return true
+	}
+	if at, known := k.arrived[name]; known && time.Since(at) < DefaultMovePolicy().Settle {
+		return true
+	}
+	for _, p := range k.plans {
+		hp := p.hosts[name]
+		if hp == nil || p.done {
+			continue
+		}
+		if !hp.begun && (!hp.emptying.IsZero() || !hp.ordered.IsZero()) || hp.begun && time.Since(hp.begunAt) < k.Bounds.Maintenance {
+			return true
+		}
+	}
+	return false
+}
+
+// due reports whether a host's maintenance is still to come.
+func (k *Keeper) due(name string) bool {
+	for _, p := range k.plans {
+		if hp := p.hosts[name]; hp != nil && !hp.begun && !p.done {
+			return true
+		}
+	}
+	return false
+}
+
+// move carries out the moves that the pools need now.
+func (k *Keeper) move() {
+	c := k.Config()
+	now := time.Now()
+	if c == nil || !k.mayOrder(now) || len(k.view.hosts) == 0 {
+		return
+	}
+	hosts := slices.Clone(k.view.hosts)
+	slices.SortStableFunc(hosts, func(x, y platform.Host) int { // maintained hosts are taken first
+		return cmp.Compare(btoi(k.due(x.Name)), btoi(k.due(y.Name)))
+	})
+	var tasks sync.WaitGroup
+	for _, m := range moves(DefaultMovePolicy(), c.Pools, hosts, k.view.loads, k.busy) {
+		tasks.Go(func() { k.moveOne(m) })
+	}
+	tasks.Wait()
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// moveOne empties a host for good and moves it.
+func (k *Keeper) moveOne(m move) {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	if !k.view.standby[m.host.Pool] {
+		left, err := k.Vacate(ctx, m.host.Pool, m.host.Worker)
+		if err != nil || left > 0 {
+			return
+		}
+	}
+	began := time.Now()
+	err := k.Machines.Move(ctx, k.holder(), m.host.Name, m.pool)
+	k.log.WithFields(logrus.Fields{
+		"host": m.host.Name, "from": m.host.Pool, "to": m.pool, "worker": m.host.Worker,
+		"ms": time.Since(began).Milliseconds(),
+	}).WithError(err).Info("move ordered")
+	if err == nil || errors.Is(err, platform.ErrUnknown) {
+		metricMoves.Inc()
+		k.mu.Lock()
+		k.moved[m.host.Name] = moving{m.pool, began}
+		k.mu.Unlock()
+	}
+}
+
+func (k *Keeper) holder() platform.Holder {
+	return platform.Holder{Name: k.Own.Owner.Node, Token: k.Own.Token}
+}
+
 func (k *Keeper) carryOut(p *wavePlan, a action) {
 	ctx, cancel := context.WithTimeout(k.ctx, callTime)
 	defer cancel()
@@ -265,7 +430,7 @@
 	hp.ordered = now
 	k.mu.Unlock()
 	metricOrders.Inc()
-	err := k.Machines.Maintain(ctx, platform.Holder{Name: k.Own.Owner.Node, Token: k.Own.Token}, a.host.Name, p.wave.Number)
+	err := k.Machines.Maintain(ctx, k.holder(), a.host.Name, p.wave.Number)
 	k.log.WithFields(logrus.Fields{
 		"wave": p.wave.Number, "host": a.host.Name, "pool": a.host.Pool, "worker": a.host.Worker,
 		"ms": time.Since(now).Milliseconds(),
--- /dev/null
+++ b/internal/upkeep/moves.go
@@ -0,0 +1,217 @@
+package upkeep
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// MovePolicy holds the figures that moves between pools go by.
+type MovePolicy struct {
+	WaitingShare float64       // of what waits a pool is sized for; the rest waits its turn
+	RateShare    float64       // of the work that arrives for which there is room at least
+	Fill         float64       // share of a host that tasks fill in practice
+	Floor        int           // hosts that a pool keeps
+	Spare        int           // hosts more than needed that a pool keeps before it gives any away
+	IdleTime     time.Duration // a host is given away after so long without work
+	Settle       time.Duration // a host that arrived stays for at least so long
+}
+
+// DefaultMovePolicy returns the policy of the product.
+func DefaultMovePolicy() MovePolicy {
+	return MovePolicy{
+		WaitingShare: 0.8,
+		RateShare:    0.9,
+		Fill:         0.9,
+		Floor:        2,
+		Spare:        0,
+		IdleTime:     700 * time.Millisecond,
+		Settle:       2 * time.Second,
+	}
+}
+
+// move is a host that is to change its pool.
+type move struct {
+	host platform.Host
+	pool string
+}
+
+// poolView is a pool as the planner of moves sees it.
+type poolView struct {
+	name    string
+	standby bool
+	load    place.Load
+	known   bool // its load is known
+	have    int  // hosts that are up, open or arriving
+	size    int  // millicores of one of its hosts
+	target  int
+	idle    []platform.Host // that may leave, longest idle first
+}
+
+// moves returns which hosts change their pool now: idle ones of pools that need
+// fewer go to a standby pool, and hosts come from there, or from pools that need
+// fewer, to those that need more. busy tells hosts that must stay where they are.
+func moves(policy MovePolicy, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, busy func(host string) bool) []move {
+	views := map[string]*poolView{}
+	var standby []*poolView
+	var names []string
+	for _, p := range pools {
+		l, known := loads[p.Name]
+		v := &poolView{name: p.Name, standby: p.Standby, load: l, known: known}
+		views[p.Name] = v
+		names = append(names, p.Name)
+		if p.Standby {
+			standby = append(standby, v)
+		}
+	}
+	if len(standby) == 0 {
+		return nil
+	}
+	slices.Sort(names)
+	kinds := map[string]map[string]bool{} // of a pool's hosts
+	for _, h := range hosts {
+		if kinds[h.Pool] == nil {
+			kinds[h.Pool] = map[string]bool{}
+		}
+		kinds[h.Pool][kind(h)] = true
+		if v := views[h.Pool]; v != nil {
+			v.add(policy, h, busy)
+		}
+	}
+	for _, name := range names {
+		views[name].setTarget(policy)
+	}
+	var out []move
+	for _, name := range needy(names, views) {
+		v := views[name]
+		for v.have < v.target {
+			h, from := source(v, standby, views, names, kinds[name])
+			if from == nil {
+				break
+			}
+			from.have--
+			v.have++
+			out = append(out, move{h, name})
+		}
+	}
+	for _, name := range names {
+		v := views[name]
+		for !v.standby && v.known && v.have > v.target+policy.Spare && len(v.idle) > 0 {
+			h := v.idle[0]
+			v.idle = v.idle[1:]
+			v.have--
+			out = append(out, move{h, standby[0].name})
+		}
+	}
+	return out
+}
+
+// kind returns a host's kind, which stays with it.
+func kind(h platform.Host) string {
+	if len(h.Labels) == 0 {
+		return ""
+	}
+	return h.Labels[0]
+}
+
+// add counts a host in its pool.
+func (v *poolView) add(policy MovePolicy, h platform.Host, busy func(host string) bool) {
+	v.size = max(v.size, h.Size.Millicores)
+	if h.State == platform.HostDown || h.State == platform.HostMaintenance {
+		return
+	}
+	if v.standby {
+		if h.State == platform.HostUp && !busy(h.Name) {
+			v.idle = append(v.idle, h)
+		}
+		return
+	}
+	if h.State == platform.HostMoving {
+		v.have++
+		return
+	}
+	i := slices.IndexFunc(v.load.Workers, func(w place.WorkerLoad) bool { return w.ID == h.Worker })
+	if i < 0 {
+		v.have++ // it has just arrived
+		return
+	}
+	w := v.load.Workers[i]
+	if !w.Open && w.Tasks == 0 {
+		return
+	}
+	v.have++
+	if w.Open && w.Tasks == 0 && w.Idle >= policy.IdleTime && !busy(h.Name) {
+		v.idle = append(v.idle, h)
+	}
+}
+
+// setTarget sets how many hosts the pool should have.
+func (v *poolView) setTarget(policy MovePolicy) {
+	if v.standby || !v.known || v.size == 0 {
+		v.target = 0
+		return
+	}
+	need := float64(v.load.Used) + policy.WaitingShare*float64(v.load.Wanted)
+	hosts := int(need/(policy.Fill*float64(v.size))) + 1
+	need = max(need, policy.RateShare*float64(v.load.Rate)+float64(v.load.Steady))
+	hosts = max(hosts, int(need/(policy.Fill*float64(v.size)))+1)
+	working := 0
+	for _, w := range v.load.Workers {
+		switch {
+		case w.Tasks > 0 && !w.Open:
+			hosts++ // what runs there has to go elsewhere
+			working++
+		case w.Tasks > 0:
+			working++
+		}
+	}
+	if v.load.Lasting > 0 || v.load.Largest > 0 && v.have == working {
+		hosts = max(hosts, working+1) // something waits that fits on none of those
+	}
+	v.target = max(policy.Floor, hosts)
+}
+
+// needy returns the pools that lack hosts, the one that lacks most first.
+func needy(names []string, views map[string]*poolView) []string {
+	out := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return views[n].have >= views[n].target })
+	slices.SortStableFunc(out, func(x, y string) int {
+		return cmp.Or(
+			cmp.Compare(views[y].target-views[y].have, views[x].target-views[x].have),
+			strings.Compare(x, y),
+		)
+	})
+	return out
+}
+
+// source returns a host for a pool: from a standby pool, or an idle one of a pool
+// that has more than it needs.
+func source(to *poolView, standby []*poolView, views map[string]*poolView, names []string, kinds map[string]bool) (platform.Host, *poolView) {
+	take := func(v *poolView) (platform.Host, bool) {
+		for i, h := range v.idle {
+			if kinds == nil || kinds[kind(h)] {
+				v.idle = slices.Delete(v.idle, i, i+1)
+				return h, true
+			}
+		}
+		return platform.Host{}, false
+	}
+	for _, v := range standby {
+		if h, ok := take(v); ok {
+			return h, v
+		}
+	}
+	for _, name := range names {
+		v := views[name]
+		if v == to || v.standby || !v.known || v.have <= v.target {
+			continue
+		}
+		if h, ok := take(v); ok {
+			return h, v
+		}
+	}
+	return platform.Host{}, nil
+}
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -16,6 +17,9 @@
 	OrderGap    time.Duration // between two orders for the same host
 	Maintenance time.Duration // that a host is down, as the platform says
 	Slack       time.Duration // until a host that should be back counts as back
+	Busy        float64       // a pool with more than this share in use is left alone while time allows
+	Drain       time.Duration // that emptying a host takes, for planning
+	Reserve     time.Duration // before the end of a wave by which it should be done
 }
 
 // DefaultPolicy returns the policy of the product.
@@ -26,6 +30,9 @@
 		OrderGap:    500 * time.Millisecond,
 		Maintenance: maintenance,
 		Slack:       500 * time.Millisecond,
+		Busy:        0.8,
+		Drain:       1500 * time.Millisecond,
+		Reserve:     4 * time.Second,
 	}
 }
 
@@ -64,15 +71,41 @@
 // freshLook is how old the word of a pool may be that a worker is empty.
 const freshLook = 400 * time.Millisecond
 
-// decide returns what to do now for a wave. hosts is the platform's list, listed
-// when it was asked for. complete is true once every host that is still there
-// has begun its maintenance.
-func (p *wavePlan) decide(policy Policy, hosts []platform.Host, listed, now time.Time) (actions []action, complete bool) {
+// fleetView is the fleet as a plan sees it.
+type fleetView struct {
+	hosts   []platform.Host
+	listed  time.Time                   // when the list was asked for
+	standby map[string]bool             // pools whose hosts are off
+	loads   map[string]place.Load       // of pools
+	workers map[string]place.WorkerLoad // by worker id
+}
+
+// use returns the share of a pool that is in use or wanted.
+func (v *fleetView) use(pool string) float64 {
+	l, known := v.loads[pool]
+	if !known {
+		return 0
+	}
+	size := 0
+	for _, h := range v.hosts {
+		if h.Pool == pool && h.State == platform.HostUp {
+			size += h.Size.Millicores
+		}
+	}
+	return float64(l.Used+l.Wanted) / float64(max(1, size))
+}
+
+// off reports whether nothing can run on a host.
+func (v *fleetView) off(h platform.Host) bool { return v.standby[h.Pool] || h.Worker == "" }
+
+// decide returns what to do now for a wave. complete is true once every host
+// that is still there has begun its maintenance.
+func (p *wavePlan) decide(policy Policy, v *fleetView, now time.Time) (actions []action, complete bool) {
 	down, open := 0, 0
 	away := map[string]int{}
 	size := map[string]int{}
 	var waiting []platform.Host
-	for _, h := range hosts {
+	for _, h := range v.hosts {
 		size[h.Pool]++
 		hp := p.hosts[h.Name]
 		if h.State != platform.HostUp {
@@ -81,7 +114,7 @@
 		if hp == nil {
 			continue
 		}
-		if p.mayBeDown(policy, hp, h, listed, now) {
+		if p.mayBeDown(policy, hp, h, v.listed, now) {
 			down++
 		}
 		if hp.begun {
@@ -93,23 +126,24 @@
 		}
 	}
 	if open == 0 {
-		return nil, len(hosts) > 0
+		return nil, len(v.hosts) > 0
 	}
-	slices.SortFunc(waiting, func(x, y platform.Host) int { return p.compare(x, y) })
+	urgent := p.urgent(policy, open, now)
+	p.sort(v, waiting)
 	emptying := 0
 	for _, h := range waiting {
 		hp := p.hosts[h.Name]
-		empty := h.Worker == "" || !hp.asked.IsZero() && hp.left == 0 && now.Sub(hp.asked) < freshLook
+		empty := v.off(h) || !hp.asked.IsZero() && hp.left == 0 && now.Sub(hp.asked) < freshLook
 		if empty && down < p.wave.MaxAway && now.Sub(hp.ordered) > policy.OrderGap {
 			down++
 			away[h.Pool]++
 			actions = append(actions, action{h, true})
 			continue
 		}
-		if h.Worker == "" || emptying >= p.wave.MaxAway+policy.Ahead {
+		if v.off(h) || emptying >= p.wave.MaxAway+policy.Ahead {
 			continue
 		}
-		if hp.emptying.IsZero() && float64(away[h.Pool]+1) > max(1, policy.PoolShare*float64(size[h.Pool])) {
+		if hp.emptying.IsZero() && !p.mayEmpty(policy, v, h, urgent, away[h.Pool], size[h.Pool]) {
 			continue
 		}
 		emptying++
@@ -119,6 +153,22 @@
 	return actions, false
 }
 
+// mayEmpty reports whether a host may be emptied for the wave now.
+func (p *wavePlan) mayEmpty(policy Policy, v *fleetView, h platform.Host, urgent bool, away, size int) bool {
+	if float64(away+1) > max(1, policy.PoolShare*float64(size)) {
+		return false
+	}
+	w, known := v.workers[h.Worker]
+	return urgent || known && w.Tasks == 0 || v.use(h.Pool) < policy.Busy
+}
+
+// urgent reports whether the wave has no time left to wait for quiet pools.
+func (p *wavePlan) urgent(policy Policy, open int, now time.Time) bool {
+	rounds := (open + p.wave.MaxAway - 1) / p.wave.MaxAway
+	needed := time.Duration(rounds)*(policy.Maintenance+policy.Drain) + policy.Reserve
+	return now.Add(needed).After(p.seen.Add(p.wave.Within))
+}
+
 // mayBeDown reports whether a host counts against the wave's limit.
 func (p *wavePlan) mayBeDown(policy Policy, hp *hostPlan, h platform.Host, listed, now time.Time) bool {
 	if h.State == platform.HostMaintenance {
@@ -132,22 +182,33 @@
 	return now.Before(back) || listed.Before(back)
 }
 
-// compare puts hosts in the order in which they are taken: those that are being
-// emptied, those with least left to run, then by pool and name.
-func (p *wavePlan) compare(x, y platform.Host) int {
-	hx, hy := p.hosts[x.Name], p.hosts[y.Name]
-	class := func(h platform.Host, hp *hostPlan) int {
+// sort puts hosts in the order in which they are taken: those on which nothing
+// can run, those that are being emptied, idle ones, then those with the fewest
+// lasting tasks in the quietest pools.
+func (p *wavePlan) sort(v *fleetView, hosts []platform.Host) {
+	use := map[string]float64{}
+	for _, h := range hosts {
+		use[h.Pool] = v.use(h.Pool)
+	}
+	class := func(h platform.Host) int {
+		w, known := v.workers[h.Worker]
 		switch {
-		case h.Worker == "":
+		case v.off(h):
 			return 0
-		case !hp.emptying.IsZero():
+		case !p.hosts[h.Name].emptying.IsZero():
 			return 1
+		case known && w.Tasks == 0:
+			return 2
 		}
-		return 2
+		return 3
 	}
-	return cmp.Or(
-		cmp.Compare(class(x, hx), class(y, hy)),
-		hx.emptying.Compare(hy.emptying),
-		strings.Compare(x.Name, y.Name),
-	)
+	slices.SortFunc(hosts, func(x, y platform.Host) int {
+		return cmp.Or(
+			cmp.Compare(class(x), class(y)),
+			p.hosts[x.Name].emptying.Compare(p.hosts[y.Name].emptying),
+			cmp.Compare(v.workers[x.Worker].Lasting, v.workers[y.Worker].Lasting),
+			cmp.Compare(use[x.Pool], use[y.Pool]),
+			strings.Compare(x.Name, y.Name),
+		)
+	})
 }
