--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,260 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/platform/mimic"
+)
+
+func TestJobFromSubmissionToItsEnd(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	body := `{"spec":"50ms","steps":[{"count":3,"cpu":1000,"estimate_ms":50},{"count":2,"cpu":500,"estimate_ms":50,"after":[0]}]}`
+	for i, p := range s.processes {
+		s.submit(p, "/labels/"+id(i), body)
+		s.submit(s.other(p), "/labels/"+id(i), body) // again, elsewhere: one job
+	}
+	for i, p := range s.processes {
+		s.waitState(s.other(p), "/labels/"+id(i), "complete", 5*time.Second)
+	}
+	if n := len(s.platform.Runs()); n != 10 {
+		t.Errorf("%d runs of two jobs of 5 tasks, want 10", n)
+	}
+	s.check()
+}
+
+func TestCallersRefusals(t *testing.T) {
+	s := newSystem(t, 1, mimic.Options{})
+	p := s.processes[0]
+	big := `{"spec":"` + strings.Repeat("x", 300_000) + `"}`
+	for _, tt := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{http.MethodPost, "/none/" + id(1), oneStep, 404},
+		{http.MethodGet, "/none/", "", 404},
+		{http.MethodPost, "/labels/xyz", oneStep, 400},
+		{http.MethodPost, "/labels/" + id(1), "{", 400},
+		{http.MethodPost, "/labels/" + id(1), big, 413},
+		{http.MethodPost, "/labels/" + id(1), `{"spec":"","steps":[]}`, 400},
+		{http.MethodPost, "/labels/" + id(1), `{"spec":"","steps":[{"count":-1}]}`, 400},
+		{http.MethodPost, "/labels/" + id(1), `{"spec":"","steps":[{"count":1,"cpu":-5}]}`, 400},
+		{http.MethodPost, "/labels/" + id(1), `{"spec":"","steps":[{"count":1,"after":[0]}]}`, 400},
+		{http.MethodPost, "/labels/" + id(1), `{"spec":"","steps":[{"count":9999999}]}`, 400},
+		{http.MethodGet, "/labels/" + id(1), "", 410},
+		{http.MethodDelete, "/labels/" + id(1), "", 410},
+		{http.MethodPut, "/labels/" + id(1), "", 405},
+		{http.MethodGet, "/labels/", "", 200},
+	} {
+		if body, status := s.call(tt.method, p, tt.path, tt.body); status != tt.want {
+			t.Errorf("%s %s %.40s: %d %s, want %d", tt.method, tt.path, tt.body, status, body, tt.want)
+		}
+	}
+	if n := len(s.platform.Runs()); n != 0 {
+		t.Errorf("%d runs, want none", n)
+	}
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	p := s.processes[0]
+	s.submit(p, "/labels/"+id(1), `{"spec":"1m","steps":[{"count":2,"cpu":1000,"estimate_ms":60000},{"count":2,"cpu":1000,"after":[0]}]}`)
+	s.waitFor("the tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) == 2 })
+	if _, status := s.call(http.MethodDelete, p, "/labels/"+id(1), ""); status != 200 {
+		t.Fatalf("cancel: %d, want 200", status)
+	}
+	s.waitFor("the tasks to stop", time.Second, func() bool {
+		for _, r := range s.platform.Runs() {
+			if r.How != "stopped" {
+				return false
+			}
+		}
+		return true
+	})
+	s.waitState(p, "/labels/"+id(1), "cancelled", time.Second)
+}
+
+// The owner of a pool is lost while jobs run: nothing runs twice, and all ends.
+func TestOwnerLost(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose func(s *system, p *process)
+		back func(s *system, p *process)
+	}{
+		{"killed", func(s *system, p *process) { s.kill(p) }, func(s *system, p *process) { s.start(p) }},
+		{"stopped", func(s *system, p *process) { s.signal(p, syscall.SIGTERM) }, func(*system, *process) {}},
+		{"frozen and woken", func(s *system, p *process) { s.signal(p, syscall.SIGSTOP) }, func(s *system, p *process) { s.signal(p, syscall.SIGCONT) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, 3, mimic.Options{})
+			lost := s.owner("p1")
+			p := s.other(lost)
+			long := `{"spec":"700ms","steps":[{"count":12,"cpu":1000,"estimate_ms":700},{"count":3,"cpu":1000,"estimate_ms":700,"after":[0]}]}`
+			for i := range 4 {
+				s.submit(p, "/labels/"+id(i), long)
+			}
+			s.waitFor("tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) > 10 })
+			tt.lose(s, lost)
+			began := time.Now()
+			s.submit(p, "/labels/"+id(9), oneStep)
+			t.Logf("a job was accepted %v after the owner was lost", time.Since(began).Round(time.Millisecond))
+			time.Sleep(time.Second)
+			tt.back(s, lost)
+			for _, i := range []int{0, 1, 2, 3, 9} {
+				s.waitState(p, "/labels/"+id(i), "complete", 15*time.Second)
+			}
+			s.check()
+		})
+	}
+}
+
+// Without the store, running work goes on, new jobs are refused soon and never
+// run, and service is back within two seconds of the store's return.
+func TestStoreLost(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		failure mimic.Failure
+	}{{"busy", mimic.Busy}, {"silent", mimic.Silent}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, 2, mimic.Options{})
+			p := s.processes[0]
+			s.submit(p, "/labels/"+id(1), `{"spec":"400ms","steps":[{"count":4,"cpu":1000,"estimate_ms":400},{"count":4,"cpu":1000,"estimate_ms":400,"after":[0]},{"count":4,"cpu":1000,"estimate_ms":400,"after":[1]}]}`)
+			s.platform.Store.Fail(tt.failure)
+			refused := map[int]bool{}
+			for i := 10; i < 14; i++ {
+				_, status := s.call(http.MethodPost, p, "/labels/"+id(i), oneStep)
+				refused[i] = status == 503
+			}
+			s.waitFor("running work to go on", 6*time.Second, func() bool { return len(s.platform.Runs()) >= 12 })
+			s.platform.Store.Fail(mimic.Healthy)
+			began := time.Now()
+			s.submit(p, "/labels/"+id(20), oneStep)
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("first job %v after the store's return, want 2 s", took)
+			}
+			s.waitState(p, "/labels/"+id(1), "complete", 6*time.Second)
+			s.waitState(p, "/labels/"+id(20), "complete", 6*time.Second)
+			for _, r := range s.platform.Runs() {
+				for i, was := range refused {
+					if was && strings.HasPrefix(r.Task, id(i)) {
+						t.Errorf("%s ran, though its job was refused", r.Task)
+					}
+				}
+			}
+			s.check()
+		})
+	}
+}
+
+// Answers of the store are lost after what was asked for took effect.
+func TestAnswersOfTheStoreLost(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	p := s.processes[0]
+	s.platform.Store.Fail(mimic.Lossy)
+	_, status := s.call(http.MethodPost, p, "/labels/"+id(1), oneStep)
+	s.platform.Store.Fail(mimic.Healthy)
+	if status == 503 || status == 429 {
+		t.Errorf("status %d for a job that was stored", status)
+	}
+	s.submit(p, "/labels/"+id(1), oneStep)
+	s.waitState(p, "/labels/"+id(1), "complete", 8*time.Second)
+	s.check()
+}
+
+// Tasks of a crashed worker, and of one that is cut off and runs on, are run
+// elsewhere once their leases have run out, and never twice at the same time.
+func TestWorkerLost(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		lose func(w *mimic.Worker)
+	}{
+		{"crashed", func(w *mimic.Worker) { w.Crash() }},
+		{"cut off", func(w *mimic.Worker) { w.Silence(true) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, 2, mimic.Options{})
+			p := s.processes[0]
+			for i := range 3 {
+				s.submit(p, "/labels/"+id(i), `{"spec":"1500ms","steps":[{"count":6,"cpu":1000,"estimate_ms":1500}]}`)
+			}
+			s.waitFor("tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) >= 18 })
+			tt.lose(s.platform.Worker(0))
+			for i := range 3 {
+				s.waitState(p, "/labels/"+id(i), "complete", 15*time.Second)
+			}
+			s.platform.Worker(0).Silence(false)
+			time.Sleep(300 * time.Millisecond)
+			s.check()
+		})
+	}
+}
+
+func TestConfigurationInForceEverywhere(t *testing.T) {
+	s := newSystem(t, 3, mimic.Options{})
+	added := `,{"name":"new","host":"b.example","prefix":"/labels/new/","service":"p2","timeout_ms":3000,"target_duration_ms":600,"priority":0,"max_attempts":2,"slack_factor":1.6},{"name":"new2","host":"a.example","prefix":"/fresh/","service":"p2","timeout_ms":3000,"target_duration_ms":600}`
+	s.platform.Store.Forget() // the history is gone: the table has to be read anew
+	s.platform.Configure(fmt.Sprintf(config, 7, added))
+	s.waitFor("the new queue everywhere", 2*time.Second, func() bool {
+		for _, p := range s.processes {
+			if _, status := s.call(http.MethodGet, p, "/fresh/", ""); status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	s.platform.Configure(fmt.Sprintf(config, 3, "")) // an older version changes nothing
+	time.Sleep(300 * time.Millisecond)
+	for _, p := range s.processes {
+		if _, status := s.call(http.MethodGet, p, "/fresh/", ""); status != 200 {
+			t.Errorf("%s: %d after an older version, want 200", p.node, status)
+		}
+	}
+}
+
+// A wave passes while lasting tasks run: every host is maintained, no more at
+// once than allowed, and no lasting task is ended by it.
+func TestWaveBesideLastingTasks(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 4}, {Name: "p2", Hosts: 2}, {Name: "spare", Hosts: 1, Standby: true}}})
+	p := s.processes[0]
+	s.submit(p, "/labels/"+id(1), `{"spec":"lasting","steps":[{"count":3,"cpu":2000,"mem_mb":100,"estimate_ms":50,"anti_affinity":1,"long_running":true,"max_unavailable":1}]}`)
+	s.waitFor("lasting tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) == 3 })
+	s.platform.Wave(1, []string{"m-0", "m-1", "m-2", "m-3"}, 10*time.Second, 2)
+	s.waitFor("the wave to be complete", 15*time.Second, func() bool {
+		return string(s.platform.Store.Get("status", "", "wave/1")) == `{"state":"complete"}`
+	})
+	maintained := map[string]bool{}
+	for _, o := range s.platform.Orders() {
+		if o.Kind == "maintain" {
+			maintained[o.Host] = true
+		}
+	}
+	if len(maintained) != 4 {
+		t.Errorf("maintained %v, want four hosts", maintained)
+	}
+	for _, r := range s.platform.Runs() {
+		if r.How == "lost" {
+			t.Errorf("%s was ended by an order for its host", r.Task)
+		}
+	}
+	s.check()
+}
+
+// Hosts come to a pool whose jobs ask for more than it holds, and idle hosts are
+// given away.
+func TestPoolsFollowDemand(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 3}, {Name: "p2", Hosts: 4}, {Name: "spare", Hosts: 1, Standby: true}}})
+	p := s.processes[0]
+	s.waitFor("idle hosts to be given away", 8*time.Second, func() bool { return s.platform.Pools()["spare"] >= 3 })
+	for i := range 8 {
+		s.submit(p, "/labels/"+id(i), `{"spec":"1s","steps":[{"count":8,"cpu":2000,"mem_mb":100,"estimate_ms":1000}]}`)
+	}
+	s.waitFor("hosts to come", 5*time.Second, func() bool { return s.platform.Pools()["p1"] >= 5 })
+	for i := range 8 {
+		s.waitState(p, "/labels/"+id(i), "complete", 15*time.Second)
+	}
+	s.check()
+}
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -44,9 +44,11 @@
 	moveSlack  = 3 * time.Second        // until a move that had no effect is forgotten
 	listPeriod = time.Second            // between looks at the platform's list of hosts
 	callTime   = 800 * time.Millisecond // for an answer of the store or the machine API
-	renewEvery = 700 * time.Millisecond
-	orderEnd   = 1200 * time.Millisecond // before the lease ends no order is begun
-	leaseSlack = 300 * time.Millisecond  // a new holder waits this much beyond the lease
+	renewShare = 0.2                    // of the lease, between renewals
+	orderShare = 0.6                    // of the lease, from when its renewal was sent: later no order is begun
+	answerPart = 0.25                   // of the lease, for the answer to an order
+	leaseTime  = 3 * time.Second        // where the settings name no lease
+	leaseSlack = 300 * time.Millisecond // a new holder waits this much beyond the lease
 
 	tableWave = "wave" // what a holder knows of its waves, in its own part
 	tableSeq  = "log"  // renewed, so that a later holder is noticed
@@ -116,7 +118,7 @@
 		now := time.Now()
 		pending := k.pending()
 		if pending || k.hasStandby() {
-			if now.Sub(renewing) > renewEvery {
+			if now.Sub(renewing) > k.part(renewShare) {
 				renewing = now
 				if err := k.renew(now); errors.Is(err, platform.ErrConflict) {
 					k.log.Info("fleet lost to another holder")
@@ -219,12 +221,24 @@
 // mayOrder reports whether orders are safe: no other process can hold the fleet
 // yet, and the holder before has no order on its way.
 func (k *Keeper) mayOrder(now time.Time) bool {
-	if k.Own.Token > 1 && now.Sub(k.began) < k.Bounds.MachineLease+leaseSlack {
+	if k.Own.Token > 1 && now.Sub(k.began) < k.part(1)+leaseSlack {
 		return false
 	}
-	return now.Sub(k.renewed) < k.Bounds.MachineLease-orderEnd
+	return now.Sub(k.renewed) < k.part(orderShare)
 }
 
+// part returns a share of the lease that two holders keep apart.
+func (k *Keeper) part(share float64) time.Duration {
+	lease := k.Bounds.MachineLease
+	if lease <= 0 {
+		lease = leaseTime
+	}
+	return time.Duration(share * float64(lease))
+}
+
+// orderTime is how long an order waits for its answer.
+func (k *Keeper) orderTime() time.Duration { return min(callTime, k.part(answerPart)) }
+
 // hasStandby reports whether hosts can be given away at all.
 func (k *Keeper) hasStandby() bool {
 	c := k.Config()
@@ -382,7 +396,7 @@
 
 // moveOne empties a host for good and moves it.
 func (k *Keeper) moveOne(m move) {
-	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	ctx, cancel := context.WithTimeout(k.ctx, k.orderTime())
 	defer cancel()
 	if !k.view.standby[m.host.Pool] {
 		left, err := k.Vacate(ctx, m.host.Pool, m.host.Worker)
@@ -409,7 +423,7 @@
 }
 
 func (k *Keeper) carryOut(p *wavePlan, a action) {
-	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	ctx, cancel := context.WithTimeout(k.ctx, k.orderTime())
 	defer cancel()
 	hp := p.hosts[a.host.Name]
 	if !a.order {
--- a/internal/upkeep/moves.go
+++ b/internal/upkeep/moves.go
@@ -159,16 +159,19 @@
 	hosts := int(need/(policy.Fill*float64(v.size))) + 1
 	need = max(need, policy.RateShare*float64(v.load.Rate)+float64(v.load.Steady))
 	hosts = max(hosts, int(need/(policy.Fill*float64(v.size)))+1)
-	working := 0
+	working, lasting, leaving := 0, 0, 0
 	for _, w := range v.load.Workers {
-		switch {
-		case w.Tasks > 0 && !w.Open:
-			hosts++ // what runs there has to go elsewhere
-			working++
-		case w.Tasks > 0:
+		if w.Tasks > 0 {
 			working++
 		}
+		if w.Lasting > 0 {
+			lasting++
+		}
+		if w.Lasting > 0 && !w.Open {
+			leaving++
+		}
 	}
+	hosts = max(hosts+leaving, lasting+leaving) // lasting tasks may need a host each
 	if v.load.Lasting > 0 || v.load.Largest > 0 && v.have == working {
 		hosts = max(hosts, working+1) // something waits that fits on none of those
 	}
--- /dev/null
+++ b/internal/upkeep/moves_test.go
@@ -0,0 +1,191 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// pools under test: a and b work, spare is off.
+var testPools = []platform.PoolConfig{{Name: "a"}, {Name: "b"}, {Name: "spare", Standby: true}}
+
+const hostSize = 10_000 // millicores
+
+// hostsOf returns hosts of a pool whose workers are named like them.
+func hostsOf(pool string, n int) []platform.Host {
+	var hosts []platform.Host
+	for i := range n {
+		name := fmt.Sprintf("%s%d", pool, i)
+		hosts = append(hosts, platform.Host{
+			Name: name, Pool: pool, State: platform.HostUp, Labels: []string{"k"},
+			Size: jobs.Size{Millicores: hostSize}, Worker: "w-" + name,
+		})
+	}
+	return hosts
+}
+
+// loadOf returns the load of a pool of which some hosts work and the others have
+// been idle for a time.
+func loadOf(pool string, hosts, working int, idle time.Duration) place.Load {
+	var l place.Load
+	for i := range hosts {
+		w := place.WorkerLoad{ID: fmt.Sprintf("w-%s%d", pool, i), Open: true, Idle: idle}
+		if i < working {
+			w.Tasks, w.Used, w.Idle = 1, hostSize, 0
+			l.Used += w.Used
+		}
+		l.Workers = append(l.Workers, w)
+	}
+	return l
+}
+
+func count(moves []move, to string) int {
+	n := 0
+	for _, m := range moves {
+		if m.pool == to {
+			n++
+		}
+	}
+	return n
+}
+
+// A queue's turn comes: what arrives needs more than the pool holds, while the
+// other pool idles (five times the mean for some seconds, a twentieth between).
+func TestPoolOfTheQueueWhoseTurnItIsGrows(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		in    func(a *place.Load)
+		wantA int // hosts that come to a
+	}{
+		{"backlog", func(a *place.Load) { a.Wanted = 4 * hostSize }, 4},
+		{"rate of arrival, before a backlog", func(a *place.Load) { a.Rate = 6 * hostSize }, 3},
+		{"lasting task without a place", func(a *place.Load) { a.Lasting = 1 }, 1},
+		{"nothing waits", func(*place.Load) {}, 1}, // four full hosts are too few at a fill of 0.9
+	} {
+		a := loadOf("a", 4, 4, 0)
+		tt.in(&a)
+		loads := map[string]place.Load{"a": a, "b": loadOf("b", 4, 0, time.Minute)}
+		hosts := append(append(hostsOf("a", 4), hostsOf("b", 4)...), hostsOf("spare", 2)...)
+		have := moves(DefaultMovePolicy(), testPools, hosts, loads, func(string) bool { return false })
+		if n := count(have, "a"); n != tt.wantA {
+			t.Errorf("%s: %d hosts come, want %d (%v)", tt.name, n, tt.wantA, have)
+		}
+	}
+}
+
+func TestIdleHostsAreGivenAwayAfterAWhile(t *testing.T) {
+	for _, tt := range []struct {
+		idle time.Duration
+		want int
+	}{{100 * time.Millisecond, 0}, {time.Minute, 6}} {
+		loads := map[string]place.Load{"a": loadOf("a", 4, 0, tt.idle), "b": loadOf("b", 6, 0, tt.idle)}
+		hosts := append(append(hostsOf("a", 4), hostsOf("b", 6)...), hostsOf("spare", 2)...)
+		have := moves(DefaultMovePolicy(), testPools, hosts, loads, func(string) bool { return false })
+		if n := count(have, "spare"); n != tt.want {
+			t.Errorf("idle for %v: %d hosts given away, want %d", tt.idle, n, tt.want)
+		}
+	}
+}
+
+// A pool's host is emptied for maintenance while each of its hosts has a lasting
+// task of a step that allows one on a worker: another host has to come first.
+func TestEmptyingAHostWithLastingTasksBringsAnother(t *testing.T) {
+	l := loadOf("a", 3, 3, 0)
+	for i := range l.Workers {
+		l.Workers[i].Lasting, l.Workers[i].Used = 1, 100
+	}
+	l.Used = 300
+	l.Workers[0].Open = false
+	hosts := append(hostsOf("a", 3), hostsOf("spare", 2)...)
+	have := moves(DefaultMovePolicy(), testPools, hosts, map[string]place.Load{"a": l}, func(string) bool { return false })
+	if n := count(have, "a"); n != 1 {
+		t.Errorf("%d hosts come, want 1", n)
+	}
+}
+
+// A pool whose load is not known keeps its hosts.
+func TestPoolOfUnknownLoadKeepsItsHosts(t *testing.T) {
+	hosts := append(hostsOf("a", 5), hostsOf("spare", 2)...)
+	if have := moves(DefaultMovePolicy(), testPools, hosts, nil, func(string) bool { return false }); len(have) != 0 {
+		t.Errorf("moves %v, want none", have)
+	}
+}
+
+func view(loads map[string]place.Load, hosts []platform.Host, listed time.Time) *fleetView {
+	v := &fleetView{hosts: hosts, listed: listed, standby: map[string]bool{"spare": true}, loads: loads, workers: map[string]place.WorkerLoad{}}
+	for _, l := range loads {
+		for _, w := range l.Workers {
+			v.workers[w.ID] = w
+		}
+	}
+	return v
+}
+
+// A wave takes hosts that are off first, then idle ones, and leaves a pool in its
+// turn alone while there is time.
+func TestWaveTakesQuietHostsFirst(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	hosts := append(append(hostsOf("a", 4), hostsOf("b", 4)...), hostsOf("spare", 2)...)
+	busy := loadOf("a", 4, 4, 0)
+	busy.Wanted = 10 * hostSize
+	v := view(map[string]place.Load{"a": busy, "b": loadOf("b", 4, 0, time.Minute)}, hosts, now)
+	names := []string{"a0", "a1", "b0", "b1", "spare0", "spare1"}
+	p := newWavePlan(platform.Wave{Number: 1, Hosts: names, Within: 30 * time.Second, MaxAway: 3}, now)
+	actions, complete := p.decide(DefaultPolicy(2*time.Second), v, now)
+	if complete {
+		t.Fatal("complete before anything was done")
+	}
+	have := map[string]bool{}
+	for _, a := range actions {
+		have[a.host.Name] = a.order
+	}
+	for name, order := range map[string]bool{"spare0": true, "spare1": true, "b0": false} {
+		if ordered, there := have[name]; !there || ordered != order {
+			t.Errorf("%s: ordered %v, taken %v; want ordered %v", name, ordered, there, order)
+		}
+	}
+	if _, there := have["a0"]; there {
+		t.Error("a host of the busy pool is emptied while there is time")
+	}
+	late := now.Add(25 * time.Second)
+	v.listed = late
+	actions, _ = p.decide(DefaultPolicy(2*time.Second), v, late)
+	have = map[string]bool{}
+	for _, a := range actions {
+		have[a.host.Name] = true
+	}
+	if !have["a0"] {
+		t.Error("no host of the busy pool is emptied when time is short")
+	}
+}
+
+// No more hosts are down at once than the wave allows, also while the list is
+// older than the newest orders.
+func TestWaveKeepsItsLimit(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	hosts := hostsOf("spare", 6)
+	var names []string
+	for _, h := range hosts {
+		names = append(names, h.Name)
+	}
+	v := view(nil, hosts, now)
+	p := newWavePlan(platform.Wave{Number: 1, Hosts: names, Within: 30 * time.Second, MaxAway: 2}, now)
+	ordered := 0
+	for range 5 {
+		actions, _ := p.decide(DefaultPolicy(2*time.Second), v, now)
+		for _, a := range actions {
+			if a.order {
+				ordered++
+				p.hosts[a.host.Name].ordered, p.hosts[a.host.Name].begun = now, true
+			}
+		}
+		now = now.Add(300 * time.Millisecond) // the list stays as it was
+	}
+	if ordered != 2 {
+		t.Errorf("%d hosts ordered down within 1.5 s, want 2", ordered)
+	}
+}
