Pools are sized by what their jobs need to make their objectives

Dead workers of moved hosts stayed for 2.5 s. What: size = lasting work + the most of 0.85 of what runs and waits, 1.2 of the density (remaining work over the time to the objective), 0.9 of the rate of arrival, which counts less the fewer jobs it was seen from. Where nothing is idle, hosts with batch tasks only are emptied for pools in need.

--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -50,6 +50,12 @@
 // StepDone reports whether all tasks of a step are done.
 func (p *Progress) StepDone(occurrence, step int) bool { return p.bits(occurrence, step).full() }
 
+// Left returns how many tasks of a step are not done.
+func (p *Progress) Left(occurrence, step int) int {
+	bits := p.bits(occurrence, step)
+	return bits.size - bits.count
+}
+
 // Ready reports whether all steps that a step waits for are done.
 func (p *Progress) Ready(occurrence, step int) bool {
 	for _, before := range p.job.Steps[step].After {
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -75,13 +75,44 @@
 		e.finalAt = now
 		return
 	}
-	for _, s := range j.Steps {
-		if !s.Lasting && j.Repetitions == 0 && now.Sub(j.Submitted) < rateTime {
-			b.arrivals.add(s.Count*s.Claim().Millicores, s.Estimate, now)
+	if j.Repetitions == 0 && !j.Lasting() && now.Sub(j.Submitted) < rateTime {
+		work := 0.0
+		for i := range j.Steps {
+			work += e.work(i, j.Steps[i].Count)
 		}
+		b.arrivals.add(work, now)
 	}
 }
 
+// work returns the estimated work of some tasks of a step, in millicore seconds.
+func (e *entry) work(step, tasks int) float64 {
+	s := &e.job.Steps[step]
+	return float64(tasks) * float64(s.Claim().Millicores) * s.Estimate.Seconds()
+}
+
+// density returns the millicores that an occurrence of the job needs from now on
+// to make its objective, or to end soon if it can't any more.
+func (e *entry) density(k int, factor float64, now time.Time) float64 {
+	work, chain := 0.0, time.Duration(0)
+	for i := range e.job.Steps {
+		left := e.progress.Left(k, i)
+		if left == 0 || e.job.Steps[i].Lasting {
+			continue
+		}
+		work += e.work(i, left)
+		chain = max(chain, e.chain[i])
+	}
+	if work == 0 {
+		return 0
+	}
+	longest := time.Duration(factor * float64(slices.Max(e.chain)))
+	left := e.job.Objective(k, longest).Sub(now)
+	return factor * work / max(left, chain, minDensityTime).Seconds()
+}
+
+// minDensityTime bounds what a job that is nearly done asks for.
+const minDensityTime = 200 * time.Millisecond
+
 // Known reports whether a job is on the board.
 func (b *Board) Known(id jobs.ID) bool { return b.jobs[id] != nil }
 
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -41,21 +41,34 @@
 // rate is the work that arrives in a unit of time, weighed by age.
 type rate struct {
 	value float64 // millicores
+	jobs  float64 // that it was seen from
 	as    time.Time
 }
 
-const rateTime = time.Second // after which a sample counts for a third
+const (
+	rateTime  = time.Second // after which a sample counts for a third
+	rateDoubt = 1           // jobs from which on a rate counts for half of what was seen
+)
 
-// at returns the rate as of now.
+// at returns the rate as of now. One that was seen from few jobs is taken for
+// less, since a single large job is no trend.
 func (r *rate) at(now time.Time) float64 {
+	value, jobs := r.seen(now)
+	return value * jobs / (jobs + rateDoubt)
+}
+
+func (r *rate) seen(now time.Time) (value, jobs float64) {
 	if r.as.IsZero() {
-		return 0
+		return 0, 0
 	}
-	return r.value * math.Exp(-now.Sub(r.as).Seconds()/rateTime.Seconds())
+	fade := math.Exp(-now.Sub(r.as).Seconds() / rateTime.Seconds())
+	return r.value * fade, r.jobs * fade
 }
 
-// add takes in work that has arrived, in millicores times time.
-func (r *rate) add(millicores int, took time.Duration, now time.Time) {
-	r.value = r.at(now) + float64(millicores)*took.Seconds()/rateTime.Seconds()
+// add takes in a job's work, in millicore seconds.
+func (r *rate) add(work float64, now time.Time) {
+	value, jobs := r.seen(now)
+	r.value = value + work/rateTime.Seconds()
+	r.jobs = jobs + 1
 	r.as = now
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -24,6 +24,7 @@
 	Lasting int // lasting tasks without a place
 	Steady  int // millicores of lasting tasks that run
 	Rate    int // millicores that the jobs of the last second need to keep up
+	Density int // millicores that all jobs need to make their objectives
 	Workers []WorkerLoad
 }
 
@@ -57,6 +58,9 @@
 		if e.progress.Final != "" {
 			continue
 		}
+		if e.job.Repetitions == 0 {
+			l.Density += int(e.density(0, b.learnt.of(e.job.Queue), now))
+		}
 		for key, tasks := range e.waiting {
 			step := &e.job.Steps[key.step]
 			if len(tasks) == 0 {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -423,7 +423,7 @@
 		}
 	}
 	for _, a := range o.agents {
-		gone := a.left || !a.missing.IsZero() && now.Sub(a.missing) > missingTime
+		gone := a.left || !a.missing.IsZero() && (now.Sub(a.missing) > missingTime || o.board.Idle(a.key))
 		if a.silent && a.lapsed(now) || a.left {
 			if !o.board.Idle(a.key) {
 				metricLapses.Inc()
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -89,6 +89,7 @@
 	moved   map[string]moving    // hosts on their way, by name
 	arrived map[string]time.Time // hosts that came to their pool
 	ordered map[string]time.Time // hosts by their newest order, or its announcement
+	leaving map[string]leaving   // hosts that are emptied in order to move
 	blocked map[string]bool      // hosts that the holder before may have ordered last
 	renewed time.Time            // when the last renewal that took effect was sent
 	began   time.Time
@@ -106,7 +107,7 @@
 	return &Keeper{
 		Settings: s, log: s.Log.WithField("fleet-token", s.Own.Token), ctx: ctx, cancel: cancel,
 		ended: make(chan struct{}), plans: map[int]*wavePlan{}, moved: map[string]moving{},
-		arrived: map[string]time.Time{}, ordered: map[string]time.Time{}, blocked: map[string]bool{}, began: time.Now(), renewed: time.Now(),
+		arrived: map[string]time.Time{}, ordered: map[string]time.Time{}, leaving: map[string]leaving{}, blocked: map[string]bool{}, began: time.Now(), renewed: time.Now(),
 	}
 }
 
@@ -397,6 +398,10 @@
 		}
 		now := time.Now()
 		actions, complete := p.decide(policy, &k.view, now)
+		actions = slices.DeleteFunc(actions, func(a action) bool {
+			_, leaves := k.leaving[a.host.Name]
+			return leaves
+		})
 		if complete {
 			p.done = k.tellStatus(p.wave.Number, true)
 			continue
@@ -425,6 +430,9 @@
 	if _, moved := k.moved[name]; moved {
 		return true
 	}
+	if _, leaves := k.leaving[name]; leaves {
+		return true
+	}
 	if at, known := k.arrived[name]; known && time.Since(at) < DefaultMovePolicy().Settle {
 		return true
 	}
@@ -461,22 +469,68 @@
 	slices.SortStableFunc(hosts, func(x, y platform.Host) int { // maintained hosts are taken first
 		return cmp.Compare(btoi(k.due(x.Name)), btoi(k.due(y.Name)))
 	})
-	var wanted []move
-	var names []string
+	for i, h := range hosts {
+		if l, leaving := k.leaving[h.Name]; leaving {
+			hosts[i].Pool, hosts[i].State = l.pool, platform.HostMoving
+		}
+	}
 	for _, m := range moves(DefaultMovePolicy(), c.Pools, hosts, k.view.loads, k.busy) {
 		if k.mayOrder(m.host.Name, now) {
-			wanted = append(wanted, m)
-			names = append(names, m.host.Name)
+			k.leaving[m.host.Name] = leaving{m, now}
 		}
 	}
+	k.depart(now)
+}
+
+// leaving is a host that is emptied in order to move.
+type leaving struct {
+	move
+	since time.Time
+}
+
+// leaveTime is how long a host may take to become empty; then it stays.
+const leaveTime = 3 * time.Second
+
+// depart empties the hosts that are leaving and orders the moves of empty ones.
+func (k *Keeper) depart(now time.Time) {
+	var calls sync.WaitGroup
+	var ready []move
+	var names []string
+	for name, l := range k.leaving {
+		if now.Sub(l.since) > leaveTime {
+			delete(k.leaving, name)
+			continue
+		}
+		calls.Go(func() {
+			if !k.empty(l.host) {
+				return
+			}
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			ready = append(ready, l.move)
+			names = append(names, name)
+		})
+	}
+	calls.Wait()
 	if !k.authorize(now, names) {
 		return
 	}
-	var tasks sync.WaitGroup
-	for _, m := range wanted {
-		tasks.Go(func() { k.moveOne(m) })
+	for _, m := range ready {
+		delete(k.leaving, m.host.Name)
+		calls.Go(func() { k.moveOne(m) })
 	}
-	tasks.Wait()
+	calls.Wait()
+}
+
+// empty asks for a host to be emptied and reports whether nothing runs there.
+func (k *Keeper) empty(h platform.Host) bool {
+	if k.view.standby[h.Pool] {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, k.orderTime())
+	defer cancel()
+	left, err := k.Vacate(ctx, h.Pool, h.Worker)
+	return err == nil && left == 0
 }
 
 func btoi(b bool) int {
@@ -486,16 +540,10 @@
 	return 0
 }
 
-// moveOne empties a host for good and moves it.
+// moveOne moves an empty host.
 func (k *Keeper) moveOne(m move) {
 	ctx, cancel := context.WithTimeout(k.ctx, k.orderTime())
 	defer cancel()
-	if !k.view.standby[m.host.Pool] {
-		left, err := k.Vacate(ctx, m.host.Pool, m.host.Worker)
-		if err != nil || left > 0 {
-			return
-		}
-	}
 	began := time.Now()
 	err := k.Machines.Move(ctx, k.holder(), m.host.Name, m.pool)
 	k.log.WithFields(logrus.Fields{
--- a/internal/upkeep/moves.go
+++ b/internal/upkeep/moves.go
@@ -12,7 +12,8 @@
 
 // MovePolicy holds the figures that moves between pools go by.
 type MovePolicy struct {
-	WaitingShare float64       // of what waits a pool is sized for; the rest waits its turn
+	PresentShare float64       // of what runs and waits a pool is sized for; the rest can wait its turn
+	Margin       float64       // on what jobs need to make their objectives
 	RateShare    float64       // of the work that arrives for which there is room at least
 	Fill         float64       // share of a host that tasks fill in practice
 	Floor        int           // hosts that a pool keeps
@@ -24,7 +25,8 @@
 // DefaultMovePolicy returns the policy of the product.
 func DefaultMovePolicy() MovePolicy {
 	return MovePolicy{
-		WaitingShare: 0.8,
+		PresentShare: 0.85,
+		Margin:       1.2,
 		RateShare:    0.9,
 		Fill:         0.9,
 		Floor:        2,
@@ -49,7 +51,14 @@
 	have    int  // hosts that are up, open or arriving
 	size    int  // millicores of one of its hosts
 	target  int
-	idle    []platform.Host // that may leave, longest idle first
+	idle    []platform.Host // that may leave at once
+	light   []lightHost     // without lasting tasks, that may leave once they are empty
+}
+
+// lightHost is a host with nothing but batch tasks.
+type lightHost struct {
+	host platform.Host
+	used int
 }
 
 // moves returns which hosts change their pool now: idle ones of pools that need
@@ -83,7 +92,9 @@
 		}
 	}
 	for _, name := range names {
-		views[name].setTarget(policy)
+		v := views[name]
+		v.setTarget(policy)
+		slices.SortStableFunc(v.light, func(x, y lightHost) int { return cmp.Compare(x.used, y.used) })
 	}
 	var out []move
 	for _, name := range needy(names, views) {
@@ -144,8 +155,12 @@
 		return
 	}
 	v.have++
-	if w.Open && w.Tasks == 0 && w.Idle >= policy.IdleTime && !busy(h.Name) {
+	switch {
+	case !w.Open || busy(h.Name):
+	case w.Tasks == 0 && w.Idle >= policy.IdleTime:
 		v.idle = append(v.idle, h)
+	case w.Lasting == 0:
+		v.light = append(v.light, lightHost{h, w.Used})
 	}
 }
 
@@ -155,10 +170,12 @@
 		v.target = 0
 		return
 	}
-	need := float64(v.load.Used) + policy.WaitingShare*float64(v.load.Wanted)
+	need := float64(v.load.Steady) + max(
+		policy.PresentShare*float64(v.load.Used-v.load.Steady+v.load.Wanted),
+		policy.Margin*float64(v.load.Density),
+		policy.RateShare*float64(v.load.Rate),
+	)
 	hosts := int(need/(policy.Fill*float64(v.size))) + 1
-	need = max(need, policy.RateShare*float64(v.load.Rate)+float64(v.load.Steady))
-	hosts = max(hosts, int(need/(policy.Fill*float64(v.size)))+1)
 	working, lasting, leaving := 0, 0, 0
 	for _, w := range v.load.Workers {
 		if w.Tasks > 0 {
@@ -190,30 +207,42 @@
 	return out
 }
 
-// source returns a host for a pool: from a standby pool, or an idle one of a pool
-// that has more than it needs.
+// source returns a host for a pool: from a standby pool, an idle one of a pool
+// that has more than it needs, or the least used one of such a pool.
 func source(to *poolView, standby []*poolView, views map[string]*poolView, names []string, kinds map[string]bool) (platform.Host, *poolView) {
-	take := func(v *poolView) (platform.Host, bool) {
-		for i, h := range v.idle {
-			if kinds == nil || kinds[kind(h)] {
-				v.idle = slices.Delete(v.idle, i, i+1)
-				return h, true
-			}
+	fits := func(h platform.Host) bool { return kinds == nil || kinds[kind(h)] }
+	idle := func(v *poolView) (platform.Host, bool) {
+		i := slices.IndexFunc(v.idle, fits)
+		if i < 0 {
+			return platform.Host{}, false
+		}
+		h := v.idle[i]
+		v.idle = slices.Delete(v.idle, i, i+1)
+		return h, true
+	}
+	light := func(v *poolView) (platform.Host, bool) {
+		i := slices.IndexFunc(v.light, func(l lightHost) bool { return fits(l.host) })
+		if i < 0 {
+			return platform.Host{}, false
 		}
-		return platform.Host{}, false
+		h := v.light[i].host
+		v.light = slices.Delete(v.light, i, i+1)
+		return h, true
 	}
 	for _, v := range standby {
-		if h, ok := take(v); ok {
+		if h, ok := idle(v); ok {
 			return h, v
 		}
 	}
-	for _, name := range names {
-		v := views[name]
-		if v == to || v.standby || !v.known || v.have <= v.target {
-			continue
-		}
-		if h, ok := take(v); ok {
-			return h, v
+	for _, take := range []func(*poolView) (platform.Host, bool){idle, light} {
+		for _, name := range names {
+			v := views[name]
+			if v == to || v.standby || !v.known || v.have <= v.target {
+				continue
+			}
+			if h, ok := take(v); ok {
+				return h, v
+			}
 		}
 	}
 	return platform.Host{}, nil
