Owners know every worker that may run something; owners out of reach are judged by their sign of life

Each lifetime of a worker now joins the pool's crew, a row, before its first task; a new owner waits for all of the crew, or until their leases have run out. (2) Where half of the processes were lost, the others claimed nothing for 15 s, for fear of being the ones that are cut off (found by the new test with two processes). Owners now raise their log row every 0.5 s; an owner out of reach from a minority counts as gone after 1.5 s without that. Tests: TestWorkerWithoutAnEntryAtATakeover (fails without the crew: 6 of 9 tasks twice), TestOrderInAFlood, TestAdmissionInAFlood, TestFillingWorkYields, TestRepetitionsRunWhenDue, TestStepsWaitForTickets.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -108,9 +108,16 @@
 	return max(limit/2, limit-answerMargin)
 }
 
+// retryAfter tells a caller when to come back: no sooner than after, and not all
+// callers in the same second.
+func retryAfter(w http.ResponseWriter, after time.Duration) {
+	seconds := int((after + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.Itoa(max(1, seconds)+rand.IntN(2)))
+}
+
 func (d *Daemon) refuse(w http.ResponseWriter, status int, reason string) int {
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(1+rand.IntN(2)))
+	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
+		retryAfter(w, time.Second)
 	}
 	http.Error(w, reason, status)
 	return status
@@ -152,13 +159,18 @@
 		return d.refuse(w, http.StatusInternalServerError, err.Error())
 	}
 	reply := d.askOwner(ctx, q.Pool, "Peer.Submit", SubmitArgs{q.Pool, data}, func(o *pool.Owner) Reply {
-		return Reply{Verdict: o.Submit(ctx, j)}
+		v, after := o.Submit(ctx, j)
+		return Reply{Verdict: v, After: after}
 	})
 	switch reply.Verdict {
 	case pool.Accepted:
 		return d.answer(w, []byte("{}"))
 	case pool.Refused:
+		retryAfter(w, reply.After)
 		return d.refuse(w, http.StatusServiceUnavailable, "the job can't be stored now; it has not run")
+	case pool.Overloaded:
+		retryAfter(w, reply.After)
+		return d.refuse(w, http.StatusTooManyRequests, "too much waits already; the job has not run")
 	case pool.Unknown, pool.Missing:
 	}
 	d.log.WithFields(logrus.Fields{"job": id, "pool": q.Pool}).Info("no verdict on a job in time")
@@ -175,7 +187,7 @@
 		return d.answer(w, platform.EncodeState(jobs.State(reply.State)))
 	case pool.Missing:
 		return d.refuse(w, http.StatusGone, "no such job")
-	case pool.Refused, pool.Unknown:
+	case pool.Refused, pool.Unknown, pool.Overloaded:
 	}
 	return d.refuse(w, http.StatusGatewayTimeout, "the job's state is not known now")
 }
@@ -189,7 +201,7 @@
 		return d.answer(w, []byte("{}"))
 	case pool.Missing:
 		return d.refuse(w, http.StatusGone, "no such job")
-	case pool.Refused, pool.Unknown:
+	case pool.Refused, pool.Unknown, pool.Overloaded:
 	}
 	return d.refuse(w, http.StatusGatewayTimeout, "not known whether the job was cancelled; send it again")
 }
--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -36,7 +36,12 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		for _, name := range d.due(time.Now()) {
+		now := time.Now()
+		due, unsure := d.due(now)
+		for _, name := range unsure {
+			go d.watchBeat(ctx, name)
+		}
+		for _, name := range due {
 			go func() {
 				if err := d.claim(ctx, name); err != nil {
 					d.log.WithField("pool", name).WithError(err).Info("pool not claimed")
@@ -52,11 +57,56 @@
 	owned int
 }
 
-// due returns the pools that this process should claim now.
-func (d *Daemon) due(now time.Time) []string {
+// beat is the last sign of an owner's life in the store.
+type beat struct {
+	version uint64
+	since   time.Time // when it was first seen
+	at      time.Time // when the store was asked last
+}
+
+const (
+	beatPeriod = 300 * time.Millisecond  // between looks at an owner that is out of reach
+	beatLost   = 1500 * time.Millisecond // an owner without a sign of life for so long is gone
+)
+
+// watchBeat looks whether an owner that this process can't reach is alive.
+func (d *Daemon) watchBeat(ctx context.Context, name string) {
+	now := time.Now()
+	d.mu.Lock()
+	b := d.beats[name]
+	if now.Sub(b.at) < beatPeriod {
+		d.mu.Unlock()
+		return
+	}
+	b.at = now
+	d.beats[name] = b
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	read := pool.Beat
+	if name == fleetName {
+		read = upkeep.Beat
+	}
+	version, err := read(ctx, d.store, name)
+	if err != nil {
+		d.log.WithField("pool", name).WithError(err).Info("owner's sign of life not read")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b = d.beats[name]
+	if b.since.IsZero() || b.version != version {
+		b.version, b.since = version, now
+	}
+	d.beats[name] = b
+}
+
+// due returns the pools that this process should claim now, and those whose
+// owners it can't reach without knowing whether others can.
+func (d *Daemon) due(now time.Time) (due, unsure []string) {
 	c := d.config.Load()
 	if c == nil || !d.canOwn() || now.Sub(d.began) < startTime {
-		return nil
+		return nil, nil
 	}
 	names := []string{fleetName}
 	for _, p := range c.Pools {
@@ -65,9 +115,10 @@
 	slices.Sort(names)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.read || !d.majority(now) {
-		return nil
+	if !d.read || !d.workersRead {
+		return nil, nil
 	}
+	majority := d.majority(now)
 	candidates := []candidate{{d.self.Node, 0}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
@@ -79,6 +130,7 @@
 		own, owned := d.owned[name]
 		if owned && d.ownerAlive(own, now) {
 			delete(d.vacant, name)
+			delete(d.beats, name)
 			for i := range candidates {
 				if candidates[i].node == own.Owner.Node {
 					candidates[i].owned++
@@ -88,8 +140,14 @@
 		}
 		without = append(without, name)
 	}
-	var due []string
 	for _, name := range without {
+		if own := d.owned[name]; !majority && own.Token > 0 && !d.ownerDead(own, now) {
+			b := d.beats[name]
+			unsure = append(unsure, name)
+			if b.since.IsZero() || b.at.Sub(b.since) < beatLost {
+				continue // the owner may be alive, and out of reach only from here
+			}
+		}
 		if d.owned[name].Token == 0 && now.Sub(d.began) < firstTime {
 			continue
 		}
@@ -106,7 +164,7 @@
 			}
 		}
 	}
-	return due
+	return due, unsure
 }
 
 // order returns the indexes of candidates for a pool, best first: fewest pools,
@@ -134,6 +192,16 @@
 	return p != nil && p.alive(now) && p.life == own.Owner.Life
 }
 
+// ownerDead reports whether an owner's process has surely ended: another life of
+// it runs. The lock is held.
+func (d *Daemon) ownerDead(own pool.Ownership, now time.Time) bool {
+	if own.Owner.Node == d.self.Node {
+		return true // ownerAlive has said that it is not this life, or does not run the pool
+	}
+	p := d.peers[own.Owner.Node]
+	return p != nil && p.alive(now) && p.life != own.Owner.Life
+}
+
 // majority reports whether this process reaches more than half of the processes
 // that were there lately, so that one which is cut off takes nothing; the lock is
 // held. Of two halves the one with the first node counts.
@@ -157,7 +225,7 @@
 // claim makes this process the owner of a pool.
 func (d *Daemon) claim(ctx context.Context, name string) error {
 	d.mu.Lock()
-	if d.claiming[name] || d.stopping.Load() {
+	if d.claiming[name] || d.stopping.Load() || !d.workersRead {
 		d.mu.Unlock()
 		return errors.WithStack(errStopping)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,17 +35,19 @@
 	stopping  atomic.Bool
 	storeSeen atomic.Int64 // Unix time in ms of the last answer of the store
 
-	mu       sync.Mutex
-	peers    map[string]*peer                // by node
-	owners   map[string]*pool.Owner          // that this process runs
-	owned    map[string]pool.Ownership       // the newest that is known, by pool
-	read     bool                            // the table of owners has been read
-	vacant   map[string]time.Time            // since when a pool seems to have no owner
-	claiming map[string]bool                 // pools with a claim on its way
-	workers  map[string]platform.WorkerEntry // by id
-	waves    map[int]platform.Wave
-	keeper   *upkeep.Keeper
-	began    time.Time
+	mu          sync.Mutex
+	peers       map[string]*peer                // by node
+	owners      map[string]*pool.Owner          // that this process runs
+	owned       map[string]pool.Ownership       // the newest that is known, by pool
+	read        bool                            // the table of owners has been read
+	workersRead bool                            // the table of workers has been read
+	vacant      map[string]time.Time            // since when a pool seems to have no owner
+	beats       map[string]beat                 // of owners out of reach, by pool
+	claiming    map[string]bool                 // pools with a claim on its way
+	workers     map[string]platform.WorkerEntry // by id
+	waves       map[int]platform.Wave
+	keeper      *upkeep.Keeper
+	began       time.Time
 }
 
 // New returns a process that is not running yet.
@@ -56,7 +58,7 @@
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
 		server: wire.NewServer(), peers: map[string]*peer{}, owners: map[string]*pool.Owner{},
-		owned: map[string]pool.Ownership{}, vacant: map[string]time.Time{}, claiming: map[string]bool{},
+		owned: map[string]pool.Ownership{}, vacant: map[string]time.Time{}, beats: map[string]beat{}, claiming: map[string]bool{},
 		workers: map[string]platform.WorkerEntry{}, waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -258,3 +258,27 @@
 	}
 	s.check()
 }
+
+// Entries of workers lapse while the store is away. An owner that takes over
+// meanwhile knows of those workers nevertheless: their tasks are not run twice.
+func TestWorkerWithoutAnEntryAtATakeover(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	lost := s.owner("p1")
+	p := s.other(lost)
+	s.submit(p, "/labels/"+id(1), `{"spec":"2500ms","steps":[{"count":9,"cpu":1000,"estimate_ms":2500}]}`)
+	s.waitFor("tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) == 9 })
+	for i := range 3 {
+		s.platform.Worker(i).Hide()
+	}
+	s.kill(lost)
+	s.submit(p, "/labels/"+id(2), oneStep) // the pool has another owner
+	time.Sleep(time.Second)
+	for i := range 3 {
+		s.platform.Worker(i).Show()
+	}
+	s.waitState(p, "/labels/"+id(1), "complete", 10*time.Second)
+	s.check()
+	if n := len(s.platform.Runs()); n != 12 {
+		t.Errorf("%d runs, want 12", n)
+	}
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -207,6 +207,7 @@
 	Verdict pool.Verdict
 	State   string
 	Count   int
+	After   time.Duration // when a refused caller should come back
 	Load    place.Load
 }
 
@@ -257,7 +258,7 @@
 		return err
 	}
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.Verdict = o.Submit(ctx, j)
+		reply.Verdict, reply.After = o.Submit(ctx, j)
 	})
 }
 
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -142,6 +142,7 @@
 	}
 	d.mu.Lock()
 	d.workers = workers
+	d.workersRead = true
 	d.mu.Unlock()
 	d.tellWorkers()
 	return version, nil
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -17,6 +17,7 @@
 	b.stall(now)
 	b.stops(&o, now)
 	b.place(&o, now)
+	b.pace(&o, now)
 	return o
 }
 
@@ -201,10 +202,15 @@
 const (
 	classLasting = iota
 	classTimely
-	classLate
+	classLate // still worth something to the caller
 	classFills
+	classExpired // worth nothing any more, but promised
 )
 
+// lateFactor is how many times its objective a job may take and still be worth
+// something to its caller.
+const lateFactor = 3
+
 func (b *Board) candidate(e *entry, key stepKey, factor float64, now time.Time) candidate {
 	step := &e.job.Steps[key.step]
 	longest := slices.Max(e.chain)
@@ -217,7 +223,12 @@
 	case step.Lasting:
 		c.class = classLasting
 	case c.start.Before(now):
-		c.class = classLate
+		due := e.job.Due(key.occurrence)
+		end := due.Add(lateFactor * e.job.Objective(key.occurrence, scaled(longest)).Sub(due))
+		c.class, c.start = classLate, end.Add(-scaled(e.chain[key.step]))
+		if c.start.Before(now) {
+			c.class = classExpired
+		}
 	}
 	return c
 }
--- /dev/null
+++ b/internal/place/load_test.go
@@ -0,0 +1,127 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// A flood of one queue: jobs that still make their objective go first, then those
+// that are late, and those worth nothing any more last.
+func TestOrderInAFlood(t *testing.T) {
+	f := newFleet(0, 1)
+	f.now = start.Add(20 * time.Second)
+	for i, age := range []time.Duration{20 * time.Second, 4 * time.Second, 0} { // objective 2.2 s, of worth until 6.6 s
+		j := newJob(byte(1+i), batch(1, 4000))
+		j.Submitted = f.now.Add(-age)
+		f.add(j)
+	}
+	for _, want := range []byte{3, 2, 1} {
+		starts := f.decide()
+		if len(starts) != 1 || starts[0].Task.Job != newJob(want).ID {
+			t.Fatalf("started %v, want job %d", starts, want)
+		}
+		f.end(starts[0], jobs.Done)
+	}
+}
+
+// A flood of ten times what the pool holds: jobs are accepted while they can end
+// while it is worth something, refused after that, and never while there is room.
+func TestAdmissionInAFlood(t *testing.T) {
+	f := newFleet(0, 2) // 8 cores
+	refused := 0
+	for i := range 100 {
+		j := newJob(byte(1+i), batch(4, 1000)) // 4 core seconds, of worth for 6.6 s
+		hopeless, retry := f.Hopeless(j, f.now)
+		if hopeless {
+			refused++
+			if retry < time.Second || retry > 10*time.Second {
+				t.Fatalf("come back after %v, want 1 s to 10 s", retry)
+			}
+			continue
+		}
+		f.add(j)
+		f.decide()
+	}
+	if accepted := 100 - refused; accepted < 13 || accepted > 40 {
+		t.Errorf("%d jobs accepted, want those that 8 cores do in 6 s, or three times as many if the pool grew", accepted)
+	}
+}
+
+// Filling work slows down at once when a serving task beside it nears its target,
+// and speeds up again by steps.
+func TestFillingWorkYields(t *testing.T) {
+	f := newFleet(0, 1)
+	f.add(newJob(1,
+		jobs.Step{Count: 1, Size: jobs.Size{Millicores: 1000}, Lasting: true, Target: 100 * time.Millisecond},
+		jobs.Step{Count: 1, Size: jobs.Size{Millicores: 3000}, Lasting: true, Fills: true},
+	))
+	starts := f.decide()
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	pace := 100
+	look := func(tail int) {
+		f.now = f.now.Add(500 * time.Millisecond)
+		var running []place.Running
+		for _, s := range starts {
+			r := place.Running{Task: s.Task, Attempt: s.Attempt, Percent: 100}
+			if s.Task.Step == 0 {
+				r.Load = tail
+			}
+			running = append(running, r)
+		}
+		f.Listed(key(0), running, nil, f.now, f.now)
+		for _, p := range f.Decide(f.now).Paces {
+			pace = p.Percent
+		}
+	}
+	for _, tt := range []struct{ tail, want int }{{50, 100}, {95, 40}, {120, 16}, {130, 6}, {140, 0}, {70, 0}, {30, 10}, {30, 20}} {
+		if look(tt.tail); pace != tt.want {
+			t.Errorf("pace %d at a tail of %d ms, want %d", pace, tt.tail, tt.want)
+		}
+	}
+}
+
+// A job that repeats runs each occurrence no earlier than it is due.
+func TestRepetitionsRunWhenDue(t *testing.T) {
+	f := newFleet(0, 2)
+	j := newJob(1, batch(1, 1000))
+	j.Repetitions, j.FirstAt, j.Every = 3, start.Add(time.Second), time.Second
+	f.add(j)
+	ran := 0
+	for ms := 0; ms <= 3500; ms += 100 {
+		f.now = start.Add(time.Duration(ms) * time.Millisecond)
+		for _, s := range f.decide() {
+			if due := j.Due(s.Task.Occurrence); f.now.Before(due) {
+				t.Errorf("occurrence %d started %v early", s.Task.Occurrence, due.Sub(f.now))
+			}
+			ran++
+			f.end(s, jobs.Done)
+		}
+	}
+	if ran != 3 {
+		t.Errorf("%d runs, want 3", ran)
+	}
+	f.state(t, j, jobs.Complete)
+}
+
+// A step of a queue with advice starts only on workers with a ticket.
+func TestStepsWaitForTickets(t *testing.T) {
+	f := newFleet(0, 3)
+	f.SetAdvised(map[string]bool{"q": true})
+	j := newJob(1, batch(2, 1000))
+	f.add(j)
+	o := f.Decide(f.now)
+	if len(o.Starts) != 0 || len(o.Advice) != 1 || len(o.Advice[0].Workers) != 3 {
+		t.Fatalf("orders %+v, want one question about three workers", o)
+	}
+	f.Advised(j.ID, 0, 0, map[string]string{"w1": "ticket"}, f.now.Add(3*time.Second))
+	for _, s := range f.Decide(f.now).Starts {
+		if s.Worker != key(1) || s.Ticket != "ticket" {
+			t.Errorf("started %+v, want the worker with a ticket", s)
+		}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -111,6 +111,7 @@
 	reserved bool // in this round, for a task that does not fit yet
 
 	pausedUntil time.Time // after it refused a start
+	pacedAt     time.Time // when the pace of its filling tasks changed last
 	idleSince   time.Time // when it was first seen with nothing to run, zero if it runs something
 }
 
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -50,14 +50,14 @@
 	acked   chan struct{} // closed when ack rises
 	busy    bool
 
-	entry   platform.WorkerEntry // belongs to the owner's loop, as all below
-	missing time.Time            // since when its entry is gone, zero if it is there
-	seen    uint64               // highest number of an end that was taken in
-	durable uint64               // highest number whose effect is durable
-	heard   bool                 // it has answered
-	tried   bool                 // it has answered or failed to
-	silent  bool
-	left    bool // its lifetime has ended
+	entry    platform.WorkerEntry // belongs to the owner's loop, as all below
+	missing  time.Time            // since when its entry is gone, zero if it is there
+	seen     uint64               // highest number of an end that was taken in
+	durable  uint64               // highest number whose effect is durable
+	heard    bool                 // it has answered
+	enlisted bool                 // it is of the crew, durably
+	silent   bool
+	left     bool // its lifetime has ended
 }
 
 func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry) *agent {
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
@@ -56,13 +58,15 @@
 	return Unknown
 }
 
-// Submit makes a job durable. Refused means that it has not run and never will.
-func (o *Owner) Submit(ctx context.Context, j jobs.Job) Verdict {
+// Submit makes a job durable. Refused and Overloaded mean that it has not run and
+// never will; then it returns when the caller should come back.
+func (o *Owner) Submit(ctx context.Context, j jobs.Job) (Verdict, time.Duration) {
 	row, err := j.Encode()
 	if err != nil {
-		return Refused
+		return Refused, 0
 	}
-	return o.ask(ctx, func(reply chan Verdict) {
+	var after time.Duration
+	v := o.ask(ctx, func(reply chan Verdict) {
 		now := time.Now()
 		switch s := o.pending[j.ID]; {
 		case !o.started:
@@ -77,11 +81,38 @@
 			o.log.WithField("job", j.ID).WithField("store-down-ms", time.Since(o.storeDown).Milliseconds()).Info("job refused: it can't be stored")
 			reply <- Refused
 		default:
+			if hopeless, retry := o.board.Hopeless(j, now); hopeless {
+				o.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "retry-ms": retry.Milliseconds()}).
+					Info("job refused: what waits already takes longer than it is worth waiting")
+				after = retry
+				reply <- Overloaded
+				return
+			}
 			s := &submission{job: j, row: row, came: now, waiters: []chan Verdict{reply}}
 			o.pending[j.ID] = s
 			o.queue = append(o.queue, s)
 		}
 	})
+	if v == Refused {
+		after = o.outageRetry()
+	}
+	return v, after
+}
+
+// Bounds of when callers come back during an outage of the store.
+const (
+	minOutageRetry = time.Second
+	maxOutageRetry = 4 * time.Second
+)
+
+// outageRetry returns when a caller should come back during an outage of the
+// store: after as long again as it has lasted.
+func (o *Owner) outageRetry() time.Duration {
+	down := o.downSince.Load()
+	if down == 0 {
+		return minOutageRetry
+	}
+	return min(max(time.Since(time.UnixMilli(down)), minOutageRetry), maxOutageRetry)
 }
 
 // Cancel ends a job. Accepted means that its end is durable.
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -12,12 +12,21 @@
 	"github.com/papayarudder/papayarudder/platform"
 )
 
+// Beat returns the version of the row that the owner of a pool raises at least
+// every half second while it reaches the store.
+func Beat(ctx context.Context, store *platform.Store, name string) (uint64, error) {
+	r, err := store.ReadRow(ctx, tableLog, name, keyLog)
+	return r.Version, err
+}
+
 // Tables of a pool. All rows of a pool are in the part that bears its name.
 const (
-	TableOwner = "own"   // who owns the pool; written only when that changes
-	tableLog   = "log"   // one row that every transaction of the owner raises
-	tableJob   = "job"   // jobs as they were submitted
-	tableProg  = "prog"  // how far they have come
+	TableOwner = "own"  // who owns the pool; written only when that changes
+	tableLog   = "log"  // one row that every transaction of the owner raises
+	tableJob   = "job"  // jobs as they were submitted
+	tableProg  = "prog" // how far they have come
+	tableCrew  = "crew" // lifetimes of workers on which something may run, one row
+	keyCrew    = "crew"
 	keyOwner   = "owner" // in TableOwner
 	keyLog     = "seq"   // in tableLog
 )
@@ -27,6 +36,7 @@
 	commitRetry   = 100 * time.Millisecond // after a transaction without an effect
 	maxCommitRows = 90                     // of 100 entries that the store takes
 	maxCommitSize = 500_000                // bytes of values; the store takes 1 MB in base64
+	beatPeriod    = 500 * time.Millisecond // longest time between transactions
 	commitGap     = 20 * time.Millisecond  // between transactions; what comes meanwhile shares one
 	maxProgWait   = 30 * time.Millisecond  // that ends gather before they are written
 )
@@ -46,6 +56,7 @@
 	remove  []platform.Row
 	subs    []*submission
 	states  map[jobs.ID]jobs.State // of the progress rows
+	crew    []string               // lifetimes in the row of the crew, nil if it is not written
 	ends    map[*agent]uint64      // ends whose effect is in it
 	sent    time.Time              // first
 	unknown bool                   // a try of it had no answer
@@ -146,13 +157,14 @@
 	if len(ids) > 0 && o.dirtySince.IsZero() {
 		o.dirtySince = now
 	}
-	due := len(o.queue) > 0 || final || o.flushing ||
+	beat := now.Sub(o.committedAt) > beatPeriod // others see by it that the owner lives
+	due := beat || len(o.queue) > 0 || o.recruits() || final || o.flushing ||
 		len(ids) > 0 && now.Sub(o.dirtySince) > maxProgWait || len(o.expired) > 0
 	if !due {
 		return
 	}
 	c := o.gather(ids)
-	if len(c.rows) == 0 && len(c.remove) == 0 {
+	if len(c.rows) == 0 && len(c.remove) == 0 && !beat {
 		return
 	}
 	c.sent = now
@@ -168,6 +180,10 @@
 func (o *Owner) gather(ids []jobs.ID) *commit {
 	c := &commit{seq: o.seq + 1, states: map[jobs.ID]jobs.State{}, ends: map[*agent]uint64{}}
 	size := 0
+	if o.recruits() {
+		c.crew = o.gatherCrew()
+		c.rows = append(c.rows, platform.Row{Table: tableCrew, Part: o.name, Key: keyCrew, Value: encodeCrew(c.crew)})
+	}
 	for len(o.queue) > 0 && len(c.rows) < maxCommitRows/2 && size < maxCommitSize/2 {
 		s := o.queue[0]
 		o.queue = o.queue[1:]
@@ -237,9 +253,11 @@
 		return
 	}
 	o.storeFound()
+	o.committedAt = now
 	o.commitAfter = c.sent.Add(commitGap)
 	o.seq, o.logVersion = c.seq, version
 	metricCommit.UpdateDuration(c.sent)
+	o.enlist(c.crew)
 	for _, s := range c.subs {
 		delete(o.pending, s.job.ID)
 		o.board.Add(s.job, jobs.NewProgress(s.job), now)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -21,6 +21,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,10 +92,11 @@
 
 // The verdicts.
 const (
-	Accepted Verdict = iota
-	Refused          // it has not run and never will
-	Unknown          // nobody can tell yet
-	Missing          // there is no such job
+	Accepted   Verdict = iota
+	Refused            // it has not run and never will
+	Unknown            // nobody can tell yet
+	Missing            // there is no such job
+	Overloaded         // like Refused: too much waits already
 )
 
 // submission is a job on its way to being durable.
@@ -117,6 +119,7 @@
 	cancel     context.CancelFunc
 	posts      chan func()
 	ended      chan struct{}
+	downSince  atomic.Int64 // Unix time in ms since when the store is down, 0 if it answers
 
 	// Below belongs to the loop.
 	board       *place.Board
@@ -130,14 +133,17 @@
 	logVersion  uint64
 	dirtySince  time.Time
 	commitAfter time.Time
+	committedAt time.Time // when the last transaction took effect
 	storeDown   time.Time // since when, zero if it answers
 	asking      bool      // other processes are asked to take the pool over
 	asked       time.Time // when that came to nothing, since the store was lost
 	giveAway    func(name string) bool
 	lease       time.Duration
 	expired     []jobs.ID
-	loadedJobs  bool // the stored jobs are on the board
-	started     bool // decisions are made
+	unseen      map[string]bool // lifetimes that may run something unseen
+	doubtEnds   time.Time       // when their leases have run out
+	loadedJobs  bool            // the stored jobs are on the board
+	started     bool            // decisions are made
 	summed      time.Time
 	flushing    bool
 	closed      bool
@@ -197,7 +203,7 @@
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, giveAway: s.GiveAway, lease: s.Lease,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueue), ended: make(chan struct{}),
 		board:  place.NewBoard(place.DefaultPolicy(), int(own.Token-1)*attemptsBlock),
-		agents: map[string]*agent{}, vacate: map[string]time.Time{},
+		agents: map[string]*agent{}, unseen: map[string]bool{}, vacate: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 	}
@@ -289,12 +295,16 @@
 		ctx, cancel := context.WithTimeout(o.ctx, 3*time.Second)
 		jobRows, _, err := o.store.ReadAll(ctx, tableJob, o.name)
 		var progRows []platform.Row
+		var crew platform.Row
 		if err == nil {
 			progRows, _, err = o.store.ReadAll(ctx, tableProg, o.name)
 		}
+		if err == nil {
+			crew, err = o.store.ReadRow(ctx, tableCrew, o.name, keyCrew)
+		}
 		cancel()
 		if err == nil {
-			o.post(func() { o.loaded(jobRows, progRows, began) })
+			o.post(func() { o.loaded(jobRows, progRows, decodeCrew(crew.Value), began) })
 			return
 		}
 		o.log.WithError(err).Warn("pool can't be loaded yet")
@@ -304,8 +314,11 @@
 
 // loaded puts the stored jobs on the board. Decisions begin when the workers
 // have told what runs, or had their time to.
-func (o *Owner) loaded(jobRows, progRows []platform.Row, began time.Time) {
+func (o *Owner) loaded(jobRows, progRows []platform.Row, crew []string, began time.Time) {
 	now := time.Now()
+	for _, key := range crew {
+		o.unseen[key] = true
+	}
 	progress := map[string][]byte{}
 	for _, r := range progRows {
 		progress[r.Key] = r.Value
@@ -336,25 +349,21 @@
 	o.awaitWorkers(deadline)
 }
 
-// awaitWorkers begins decisions once every worker has answered, or at the
-// deadline; then tasks that may run unseen wait until all leases have run out.
+// awaitWorkers begins decisions once every worker of the crew has answered, or at
+// the deadline; then tasks that may run unseen wait until all leases have run out.
 func (o *Owner) awaitWorkers(deadline time.Time) {
 	now := time.Now()
-	missing := 0
-	for _, a := range o.agents {
-		if !a.heard && !a.left {
-			missing++
-		}
-	}
-	if missing > 0 && now.Before(deadline) {
+	o.doubtEnds = now.Add(time.Duration(float64(o.lease)*(1+clockDrift)) + lapseMargin)
+	o.awaitUnseen(now)
+	if len(o.unseen) > 0 && now.Before(deadline) {
 		time.AfterFunc(tickTime/5, func() { o.post(func() { o.awaitWorkers(deadline) }) })
 		return
 	}
-	if missing > 0 && o.token > 1 {
-		o.board.SetDoubt(now.Add(time.Duration(float64(o.lease)*(1+clockDrift)) + lapseMargin))
+	if len(o.unseen) > 0 {
+		o.board.SetDoubt(o.doubtEnds)
 	}
 	o.started = true
-	o.log.WithField("workers-silent", missing).Info("pool taken over")
+	o.log.WithField("workers-unseen", len(o.unseen)).Info("pool taken over")
 }
 
 // step decides and sends what is to be sent.
@@ -411,6 +420,9 @@
 			o.log.WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
 	}
+	if o.started {
+		o.awaitUnseen(now)
+	}
 	for _, s := range o.pending {
 		if now.Sub(s.came) > patience {
 			o.answer([]*submission{s}, Unknown) // it may still become durable
@@ -506,7 +518,7 @@
 	gone := !a.missing.IsZero() && time.Since(a.missing) > missingTime
 	o.board.SetWorker(place.Worker{
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
-		Draining: a.entry.Draining || gone || a.left, Silent: a.silent || !a.heard, Vacate: vacate,
+		Draining: a.entry.Draining || gone || a.left, Silent: a.silent || !a.heard || !a.enlisted, Vacate: vacate,
 	})
 }
 
@@ -620,6 +632,7 @@
 func (o *Owner) storeLost(err error) {
 	if o.storeDown.IsZero() {
 		o.storeDown = time.Now()
+		o.downSince.Store(o.storeDown.UnixMilli())
 		o.log.WithError(err).Warn("store lost: jobs go on, new ones are refused")
 	}
 }
@@ -629,6 +642,7 @@
 		o.log.WithField("ms", time.Since(o.storeDown).Milliseconds()).Info("store regained")
 	}
 	o.storeDown, o.asked = time.Time{}, time.Time{}
+	o.downSince.Store(0)
 }
 
 const (
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -47,7 +47,8 @@
 	callTime      = 800 * time.Millisecond // for an answer of the store or the machine API
 	renewShare    = 0.2                    // of the lease, between renewals
 	orderShare    = 0.6                    // of the lease, from when its renewal was sent: later no order is begun
-	giveAwayShare = 0.6                    // of the lease without a renewal: others are asked to take over
+	giveAwayAfter = 300 * time.Millisecond // without a renewal before others are asked to take over
+	offerPeriod   = time.Second            // between such questions
 	answerPart    = 0.25                   // of the lease, for the answer to an order
 	leaseTime     = 3 * time.Second        // where the settings name no lease
 	leaseSlack    = 300 * time.Millisecond // a new holder waits this much beyond the lease
@@ -86,12 +87,14 @@
 	view    fleetView
 	listed  time.Time            // when the list was asked for
 	asked   time.Time            // when the loads were asked for
+	short   time.Time            // when a pool lacked hosts last
 	moved   map[string]moving    // hosts on their way, by name
 	arrived map[string]time.Time // hosts that came to their pool
 	ordered map[string]time.Time // hosts by their newest order, or its announcement
 	leaving map[string]leaving   // hosts that are emptied in order to move
 	blocked map[string]bool      // hosts that the holder before may have ordered last
-	renewed time.Time            // when the last renewal that took effect was sent
+	failing time.Time            // since when renewals have had no effect, zero if they have
+	offered time.Time            // when others were asked last to hold the fleet
 	began   time.Time
 }
 
@@ -107,7 +110,7 @@
 	return &Keeper{
 		Settings: s, log: s.Log.WithField("fleet-token", s.Own.Token), ctx: ctx, cancel: cancel,
 		ended: make(chan struct{}), plans: map[int]*wavePlan{}, moved: map[string]moving{},
-		arrived: map[string]time.Time{}, ordered: map[string]time.Time{}, leaving: map[string]leaving{}, blocked: map[string]bool{}, began: time.Now(), renewed: time.Now(),
+		arrived: map[string]time.Time{}, ordered: map[string]time.Time{}, leaving: map[string]leaving{}, blocked: map[string]bool{}, began: time.Now(),
 	}
 }
 
@@ -132,25 +135,26 @@
 	var renewing time.Time
 	for k.ctx.Err() == nil {
 		now := time.Now()
-		pending := k.pending()
-		if pending || k.hasStandby() {
-			if now.Sub(renewing) > k.part(renewShare) {
-				renewing = now
-				if err := k.renew(now); errors.Is(err, platform.ErrConflict) {
-					k.log.Info("fleet lost to another holder")
-					return
-				} else if err != nil {
-					k.log.WithError(err).Info("fleet not renewed")
-				}
-				if now.Sub(k.renewed) > k.part(giveAwayShare) && k.GiveAway(k.Own.Pool) {
-					return // the store is lost here, and not for others
-				}
+		k.pending()
+		if now.Sub(renewing) > k.part(renewShare) {
+			renewing = now
+			if err := k.renew(now); errors.Is(err, platform.ErrConflict) {
+				k.log.Info("fleet lost to another holder")
+				return
+			} else if err != nil {
+				k.log.WithError(err).Info("fleet not renewed")
+			}
+		}
+		if !k.failing.IsZero() && now.Sub(k.failing) > giveAwayAfter && now.Sub(k.offered) > offerPeriod {
+			k.offered = now
+			if k.GiveAway(k.Own.Pool) {
+				return // the store is lost here, and not for others
 			}
-			k.look()
-			k.askLoads()
-			k.work()
-			k.move()
 		}
+		k.look()
+		k.askLoads()
+		k.work()
+		k.move()
 		k.pause()
 	}
 }
@@ -164,38 +168,35 @@
 	}
 }
 
-// pending takes in new waves and reports whether one is not complete.
-func (k *Keeper) pending() bool {
-	open := false
+// pending takes in new waves.
+func (k *Keeper) pending() {
 	for _, w := range k.Waves() {
-		p := k.plans[w.Number]
-		if p == nil {
-			p = k.open(w)
+		if k.plans[w.Number] == nil {
+			k.open(w)
 		}
-		open = open || p != nil && !p.done
 	}
-	return open
 }
 
-// open reads what an earlier holder knew of a wave. It returns nil if the store
-// does not answer.
-func (k *Keeper) open(w platform.Wave) *wavePlan {
+// open reads what an earlier holder knew of a wave; if the store does not answer,
+// the wave is opened later.
+func (k *Keeper) open(w platform.Wave) {
 	ctx, cancel := context.WithTimeout(k.ctx, callTime)
 	defer cancel()
 	r, err := k.Store.ReadRow(ctx, tableWave, k.Own.Pool, strconv.Itoa(w.Number))
 	if err != nil {
-		return nil
+		k.log.WithField("wave", w.Number).WithError(err).Info("wave not opened yet")
+		return
 	}
 	p := newWavePlan(w, time.Now())
 	k.plans[w.Number] = p
 	if r.Version == 0 {
 		k.tellStatus(w.Number, false)
-		return p
+		return
 	}
 	var row waveRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		k.log.WithField("wave", w.Number).WithError(err).Error("stored wave can't be read")
-		return p
+		return
 	}
 	p.done = row.Complete
 	for _, name := range row.Begun {
@@ -203,7 +204,6 @@
 			hp.begun = true
 		}
 	}
-	return p
 }
 
 // waveRow is the stored form of a wave's progress.
@@ -252,12 +252,22 @@
 	ctx, cancel := context.WithTimeout(k.ctx, callTime)
 	defer cancel()
 	_, _, err = k.Store.Commit(ctx, t)
-	if err == nil {
-		k.renewed = now
+	switch {
+	case err == nil:
+		k.failing = time.Time{}
+	case k.failing.IsZero():
+		k.failing = now
 	}
 	return err
 }
 
+// Beat returns the version of the row that the holder of the fleet writes about
+// once a second while it reaches the store.
+func Beat(ctx context.Context, store *platform.Store, name string) (uint64, error) {
+	r, err := store.ReadRow(ctx, tableIntent, name, keyIntent)
+	return r.Version, err
+}
+
 // intentRow is the stored form of the hosts that a holder has ordered lately or
 // is about to order.
 type intentRow struct {
@@ -345,7 +355,9 @@
 		}
 		if h.Pool == m.pool && h.State == platform.HostUp || now.Sub(m.at) > k.Bounds.Migration+moveSlack {
 			delete(k.moved, h.Name)
-			k.arrived[h.Name] = now
+			if !k.view.standby[h.Pool] {
+				k.arrived[h.Name] = now
+			}
 			continue
 		}
 		hosts[i].Pool, hosts[i].State = m.pool, platform.HostMoving
@@ -474,7 +486,11 @@
 			hosts[i].Pool, hosts[i].State = l.pool, platform.HostMoving
 		}
 	}
-	for _, m := range moves(DefaultMovePolicy(), c.Pools, hosts, k.view.loads, k.busy) {
+	policy := DefaultMovePolicy()
+	for _, m := range moves(policy, now.Sub(k.short) > policy.Quiet, c.Pools, hosts, k.view.loads, k.busy) {
+		if !k.view.standby[m.pool] {
+			k.short = now
+		}
 		if k.mayOrder(m.host.Name, now) {
 			k.leaving[m.host.Name] = leaving{m, now}
 		}
--- a/internal/upkeep/moves.go
+++ b/internal/upkeep/moves.go
@@ -19,7 +19,8 @@
 	Floor        int           // hosts that a pool keeps
 	Spare        int           // hosts more than needed that a pool keeps before it gives any away
 	IdleTime     time.Duration // a host is given away after so long without work
-	Settle       time.Duration // a host that arrived stays for at least so long
+	Settle       time.Duration // a host that arrived in a working pool stays for at least so long
+	Quiet        time.Duration // after a pool lacked hosts no host is parked for so long
 }
 
 // DefaultMovePolicy returns the policy of the product.
@@ -33,6 +34,7 @@
 		Spare:        0,
 		IdleTime:     700 * time.Millisecond,
 		Settle:       2 * time.Second,
+		Quiet:        700 * time.Millisecond,
 	}
 }
 
@@ -63,8 +65,9 @@
 
 // moves returns which hosts change their pool now: idle ones of pools that need
 // fewer go to a standby pool, and hosts come from there, or from pools that need
-// fewer, to those that need more. busy tells hosts that must stay where they are.
-func moves(policy MovePolicy, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, busy func(host string) bool) []move {
+// fewer, to those that need more. busy tells hosts that must stay where they are;
+// with park false no host goes to standby.
+func moves(policy MovePolicy, park bool, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, busy func(host string) bool) []move {
 	views := map[string]*poolView{}
 	var standby []*poolView
 	var names []string
@@ -97,7 +100,8 @@
 		slices.SortStableFunc(v.light, func(x, y lightHost) int { return cmp.Compare(x.used, y.used) })
 	}
 	var out []move
-	for _, name := range needy(names, views) {
+	short := needy(names, views)
+	for _, name := range short {
 		v := views[name]
 		for v.have < v.target {
 			h, from := source(v, standby, views, names, kinds[name])
@@ -109,6 +113,9 @@
 			out = append(out, move{h, name})
 		}
 	}
+	if !park || len(short) > 0 {
+		return out // another pool may need the idle hosts next
+	}
 	for _, name := range names {
 		v := views[name]
 		for !v.standby && v.known && v.have > v.target+policy.Spare && len(v.idle) > 0 {
@@ -207,8 +214,9 @@
 	return out
 }
 
-// source returns a host for a pool: from a standby pool, an idle one of a pool
-// that has more than it needs, or the least used one of such a pool.
+// source returns a host for a pool: an idle one of a pool that has more than it
+// needs, one of a standby pool, or the least used one of a pool with more than it
+// needs.
 func source(to *poolView, standby []*poolView, views map[string]*poolView, names []string, kinds map[string]bool) (platform.Host, *poolView) {
 	fits := func(h platform.Host) bool { return kinds == nil || kinds[kind(h)] }
 	idle := func(v *poolView) (platform.Host, bool) {
@@ -229,12 +237,7 @@
 		v.light = slices.Delete(v.light, i, i+1)
 		return h, true
 	}
-	for _, v := range standby {
-		if h, ok := idle(v); ok {
-			return h, v
-		}
-	}
-	for _, take := range []func(*poolView) (platform.Host, bool){idle, light} {
+	surplus := func(take func(*poolView) (platform.Host, bool)) (platform.Host, *poolView) {
 		for _, name := range names {
 			v := views[name]
 			if v == to || v.standby || !v.known || v.have <= v.target {
@@ -244,6 +247,15 @@
 				return h, v
 			}
 		}
+		return platform.Host{}, nil
+	}
+	if h, v := surplus(idle); v != nil {
+		return h, v // it need not be parked first
+	}
+	for _, v := range standby {
+		if h, ok := idle(v); ok {
+			return h, v
+		}
 	}
-	return platform.Host{}, nil
+	return surplus(light)
 }
--- a/internal/upkeep/moves_test.go
+++ b/internal/upkeep/moves_test.go
@@ -66,12 +66,13 @@
 		{"rate of arrival, before a backlog", func(a *place.Load) { a.Rate = 6 * hostSize }, 3},
 		{"lasting task without a place", func(a *place.Load) { a.Lasting = 1 }, 1},
 		{"nothing waits", func(*place.Load) {}, 0},
+		{"far more than there is", func(a *place.Load) { a.Rate = 50 * hostSize }, 4}, // the other pool keeps its floor
 	} {
 		a := loadOf("a", 4, 4, 0)
 		tt.in(&a)
 		loads := map[string]place.Load{"a": a, "b": loadOf("b", 4, 0, time.Minute)}
 		hosts := append(append(hostsOf("a", 4), hostsOf("b", 4)...), hostsOf("spare", 2)...)
-		have := moves(DefaultMovePolicy(), testPools, hosts, loads, func(string) bool { return false })
+		have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
 		if n := count(have, "a"); n != tt.wantA {
 			t.Errorf("%s: %d hosts come, want %d (%v)", tt.name, n, tt.wantA, have)
 		}
@@ -85,7 +86,7 @@
 	}{{100 * time.Millisecond, 0}, {time.Minute, 6}} {
 		loads := map[string]place.Load{"a": loadOf("a", 4, 0, tt.idle), "b": loadOf("b", 6, 0, tt.idle)}
 		hosts := append(append(hostsOf("a", 4), hostsOf("b", 6)...), hostsOf("spare", 2)...)
-		have := moves(DefaultMovePolicy(), testPools, hosts, loads, func(string) bool { return false })
+		have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
 		if n := count(have, "spare"); n != tt.want {
 			t.Errorf("idle for %v: %d hosts given away, want %d", tt.idle, n, tt.want)
 		}
@@ -102,7 +103,7 @@
 	l.Used = 300
 	l.Workers[0].Open = false
 	hosts := append(hostsOf("a", 3), hostsOf("spare", 2)...)
-	have := moves(DefaultMovePolicy(), testPools, hosts, map[string]place.Load{"a": l}, func(string) bool { return false })
+	have := moves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": l}, func(string) bool { return false })
 	if n := count(have, "a"); n != 1 {
 		t.Errorf("%d hosts come, want 1", n)
 	}
@@ -111,7 +112,7 @@
 // A pool whose load is not known keeps its hosts.
 func TestPoolOfUnknownLoadKeepsItsHosts(t *testing.T) {
 	hosts := append(hostsOf("a", 5), hostsOf("spare", 2)...)
-	if have := moves(DefaultMovePolicy(), testPools, hosts, nil, func(string) bool { return false }); len(have) != 0 {
+	if have := moves(DefaultMovePolicy(), true, testPools, hosts, nil, func(string) bool { return false }); len(have) != 0 {
 		t.Errorf("moves %v, want none", have)
 	}
 }
@@ -202,7 +203,7 @@
 	b.Workers[0].Lasting = 1
 	b.Used = 2 * hostSize
 	hosts := append(append(hostsOf("a", 2), hostsOf("b", 8)...), hostsOf("spare", 0)...)
-	have := moves(DefaultMovePolicy(), testPools, hosts, map[string]place.Load{"a": a, "b": b}, func(string) bool { return false })
+	have := moves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": a, "b": b}, func(string) bool { return false })
 	if n := count(have, "a"); n != 4 {
 		t.Errorf("%d hosts come, want 4", n)
 	}
@@ -212,3 +213,20 @@
 		}
 	}
 }
+
+// While a pool lacks hosts, none is parked: the turn that begins may need it.
+func TestNothingIsParkedWhileAPoolLacksHosts(t *testing.T) {
+	a := loadOf("a", 2, 2, 0)
+	a.Rate = 3 * hostSize
+	loads := map[string]place.Load{"a": a, "b": loadOf("b", 9, 0, time.Minute)}
+	hosts := append(append(hostsOf("a", 2), hostsOf("b", 9)...), hostsOf("spare", 1)...)
+	have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
+	if n := count(have, "spare"); n != 0 {
+		t.Errorf("%d hosts parked, want none", n)
+	}
+	for _, m := range have {
+		if m.host.Pool != "b" {
+			t.Errorf("%s comes from %s, want idle hosts of b first", m.host.Name, m.host.Pool)
+		}
+	}
+}
