The rate of arrival is seen over two spans

The rate over one second shows 26% of a turn after 0.3 s. Now the larger of a span of 0.3 s and one of 1 s counts. Test: TestBeginningOfATurnIsSeen.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -44,7 +44,7 @@
 	dirty    map[jobs.ID]*entry
 	doubt    time.Time // attempts of an earlier owner may run unseen until then
 	learnt   estimates
-	arrivals rate
+	arrivals arrivals
 	advised  map[string]bool // queues whose steps need advice
 }
 
@@ -52,7 +52,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, base: base, jobs: map[jobs.ID]*entry{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*entry{}, learnt: newEstimates(), advised: map[string]bool{},
+		dirty: map[jobs.ID]*entry{}, learnt: newEstimates(), arrivals: newArrivals(), advised: map[string]bool{},
 	}
 }
 
@@ -75,7 +75,7 @@
 		e.finalAt = now
 		return
 	}
-	if j.Repetitions == 0 && !j.Lasting() && now.Sub(j.Submitted) < rateTime {
+	if j.Repetitions == 0 && !j.Lasting() && now.Sub(j.Submitted) < arrivalTime {
 		work := 0.0
 		for i := range j.Steps {
 			work += e.work(i, j.Steps[i].Count)
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -125,3 +125,29 @@
 		}
 	}
 }
+
+// A turn begins: the pool sees most of what it will need within half a second
+// where many small jobs come, and does not take one large job for a trend.
+func TestBeginningOfATurnIsSeen(t *testing.T) {
+	const work = 8000 // millicore seconds of a small job
+	for _, tt := range []struct {
+		name     string
+		jobs     int // in half a second
+		tasks    int // of a second on a core
+		low, top int // millicores
+	}{
+		{"forty small jobs a second", 20, 8, 200_000, 330_000},
+		{"one large job", 1, 64, 0, 75_000},
+	} {
+		f := newFleet(0, 2)
+		for i := range tt.jobs {
+			f.now = start.Add(time.Duration(i) * 25 * time.Millisecond)
+			j := newJob(byte(1+i), batch(tt.tasks, work/8))
+			j.Submitted = f.now
+			f.add(j)
+		}
+		if have := f.Load(f.now).Rate; have < tt.low || have > tt.top {
+			t.Errorf("%s: rate %d, want %d to %d", tt.name, have, tt.low, tt.top)
+		}
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -37,7 +37,6 @@
 var (
 	metricCommit  = metrics.NewHistogram("papayarudder_commit_seconds")
 	metricStarts  = metrics.NewCounter("papayarudder_task_starts_total")
-	metricStartOK = metrics.NewHistogram("papayarudder_task_start_seconds")
 	metricEnds    = metrics.NewCounter("papayarudder_task_ends_total")
 	metricRefused = metrics.NewCounter("papayarudder_start_refusals_total")
 	metricUnsure  = metrics.NewCounter("papayarudder_start_unknown_total")
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -324,12 +324,6 @@
 // orderTime is how long an order waits for its answer.
 func (k *Keeper) orderTime() time.Duration { return min(callTime, k.part(answerPart)) }
 
-// hasStandby reports whether hosts can be given away at all.
-func (k *Keeper) hasStandby() bool {
-	c := k.Config()
-	return c != nil && slices.ContainsFunc(c.Pools, func(p platform.PoolConfig) bool { return p.Standby })
-}
-
 // look reads the platform's list of hosts.
 func (k *Keeper) look() {
 	now := time.Now()
