--- a/internal/upkeep/moves.go
+++ b/internal/upkeep/moves.go
@@ -17,6 +17,7 @@
 	RateShare    float64       // of the work that arrives for which there is room at least
 	Fill         float64       // share of a host that tasks fill in practice
 	Floor        int           // hosts that a pool keeps
+	Ready        int           // hosts beyond what is needed, for the first moments of a turn
 	Spare        int           // hosts more than needed that a pool keeps before it gives any away
 	IdleTime     time.Duration // a host is given away after so long without work
 	Settle       time.Duration // a host that arrived in a working pool stays for at least so long
@@ -26,11 +27,12 @@
 // DefaultMovePolicy returns the policy of the product.
 func DefaultMovePolicy() MovePolicy {
 	return MovePolicy{
-		PresentShare: 0.85,
-		Margin:       1.2,
-		RateShare:    0.9,
+		PresentShare: 1.0,
+		Margin:       1.4,
+		RateShare:    1.3,
 		Fill:         0.9,
 		Floor:        2,
+		Ready:        1,
 		Spare:        0,
 		IdleTime:     700 * time.Millisecond,
 		Settle:       2 * time.Second,
@@ -199,7 +201,7 @@
 	if v.load.Lasting > 0 || v.load.Largest > 0 && v.have == working {
 		hosts = max(hosts, working+1) // something waits that fits on none of those
 	}
-	v.target = max(policy.Floor, hosts)
+	v.target = max(policy.Floor, hosts+policy.Ready)
 }
 
 // needy returns the pools that lack hosts, the one that lacks most first.
