A process that stops cuts no request; operators' commands for jobs, pools and waves; explain

Ruled out: the balancer (the request came on a direct channel), the accept queue. Test: TestStopAnswersRequestsInFlight, no answer without the change, 504 with it.

--- a/cmd/papayarudder/main.go
+++ b/cmd/papayarudder/main.go
@@ -38,6 +38,9 @@
 	Serve         *serveCommand    `arg:"subcommand:serve" help:"run one process of the system"`
 	Daemon        *daemonCommand   `arg:"subcommand:daemon" help:"run one process of the system on the users' platform"`
 	CheckSettings *settingsCommand `arg:"subcommand:check-settings" help:"check settings files whole"`
+	Job           *jobCommand      `arg:"subcommand:job" help:"submit, show, watch, cancel and list jobs"`
+	Wave          *waveCommand     `arg:"subcommand:wave" help:"list maintenance waves"`
+	Explain       *explainCommand  `arg:"subcommand:explain" help:"tell the story of a job from logs"`
 	Ticket        *ticketCommand   `arg:"subcommand:ticket" help:"submit, show and list change tickets"`
 	Pool          *poolCommand     `arg:"subcommand:pool" help:"list pools"`
 	Host          *hostCommand     `arg:"subcommand:host" help:"list hosts"`
--- /dev/null
+++ b/internal/admin/jobs.go
@@ -0,0 +1,96 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Paths of the interface of the processes that run jobs.
+const (
+	PathJobs     = "/jobs"
+	PathJobPools = "/job-pools"
+	PathWaves    = "/waves"
+)
+
+// JobWire is the JSON form of a job's state.
+type JobWire struct {
+	ID        string `json:"id"`
+	Queue     string `json:"queue"`
+	Pool      string `json:"pool"`
+	State     string `json:"state"`
+	Tasks     int    `json:"tasks"`
+	Done      int    `json:"done"`
+	Running   int    `json:"running"`
+	Submitted string `json:"submitted"`
+}
+
+// JobPoolWire is the JSON form of a pool that runs jobs.
+type JobPoolWire struct {
+	Name    string `json:"name"`
+	Owner   string `json:"owner"`
+	Token   uint64 `json:"token"`
+	Standby bool   `json:"standby,omitempty"`
+	Hosts   int    `json:"hosts"`
+	Tasks   int    `json:"tasks"`
+	Used    int    `json:"used-millicores"`
+	Wanted  int    `json:"wanted-millicores"`
+	Known   bool   `json:"known"` // the owner answered
+}
+
+// WaveWire is the JSON form of a maintenance wave.
+type WaveWire struct {
+	Number int      `json:"number"`
+	State  string   `json:"state"`
+	Hosts  int      `json:"hosts"`
+	Begun  []string `json:"begun,omitempty"`
+	AtOnce int      `json:"at-once"`
+}
+
+// Jobs returns the jobs of a pool.
+func (c *Client) Jobs(ctx context.Context, pool string) ([]JobWire, error) {
+	var w []JobWire
+	return w, c.get(ctx, PathJobs+"?pool="+url.QueryEscape(pool), &w)
+}
+
+// JobPools returns the pools that run jobs.
+func (c *Client) JobPools(ctx context.Context) ([]JobPoolWire, error) {
+	var w []JobPoolWire
+	return w, c.get(ctx, PathJobPools, &w)
+}
+
+// Waves returns the maintenance waves.
+func (c *Client) Waves(ctx context.Context) ([]WaveWire, error) {
+	var w []WaveWire
+	return w, c.get(ctx, PathWaves, &w)
+}
+
+// SubmitJob submits a job in the product's own form to a queue.
+func (c *Client) SubmitJob(ctx context.Context, queue string, job []byte) (JobWire, error) {
+	return c.job(ctx, http.MethodPost, PathJobs+"?queue="+url.QueryEscape(queue), job)
+}
+
+// Job returns one job.
+func (c *Client) Job(ctx context.Context, id string) (JobWire, error) {
+	return c.job(ctx, http.MethodGet, PathJobs+"/"+url.PathEscape(id), nil)
+}
+
+// CancelJob ends a job.
+func (c *Client) CancelJob(ctx context.Context, id string) (JobWire, error) {
+	return c.job(ctx, http.MethodDelete, PathJobs+"/"+url.PathEscape(id), nil)
+}
+
+func (c *Client) job(ctx context.Context, method, path string, data []byte) (JobWire, error) {
+	var w JobWire
+	status, body, err := c.do(ctx, method, path, data)
+	if err != nil {
+		return w, err
+	}
+	if status != http.StatusOK {
+		return w, refusal(body)
+	}
+	return w, errors.Wrap(json.Unmarshal(body, &w), "read job")
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,265 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/papayarudder/papayarudder/internal/admin"
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/internal/upkeep"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// Errors of the operators' interface.
+var (
+	errNoJob   = errors.New("no such job")
+	errNoQueue = errors.New("no such queue")
+	errNoState = errors.New("the state is not known now")
+)
+
+const maxDraft = 1 << 20 // bytes of a job that an operator submits
+
+// adminMux serves operators: jobs, pools and waves, in the product's own form.
+func (d *Daemon) adminMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+admin.PathJobs, d.adminAnswer(d.adminJobs))
+	mux.HandleFunc("POST "+admin.PathJobs, d.adminAnswer(d.adminSubmit))
+	mux.HandleFunc("GET "+admin.PathJobs+"/{id}", d.adminAnswer(d.adminJob))
+	mux.HandleFunc("DELETE "+admin.PathJobs+"/{id}", d.adminAnswer(d.adminCancel))
+	mux.HandleFunc("GET "+admin.PathJobPools, d.adminAnswer(d.adminPools))
+	mux.HandleFunc("GET "+admin.PathWaves, d.adminAnswer(d.adminWaves))
+	return mux
+}
+
+// adminAnswer writes what f returns, or its error with a status that fits.
+func (d *Daemon) adminAnswer(f func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := f(r)
+		status := http.StatusOK
+		switch {
+		case err == nil:
+		case errors.Is(err, errNoJob), errors.Is(err, errNoQueue):
+			status = http.StatusNotFound
+		case errors.Is(err, jobs.ErrInvalid):
+			status = http.StatusBadRequest
+		default:
+			status = http.StatusServiceUnavailable
+		}
+		if err != nil {
+			body = admin.ErrorWire{Error: err.Error()}
+		}
+		data, err := json.Marshal(body)
+		if err != nil {
+			d.log.WithError(err).Error("answer to an operator")
+			status = http.StatusInternalServerError
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		if _, err := w.Write(data); err != nil {
+			d.log.WithError(err).Debug("operator went away")
+		}
+	}
+}
+
+func jobWire(name string, v place.JobView) admin.JobWire {
+	return admin.JobWire{
+		ID: string(v.ID), Queue: v.Queue, Pool: name, State: string(v.State), Tasks: v.Tasks, Done: v.Done,
+		Running: v.Running, Submitted: v.Submitted.UTC().Format(time.RFC3339),
+	}
+}
+
+// poolNames returns the names of the pools that run jobs.
+func (d *Daemon) poolNames() []string {
+	c := d.config.Load()
+	if c == nil {
+		return nil
+	}
+	var names []string
+	for _, p := range c.Pools {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// views asks a pool's owner how one job stands, or all.
+func (d *Daemon) views(ctx context.Context, name, id string) ([]place.JobView, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	reply, err := d.askOnce(ctx, name, "Peer.Jobs", JobArgs{name, id}, func(o *pool.Owner) Reply {
+		views, v := o.Views(ctx, jobs.ID(id))
+		return Reply{Jobs: views, Verdict: v}
+	})
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(errNoState, err.Error())
+	case reply.Verdict == pool.Missing:
+		return nil, errors.Wrap(errNoJob, id)
+	case reply.Verdict != pool.Accepted:
+		return nil, errors.WithStack(errNoState)
+	}
+	return reply.Jobs, nil
+}
+
+func (d *Daemon) adminJobs(r *http.Request) (any, error) {
+	out := []admin.JobWire{}
+	wanted := r.URL.Query().Get("pool")
+	for _, name := range d.poolNames() {
+		if wanted != "" && name != wanted {
+			continue
+		}
+		views, err := d.views(r.Context(), name, "")
+		if err != nil {
+			return nil, errors.Wrapf(err, "pool %s", name)
+		}
+		for _, v := range views {
+			out = append(out, jobWire(name, v))
+		}
+	}
+	return out, nil
+}
+
+// find returns the pool of a job and how it stands.
+func (d *Daemon) find(ctx context.Context, id string) (string, place.JobView, error) {
+	unknown := errors.Wrap(errNoJob, id)
+	for _, name := range d.poolNames() {
+		views, err := d.views(ctx, name, id)
+		if err == nil && len(views) == 1 {
+			return name, views[0], nil
+		}
+		if err != nil && !errors.Is(err, errNoJob) {
+			unknown = errors.Wrapf(err, "pool %s", name)
+		}
+	}
+	return "", place.JobView{}, unknown
+}
+
+func (d *Daemon) adminJob(r *http.Request) (any, error) {
+	name, v, err := d.find(r.Context(), r.PathValue("id"))
+	if err != nil {
+		return nil, err
+	}
+	return jobWire(name, v), nil
+}
+
+func (d *Daemon) adminSubmit(r *http.Request) (any, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxDraft))
+	if err != nil {
+		return nil, errors.Wrap(jobs.ErrInvalid, err.Error())
+	}
+	j, err := jobs.Draft(data)
+	if err != nil {
+		return nil, err
+	}
+	c := d.config.Load()
+	q, found := platform.Queue{}, false
+	if c != nil {
+		for _, known := range c.Queues {
+			if known.Name == r.URL.Query().Get("queue") {
+				q, found = known, true
+			}
+		}
+	}
+	if !found {
+		return nil, errors.Wrapf(errNoQueue, "%.60q", r.URL.Query().Get("queue"))
+	}
+	if j.ID == "" {
+		j.ID = jobs.ID(strings.ReplaceAll(uuid.NewString(), "-", "")[:16])
+	}
+	j.Queue, j.Pool, j.Submitted = q.Name, q.Pool, time.Now()
+	j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
+	if err := j.Validate(); err != nil {
+		return nil, err
+	}
+	row, err := j.Encode()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	reply := d.askOwner(ctx, q.Pool, "Peer.Submit", SubmitArgs{q.Pool, row}, func(o *pool.Owner) Reply {
+		v, after := o.Submit(ctx, j)
+		return Reply{Verdict: v, After: after}
+	})
+	switch reply.Verdict {
+	case pool.Accepted:
+	case pool.Refused, pool.Overloaded:
+		return nil, errors.Newf("job %s was refused and has not run", j.ID)
+	case pool.Unknown, pool.Missing:
+		return nil, errors.Wrapf(errNoState, "job %s may have been accepted; submit it again under its id", j.ID)
+	}
+	views, err := d.views(ctx, q.Pool, string(j.ID))
+	if err != nil || len(views) != 1 {
+		return nil, errors.Wrapf(errNoState, "job %s was accepted", j.ID)
+	}
+	return jobWire(q.Pool, views[0]), nil
+}
+
+func (d *Daemon) adminCancel(r *http.Request) (any, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	name, v, err := d.find(ctx, r.PathValue("id"))
+	if err != nil {
+		return nil, err
+	}
+	reply := d.askOwner(ctx, name, "Peer.Cancel", JobArgs{name, string(v.ID)}, func(o *pool.Owner) Reply {
+		return Reply{Verdict: o.Cancel(ctx, v.ID)}
+	})
+	if reply.Verdict != pool.Accepted {
+		return nil, errors.Wrapf(errNoState, "job %s may have been cancelled", v.ID)
+	}
+	if _, v, err = d.find(ctx, string(v.ID)); err != nil {
+		return nil, err
+	}
+	return jobWire(name, v), nil
+}
+
+func (d *Daemon) adminPools(r *http.Request) (any, error) {
+	c := d.config.Load()
+	if c == nil {
+		return nil, errors.Wrap(errNoState, "no configuration yet")
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	out := []admin.JobPoolWire{}
+	for _, p := range c.Pools {
+		d.mu.Lock()
+		own := d.owned[p.Name]
+		d.mu.Unlock()
+		w := admin.JobPoolWire{Name: p.Name, Owner: own.Owner.Node, Token: own.Token, Standby: p.Standby}
+		if l, err := d.load(ctx, p.Name); err == nil {
+			w.Known, w.Hosts, w.Used, w.Wanted = true, len(l.Workers), l.Used, l.Wanted
+			for _, worker := range l.Workers {
+				w.Tasks += worker.Tasks
+			}
+		}
+		out = append(out, w)
+	}
+	return out, nil
+}
+
+func (d *Daemon) adminWaves(r *http.Request) (any, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	out := []admin.WaveWire{}
+	for _, wave := range d.knownWaves() {
+		begun, complete, err := upkeep.Progress(ctx, d.store, fleetName, wave.Number)
+		if err != nil {
+			return nil, errors.Wrapf(errNoState, "wave %d: %v", wave.Number, err)
+		}
+		state := "active"
+		if complete {
+			state = "complete"
+		}
+		out = append(out, admin.WaveWire{Number: wave.Number, State: state, Hosts: len(wave.Hosts), Begun: begun, AtOnce: wave.MaxAway})
+	}
+	return out, nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,7 +86,7 @@
 	health := http.NewServeMux()
 	health.HandleFunc("GET "+platform.ReadyPath, d.serveReady)
 	ready := &http.Server{Addr: d.settings.Readiness.String(), Handler: health, ReadHeaderTimeout: 3 * time.Second}
-	meters := http.NewServeMux()
+	meters := d.adminMux()
 	meters.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	metricsAddr := netip.AddrPortFrom(d.settings.Callers.Addr(), d.settings.FirstPort+metricsOffset)
 	meter := &http.Server{Addr: metricsAddr.String(), Handler: meters, ReadHeaderTimeout: 3 * time.Second}
@@ -157,8 +157,11 @@
 // serveHTTP returns a part that runs a server.
 func serveHTTP(s *http.Server) part {
 	return func(ctx context.Context) error {
-		context.AfterFunc(ctx, func() { _ = s.Close() }) // the process is ending
+		// ListenAndServe returns as soon as a graceful shutdown begins; the
+		// requests that are answered then must not be cut by the end of ctx.
+		release := context.AfterFunc(ctx, func() { _ = s.Close() }) // the process is ending
 		err := s.ListenAndServe()
+		release()
 		if errors.Is(err, http.ErrServerClosed) {
 			return suture.ErrDoNotRestart
 		}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -282,3 +282,15 @@
 		t.Errorf("%d runs, want 12", n)
 	}
 }
+
+// A process that stops answers what it has read, also what is answered only after
+// its listeners are closed.
+func TestStopAnswersRequestsInFlight(t *testing.T) {
+	s := newSystem(t, 1, mimic.Options{})
+	p := s.processes[0]
+	s.signal(p, syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond) // its pools have no owner: the answer takes the caller's patience
+	if body, status := s.call(http.MethodPost, p, "/labels/"+id(1), oneStep); status != http.StatusGatewayTimeout {
+		t.Errorf("status %d %s, want 504", status, body)
+	}
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -209,6 +209,7 @@
 	Count   int
 	After   time.Duration // when a refused caller should come back
 	Load    place.Load
+	Jobs    []place.JobView
 }
 
 // peerService is what other processes may call.
@@ -299,6 +300,13 @@
 	})
 }
 
+// Jobs returns how one job of a pool stands, or all.
+func (s *peerService) Jobs(args JobArgs, reply *Reply) error {
+	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
+		reply.Jobs, reply.Verdict = o.Views(ctx, jobs.ID(args.Name))
+	})
+}
+
 func (s *peerService) withOwner(name string, reply *Reply, f func(ctx context.Context, o *pool.Owner)) error {
 	s.d.mu.Lock()
 	o := s.d.owners[name]
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -67,11 +67,21 @@
 	return data, errors.Wrap(err, "encode job")
 }
 
-// Decode reads the stored form of a job.
+// Decode reads the stored form of a job and validates it.
 func Decode(data []byte) (Job, error) {
+	j, err := Draft(data)
+	if err != nil {
+		return Job{}, err
+	}
+	return j, j.Validate()
+}
+
+// Draft reads the form in which operators submit a job, which is the stored form;
+// what is missing stays empty and nothing is validated.
+func Draft(data []byte) (Job, error) {
 	var row jobRow
 	if err := json.Unmarshal(data, &row); err != nil {
-		return Job{}, errors.Wrap(err, "stored job")
+		return Job{}, errors.Wrapf(ErrInvalid, "%v", err)
 	}
 	j := Job{
 		ID: ID(row.ID), Spec: row.Spec, Repetitions: row.Repetitions,
@@ -92,7 +102,7 @@
 			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: time.Duration(s.TargetMS) * time.Millisecond,
 		})
 	}
-	return j, j.Validate()
+	return j, nil
 }
 
 // progressRow is the stored form of a [Progress].
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -1,6 +1,59 @@
 package place
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+)
+
+// JobView is how a job stands, for operators.
+type JobView struct {
+	ID        jobs.ID
+	Queue     string
+	State     jobs.State
+	Tasks     int
+	Done      int
+	Running   int
+	Submitted time.Time
+}
+
+// View returns how a job stands, and whether it is known.
+func (b *Board) View(id jobs.ID) (JobView, bool) {
+	e := b.jobs[id]
+	if e == nil {
+		return JobView{}, false
+	}
+	state, _ := b.State(id)
+	v := JobView{ID: id, Queue: e.job.Queue, State: state, Submitted: e.job.Submitted, Running: len(e.attempts)}
+	for k := range e.job.Occurrences() {
+		for i, s := range e.job.Steps {
+			v.Tasks += s.Count
+			v.Done += s.Count - e.progress.Left(k, i)
+		}
+	}
+	if state == jobs.Complete {
+		v.Done = v.Tasks // what is stored of a final job is its state only
+	}
+	return v, true
+}
+
+// Views returns how all jobs stand, oldest first.
+func (b *Board) Views() []JobView {
+	var all []JobView
+	for id := range b.jobs {
+		v, _ := b.View(id)
+		all = append(all, v)
+	}
+	slices.SortFunc(all, func(x, y JobView) int {
+		if order := x.Submitted.Compare(y.Submitted); order != 0 {
+			return order
+		}
+		return strings.Compare(string(x.ID), string(y.ID))
+	})
+	return all
+}
 
 // Summary is the state of a pool in figures, for the log and for the process
 // that moves hosts.
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -212,6 +212,28 @@
 	return l, v
 }
 
+// Views returns how jobs stand: one, or all if id is empty.
+func (o *Owner) Views(ctx context.Context, id jobs.ID) ([]place.JobView, Verdict) {
+	var views []place.JobView
+	v := o.ask(ctx, func(reply chan Verdict) {
+		one, known := o.board.View(id)
+		switch {
+		case !o.started:
+			reply <- Unknown
+			return
+		case id == "":
+			views = o.board.Views()
+		case !known:
+			reply <- Missing
+			return
+		default:
+			views = []place.JobView{one}
+		}
+		reply <- Accepted
+	})
+	return views, v
+}
+
 // SetQueues tells the configuration of the pool's queues.
 func (o *Owner) SetQueues(queues []platform.Queue) {
 	o.post(func() {
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -212,6 +212,21 @@
 	Complete bool     `json:"complete,omitempty"`
 }
 
+// Progress returns which hosts of a wave have begun their maintenance, as a
+// holder last wrote it, and whether the wave is complete.
+func Progress(ctx context.Context, store *platform.Store, fleet string, wave int) ([]string, bool, error) {
+	r, err := store.ReadRow(ctx, tableWave, fleet, strconv.Itoa(wave))
+	if err != nil || r.Version == 0 {
+		return nil, false, err
+	}
+	var row waveRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return nil, false, errors.Wrapf(platform.ErrMalformed, "wave %d: %v", wave, err)
+	}
+	slices.Sort(row.Begun)
+	return row.Begun, row.Complete, nil
+}
+
 // renew makes sure that this process still holds the fleet.
 // It writes which hosts were ordered lately, with those that are about to be.
 func (k *Keeper) renew(now time.Time, hosts ...string) error {
