--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 build:
 	go build ./...
 
-# A whole deployment on this machine: stand-in, entries, load, a move, a replacement.
+# Whole deployments on this machine: requests on stand-ins, then a day of jobs.
 demo:
 	bash scripts/demo.sh
+	bash scripts/jobday.sh
 
 test:
 	go test -json ./... | go run ./cmd/redcheck KNOWN-RED.txt
