A pool never loses its last host, and gets some again if it has none

Ruled out: the pool's owner (it decided, with 10 tasks waiting and no worker). Tests: TestPoolWithoutHostsGetsSome, TestHostsWithoutAWorkerDoNotCount (both fail before). The planner's tests use figures of their own from here on, as strict.

--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -490,10 +490,13 @@
 	slices.SortStableFunc(hosts, func(x, y platform.Host) int { // maintained hosts are taken first
 		return cmp.Compare(btoi(k.due(x.Name)), btoi(k.due(y.Name)))
 	})
-	for i, h := range hosts {
+	for i, h := range hosts { // the list may be older than the newest orders
 		if l, leaving := k.leaving[h.Name]; leaving {
 			hosts[i].Pool, hosts[i].State = l.pool, platform.HostMoving
 		}
+		if m, moved := k.moved[h.Name]; moved {
+			hosts[i].Pool, hosts[i].State = m.pool, platform.HostMoving
+		}
 	}
 	policy := DefaultMovePolicy()
 	for _, m := range moves(policy, now.Sub(k.short) > policy.Quiet, c.Pools, hosts, k.view.loads, k.busy) {
--- a/internal/upkeep/moves.go
+++ b/internal/upkeep/moves.go
@@ -96,8 +96,15 @@
 			v.add(policy, h, busy)
 		}
 	}
+	largest := 0
+	for _, h := range hosts {
+		largest = max(largest, h.Size.Millicores)
+	}
 	for _, name := range names {
 		v := views[name]
+		if v.size == 0 {
+			v.size = largest // a pool without hosts needs some too
+		}
 		v.setTarget(policy)
 		slices.SortStableFunc(v.light, func(x, y lightHost) int { return cmp.Compare(x.used, y.used) })
 	}
@@ -156,8 +163,10 @@
 	}
 	i := slices.IndexFunc(v.load.Workers, func(w place.WorkerLoad) bool { return w.ID == h.Worker })
 	if i < 0 {
-		v.have++ // it has just arrived
-		return
+		if busy(h.Name) {
+			v.have++ // it has just arrived
+		}
+		return // otherwise its worker is unknown to the pool, or has gone
 	}
 	w := v.load.Workers[i]
 	if !w.Open && w.Tasks == 0 {
--- a/internal/upkeep/moves_test.go
+++ b/internal/upkeep/moves_test.go
@@ -15,6 +15,15 @@
 
 const hostSize = 10_000 // millicores
 
+// testPolicy has figures of its own, so that the tests hold the mechanism and not
+// what was tuned.
+func testPolicy() MovePolicy {
+	return MovePolicy{
+		PresentShare: 0.85, Margin: 1.2, RateShare: 0.9, Fill: 0.9, Floor: 2,
+		IdleTime: time.Second, Settle: 2 * time.Second, Quiet: time.Second,
+	}
+}
+
 // hostsOf returns hosts of a pool whose workers are named like them.
 func hostsOf(pool string, n int) []platform.Host {
 	var hosts []platform.Host
@@ -72,7 +81,7 @@
 		tt.in(&a)
 		loads := map[string]place.Load{"a": a, "b": loadOf("b", 4, 0, time.Minute)}
 		hosts := append(append(hostsOf("a", 4), hostsOf("b", 4)...), hostsOf("spare", 2)...)
-		have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
+		have := moves(testPolicy(), true, testPools, hosts, loads, func(string) bool { return false })
 		if n := count(have, "a"); n != tt.wantA {
 			t.Errorf("%s: %d hosts come, want %d (%v)", tt.name, n, tt.wantA, have)
 		}
@@ -86,7 +95,7 @@
 	}{{100 * time.Millisecond, 0}, {time.Minute, 6}} {
 		loads := map[string]place.Load{"a": loadOf("a", 4, 0, tt.idle), "b": loadOf("b", 6, 0, tt.idle)}
 		hosts := append(append(hostsOf("a", 4), hostsOf("b", 6)...), hostsOf("spare", 2)...)
-		have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
+		have := moves(testPolicy(), true, testPools, hosts, loads, func(string) bool { return false })
 		if n := count(have, "spare"); n != tt.want {
 			t.Errorf("idle for %v: %d hosts given away, want %d", tt.idle, n, tt.want)
 		}
@@ -103,7 +112,7 @@
 	l.Used = 300
 	l.Workers[0].Open = false
 	hosts := append(hostsOf("a", 3), hostsOf("spare", 2)...)
-	have := moves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": l}, func(string) bool { return false })
+	have := moves(testPolicy(), true, testPools, hosts, map[string]place.Load{"a": l}, func(string) bool { return false })
 	if n := count(have, "a"); n != 1 {
 		t.Errorf("%d hosts come, want 1", n)
 	}
@@ -112,7 +121,7 @@
 // A pool whose load is not known keeps its hosts.
 func TestPoolOfUnknownLoadKeepsItsHosts(t *testing.T) {
 	hosts := append(hostsOf("a", 5), hostsOf("spare", 2)...)
-	if have := moves(DefaultMovePolicy(), true, testPools, hosts, nil, func(string) bool { return false }); len(have) != 0 {
+	if have := moves(testPolicy(), true, testPools, hosts, nil, func(string) bool { return false }); len(have) != 0 {
 		t.Errorf("moves %v, want none", have)
 	}
 }
@@ -203,7 +212,7 @@
 	b.Workers[0].Lasting = 1
 	b.Used = 2 * hostSize
 	hosts := append(append(hostsOf("a", 2), hostsOf("b", 8)...), hostsOf("spare", 0)...)
-	have := moves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": a, "b": b}, func(string) bool { return false })
+	have := moves(testPolicy(), true, testPools, hosts, map[string]place.Load{"a": a, "b": b}, func(string) bool { return false })
 	if n := count(have, "a"); n != 4 {
 		t.Errorf("%d hosts come, want 4", n)
 	}
@@ -220,7 +229,7 @@
 	a.Rate = 3 * hostSize
 	loads := map[string]place.Load{"a": a, "b": loadOf("b", 9, 0, time.Minute)}
 	hosts := append(append(hostsOf("a", 2), hostsOf("b", 9)...), hostsOf("spare", 1)...)
-	have := moves(DefaultMovePolicy(), true, testPools, hosts, loads, func(string) bool { return false })
+	have := moves(testPolicy(), true, testPools, hosts, loads, func(string) bool { return false })
 	if n := count(have, "spare"); n != 0 {
 		t.Errorf("%d hosts parked, want none", n)
 	}
@@ -230,3 +239,22 @@
 		}
 	}
 }
+
+// A pool that has lost its last host gets some again.
+func TestPoolWithoutHostsGetsSome(t *testing.T) {
+	loads := map[string]place.Load{"a": {Wanted: 2 * hostSize, Largest: hostSize / 2, Lasting: 1}}
+	have := moves(testPolicy(), true, testPools, hostsOf("spare", 6), loads, func(string) bool { return false })
+	if n := count(have, "a"); n < 2 {
+		t.Errorf("%d hosts come, want at least 2 (%v)", n, have)
+	}
+}
+
+// Hosts that the list still shows, and whose workers have gone, are no reason to
+// give others away.
+func TestHostsWithoutAWorkerDoNotCount(t *testing.T) {
+	l := loadOf("a", 2, 0, time.Minute)
+	have := moves(testPolicy(), true, testPools, append(hostsOf("a", 6), hostsOf("spare", 1)...), map[string]place.Load{"a": l}, func(string) bool { return false })
+	if n := count(have, "spare"); n != 0 {
+		t.Errorf("%d hosts parked of a pool with 2 workers, want none", n)
+	}
+}
