--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,8 +67,9 @@
 	return d
 }
 
-// metricsOffset is the port of the metrics, counted from the first free port.
-const metricsOffset = 1
+// AdminPort is the port of the operators' interface and the metrics, the same on
+// every host: deploy/system.toml names it.
+const AdminPort = 9464
 
 // Run serves until ctx ends. Then it leaves the balancer, hands its pools over
 // and finishes what callers wait for.
@@ -88,7 +89,7 @@
 	ready := &http.Server{Addr: d.settings.Readiness.String(), Handler: health, ReadHeaderTimeout: 3 * time.Second}
 	meters := d.adminMux()
 	meters.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	metricsAddr := netip.AddrPortFrom(d.settings.Callers.Addr(), d.settings.FirstPort+metricsOffset)
+	metricsAddr := netip.AddrPortFrom(d.settings.Callers.Addr(), AdminPort)
 	meter := &http.Server{Addr: metricsAddr.String(), Handler: meters, ReadHeaderTimeout: 3 * time.Second}
 
 	work, stop := context.WithCancel(context.Background())
