--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,7 +96,7 @@
 	defer stop()
 	tree := suture.New("papayarudder", suture.Spec{EventHook: func(e suture.Event) { d.log.WithField("event", e.String()).Error("part failed") }})
 	add := func(f func(ctx context.Context) error) { tree.Add(part(f)) }
-	add(func(context.Context) error { return d.server.Serve(listener) })
+	add(d.servePeers(listener))
 	add(serveHTTP(front))
 	add(serveHTTP(ready))
 	add(serveHTTP(meter))
@@ -155,6 +155,19 @@
 // Serve runs the part.
 func (p part) Serve(ctx context.Context) error { return p(ctx) }
 
+// servePeers returns a part that answers other processes.
+func (d *Daemon) servePeers(listener net.Listener) part {
+	return func(ctx context.Context) error {
+		release := context.AfterFunc(ctx, func() { _ = listener.Close() }) // the process is ending
+		defer release()
+		err := d.server.Serve(listener)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		return err
+	}
+}
+
 // serveHTTP returns a part that runs a server.
 func serveHTTP(s *http.Server) part {
 	return func(ctx context.Context) error {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -289,8 +289,15 @@
 	s := newSystem(t, 1, mimic.Options{})
 	p := s.processes[0]
 	s.signal(p, syscall.SIGTERM)
+	began := time.Now()
 	time.Sleep(1500 * time.Millisecond) // its pools have no owner: the answer takes the caller's patience
 	if body, status := s.call(http.MethodPost, p, "/labels/"+id(1), oneStep); status != http.StatusGatewayTimeout {
 		t.Errorf("status %d %s, want 504", status, body)
 	}
+	if err := p.command.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("the process ended %v after SIGTERM, want within the 6 s that it is given", took)
+	}
 }
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,97 @@
+package jobs_test
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+)
+
+func sample() jobs.Job {
+	return jobs.Job{
+		ID: "5c0e7a21d94b36f8", Spec: "spec", Queue: "q", Pool: "p", Submitted: time.UnixMilli(1_700_000_000_123),
+		Repetitions: 2, FirstAt: time.UnixMilli(1_700_000_005_000), Every: time.Second,
+		Priority: 1, MaxAttempts: 4, Slack: 1.6, Target: 600 * time.Millisecond,
+		Steps: []jobs.Step{
+			{Count: 3, Size: jobs.Size{Millicores: 500, MemoryMB: 256, Accelerators: 1}, Estimate: time.Second, Label: "a", Rack: "r1", MaxPerWorker: 1},
+			{Count: 20, After: []int{0}, Gang: true, RackLocal: true, Checkpoints: true, Speculative: true, Lasting: true, Fills: true, MaxUnavailable: 1, Image: "i", Target: 50 * time.Millisecond},
+		},
+	}
+}
+
+func TestStoredJobIsTheSame(t *testing.T) {
+	want := sample()
+	data, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	have, err := jobs.Decode(data)
+	if err != nil || !reflect.DeepEqual(have, want) {
+		t.Errorf("decoded %+v, %v\nwant %+v", have, err, want)
+	}
+}
+
+func TestStoredProgressIsTheSame(t *testing.T) {
+	j := sample()
+	p := jobs.NewProgress(j)
+	p.Begun = true
+	done, failed := jobs.Task{Job: j.ID, Occurrence: 1, Index: 2}, jobs.Task{Job: j.ID, Index: 1}
+	p.MarkDone(done)
+	p.MarkFailed(failed, 7)
+	p.MarkFailed(failed, 7) // told twice
+	p.MarkFailed(failed, 9)
+	p.Save(failed, "saved")
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	have, err := jobs.DecodeProgress(j, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !have.Done(done) || have.Done(failed) || have.Failures(failed) != 2 || have.Checkpoint(failed) != "saved" || have.State() != jobs.Active {
+		t.Errorf("decoded %s", data)
+	}
+}
+
+func TestInvalidJobsNameFieldAndValue(t *testing.T) {
+	for _, tt := range []struct {
+		change func(j *jobs.Job)
+		want   string
+	}{
+		{func(j *jobs.Job) { j.ID = "xyz" }, "xyz"},
+		{func(j *jobs.Job) { j.Spec = strings.Repeat("x", 4001) }, "spec: 4001"},
+		{func(j *jobs.Job) { j.Steps = nil }, "steps: 0"},
+		{func(j *jobs.Job) { j.Steps[0].Count = 0 }, "count: 0"},
+		{func(j *jobs.Job) { j.Steps[0].Size.Millicores = -1 }, "cpu: -1"},
+		{func(j *jobs.Job) { j.Steps[0].Size.MemoryMB = 1 << 30 }, "memory: 1073741824"},
+		{func(j *jobs.Job) { j.Steps[1].After = []int{1} }, "after: 1"},
+		{func(j *jobs.Job) { j.Repetitions = -1 }, "repetitions: -1"},
+		{func(j *jobs.Job) { j.Every = -time.Second }, "interval: -1s"},
+	} {
+		j := sample()
+		tt.change(&j)
+		if err := j.Validate(); !errors.Is(err, jobs.ErrInvalid) || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("error %v, want ErrInvalid with %q", err, tt.want)
+		}
+	}
+}
+
+func FuzzParseTask(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Add("5c0e7a21d94b36f8..1.")
+	f.Fuzz(func(t *testing.T, name string) {
+		task, err := jobs.ParseTask(name)
+		if err != nil {
+			return
+		}
+		again, err := jobs.ParseTask(task.String())
+		if err != nil || again != task {
+			t.Errorf("%q became %v, then %v, %v", name, task, again, err)
+		}
+	})
+}
