--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -182,11 +182,12 @@
 				s.submit(p, "/labels/"+id(i), `{"spec":"1500ms","steps":[{"count":6,"cpu":1000,"estimate_ms":1500}]}`)
 			}
 			s.waitFor("tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) >= 18 })
-			tt.lose(s.platform.Worker(0))
+			lost := s.platform.Working()[0]
+			tt.lose(lost)
 			for i := range 3 {
 				s.waitState(p, "/labels/"+id(i), "complete", 15*time.Second)
 			}
-			s.platform.Worker(0).Silence(false)
+			lost.Silence(false)
 			time.Sleep(300 * time.Millisecond)
 			s.check()
 		})
@@ -267,14 +268,15 @@
 	p := s.other(lost)
 	s.submit(p, "/labels/"+id(1), `{"spec":"2500ms","steps":[{"count":9,"cpu":1000,"estimate_ms":2500}]}`)
 	s.waitFor("tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) == 9 })
-	for i := range 3 {
-		s.platform.Worker(i).Hide()
+	hidden := s.platform.Working()
+	for _, w := range hidden {
+		w.Hide()
 	}
 	s.kill(lost)
 	s.submit(p, "/labels/"+id(2), oneStep) // the pool has another owner
 	time.Sleep(time.Second)
-	for i := range 3 {
-		s.platform.Worker(i).Show()
+	for _, w := range hidden {
+		w.Show()
 	}
 	s.waitState(p, "/labels/"+id(1), "complete", 10*time.Second)
 	s.check()
--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -59,7 +59,6 @@
 type modelOwner struct {
 	*fleet
 	token   int
-	started bool
 	seen    map[string]uint64 // ends taken in, by lifetime
 	durable map[string]uint64 // ends whose effect is durable
 	lapseBy map[string]time.Time
