--- a/cmd/jobday/main.go
+++ b/cmd/jobday/main.go
@@ -31,6 +31,8 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/platform"
 	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
@@ -51,6 +53,9 @@
 	{Name: "assistenza", Hosts: 8, Standby: true},
 }
 
+// callersHost is the name under which callers reach the queues.
+const callersHost = "jobs.example"
+
 const (
 	turn       = 2 * time.Second        // of one queue
 	busyGap    = 25 * time.Millisecond  // between jobs of the queue whose turn it is
@@ -116,24 +121,40 @@
 	return d.report(out)
 }
 
-// configuration returns the operator's configuration of the pools.
+// configuration returns the operator's configuration: a queue for each pool.
 func configuration() string {
-	var routes, services []string
+	var queues []platform.Queue
 	for _, p := range pools {
-		services = append(services, fmt.Sprintf(`{"name":%q,"enforces_capacity":true,"standby":%t}`, p.Name, p.Standby))
 		if !p.Standby {
-			routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"jobs.example","prefix":"/%s/","service":%q,"timeout_ms":3000,"target_duration_ms":600,"priority":0,"max_attempts":3,"slack_factor":1.6}`, p.Name, p.Name, p.Name))
+			queues = append(queues, platform.Queue{
+				Name: p.Name, Host: callersHost, Prefix: "/" + p.Name + "/", Pool: p.Name,
+				Timeout: 3 * time.Second, Target: 600 * time.Millisecond, Slack: 1.6, MaxAttempts: 3,
+			})
 		}
 	}
-	return fmt.Sprintf(`{"version":1,"routes":[%s],"services":[%s],"limits":{"max_body_bytes":262144}}`,
-		strings.Join(routes, ","), strings.Join(services, ","))
+	return mimic.Config(1, queues, pools)
+}
+
+// lastingJob serves its own users until it is cancelled, a task on a worker.
+func lastingJob() string {
+	return mimic.Submission(jobs.Job{Spec: "lasting", Steps: []jobs.Step{{
+		Count: 4, Size: jobs.Size{Millicores: 2600, MemoryMB: 9000}, Lasting: true, MaxPerWorker: 1, MaxUnavailable: 1,
+	}}})
+}
+
+// batchJob has two steps of short tasks.
+func batchJob(took time.Duration, width int) string {
+	step := jobs.Step{Count: width, Size: jobs.Size{Millicores: 1800, MemoryMB: 1000}, Estimate: 300 * time.Millisecond}
+	last := step
+	last.Count, last.After = 2, []int{0}
+	return mimic.Submission(jobs.Job{Spec: took.String(), Steps: []jobs.Step{step, last}})
 }
 
 func (d *day) waitReady() bool {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(tryPause) {
 		ready := 0
 		for _, addr := range d.entries {
-			response, err := d.client.Get(fmt.Sprintf("http://%s:%d/api/readyz", addr, mimic.PortReadiness))
+			response, err := d.client.Get(fmt.Sprintf("http://%s:%d%s", addr, mimic.PortReadiness, platform.ReadyPath))
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
@@ -152,7 +173,7 @@
 // play sends a lasting job to each queue, then jobs in turns while a wave passes.
 func (d *day) play(args arguments) {
 	random := rand.New(rand.NewPCG(args.Seed, 0))
-	var jobs sync.WaitGroup
+	var running sync.WaitGroup
 	var names []string
 	for _, p := range pools {
 		if !p.Standby {
@@ -163,7 +184,7 @@
 	number := 0
 	id := func() string { number++; return fmt.Sprintf("%016x", random.Uint64()>>16+uint64(number)) }
 	for _, name := range names {
-		d.call(http.MethodPost, name, id(), `{"spec":"lasting","steps":[{"count":4,"cpu":2600,"mem_mb":9000,"anti_affinity":1,"long_running":true,"max_unavailable":1}]}`)
+		d.call(http.MethodPost, name, id(), lastingJob())
 	}
 	var hosts []string
 	for i := 0; i < 41; i += 2 {
@@ -178,9 +199,8 @@
 			own := rand.New(rand.NewPCG(seed, 0))
 			for n := 0; time.Since(began) < args.Duration; n++ {
 				job := fmt.Sprintf("%08x%08x", own.Uint32(), uint32(i<<24)+uint32(n))
-				body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":1800,"mem_mb":1000,"estimate_ms":300},{"count":2,"cpu":1800,"mem_mb":1000,"estimate_ms":300,"after":[0]}]}`,
-					200+own.IntN(200), 2+own.IntN(6))
-				jobs.Go(func() { d.job(name, job, body) })
+				body := batchJob(time.Duration(200+own.IntN(200))*time.Millisecond, 2+own.IntN(6))
+				running.Go(func() { d.job(name, job, body) })
 				gap := quietGap
 				if int(time.Since(began)/turn)%len(names) == i {
 					gap = busyGap
@@ -190,7 +210,7 @@
 		})
 	}
 	senders.Wait()
-	jobs.Wait()
+	running.Wait()
 }
 
 // call sends a caller's request to one entry after another until one answers.
@@ -202,8 +222,8 @@
 		if err != nil {
 			return err.Error(), 0
 		}
-		request.Host = "jobs.example"
-		request.Header.Set("Deadline-Ms", "3000")
+		request.Host = callersHost
+		request.Header.Set(platform.DeadlineHeader, "3000")
 		response, err := d.client.Do(request)
 		if err != nil {
 			time.Sleep(tryPause)
--- /dev/null
+++ b/internal/daemon/handover.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+)
+
+// handOver gives all pools of this process to others.
+func (d *Daemon) handOver() {
+	d.stopping.Store(true)
+	d.mu.Lock()
+	owners := make([]*pool.Owner, 0, len(d.owners))
+	for _, o := range d.owners {
+		owners = append(owners, o)
+	}
+	keeper := d.keeper
+	d.mu.Unlock()
+	if keeper != nil {
+		keeper.Stop()
+		d.giveAway(fleetName)
+	}
+	done := make(chan struct{}, len(owners))
+	for _, o := range owners {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), takeTime)
+			defer cancel()
+			o.Flush(ctx)
+			d.giveAway(o.Name())
+			o.Close()
+			done <- struct{}{}
+		}()
+	}
+	for range owners {
+		<-done
+	}
+}
+
+// giveAway asks the best candidates in turn to take a pool and reports whether
+// one did.
+func (d *Daemon) giveAway(name string) bool {
+	now := time.Now()
+	d.mu.Lock()
+	var candidates []candidate
+	peers := map[string]*peer{}
+	for _, p := range d.peers {
+		if !p.alive(now) || !p.ready {
+			continue
+		}
+		c := candidate{p.node, 0}
+		for _, own := range d.owned {
+			if own.Owner.Node == p.node {
+				c.owned++
+			}
+		}
+		candidates = append(candidates, c)
+		peers[p.node] = p
+	}
+	d.mu.Unlock()
+	tries := 0
+	for _, i := range order(name, candidates) {
+		ctx, cancel := context.WithTimeout(context.Background(), takeTime)
+		var taken bool
+		err := peers[candidates[i].node].link.Call(ctx, "Peer.Take", name, &taken)
+		cancel()
+		if err == nil && taken {
+			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
+			return true
+		}
+		if tries++; tries == maxTries {
+			break
+		}
+	}
+	d.log.WithField("pool", name).Warn("nobody took the pool")
+	return false
+}
+
+// maxTries is how many processes are asked in turn to take a pool; where none
+// of so many reaches the store, none does.
+const maxTries = 3
--- /dev/null
+++ b/internal/upkeep/waves.go
@@ -0,0 +1,137 @@
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// pending takes in new waves.
+func (k *Keeper) pending() {
+	for _, w := range k.Waves() {
+		if k.plans[w.Number] == nil {
+			k.open(w)
+		}
+	}
+}
+
+// open reads what an earlier holder knew of a wave; if the store does not answer,
+// the wave is opened later.
+func (k *Keeper) open(w platform.Wave) {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	r, err := k.Store.ReadRow(ctx, tableWave, k.Own.Pool, strconv.Itoa(w.Number))
+	if err != nil {
+		k.log.WithField("wave", w.Number).WithError(err).Info("wave not opened yet")
+		return
+	}
+	p := newWavePlan(w, time.Now())
+	k.plans[w.Number] = p
+	if r.Version == 0 {
+		k.tellStatus(w.Number, false)
+		return
+	}
+	var row waveRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		k.log.WithField("wave", w.Number).WithError(err).Error("stored wave can't be read")
+		return
+	}
+	p.done = row.Complete
+	for _, name := range row.Begun {
+		if hp := p.hosts[name]; hp != nil {
+			hp.begun = true
+		}
+	}
+}
+
+// work carries out what the waves want now.
+func (k *Keeper) work() {
+	policy := DefaultPolicy(k.Bounds.Maintenance)
+	for _, p := range k.plans {
+		if p.done {
+			continue
+		}
+		now := time.Now()
+		actions, complete := p.decide(policy, &k.view, now)
+		actions = slices.DeleteFunc(actions, func(a action) bool {
+			_, leaves := k.leaving[a.host.Name]
+			return leaves
+		})
+		if complete {
+			p.done = k.tellStatus(p.wave.Number, true)
+			continue
+		}
+		var hosts []string
+		actions = slices.DeleteFunc(actions, func(a action) bool {
+			if a.order && k.mayOrder(a.host.Name, now) {
+				hosts = append(hosts, a.host.Name)
+			}
+			return a.order && !k.mayOrder(a.host.Name, now)
+		})
+		allowed := k.authorize(now, hosts)
+		var tasks sync.WaitGroup
+		for _, a := range actions {
+			if !a.order || allowed {
+				tasks.Go(func() { k.carryOut(p, a) })
+			}
+		}
+		tasks.Wait()
+	}
+}
+
+func (k *Keeper) carryOut(p *wavePlan, a action) {
+	ctx, cancel := context.WithTimeout(k.ctx, k.orderTime())
+	defer cancel()
+	hp := p.hosts[a.host.Name]
+	if !a.order {
+		left, err := k.Vacate(ctx, a.host.Pool, a.host.Worker)
+		now := time.Now()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if hp.emptying.IsZero() {
+			hp.emptying = now
+		}
+		if err == nil {
+			hp.left, hp.asked = left, now
+		}
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	hp.ordered = now
+	k.mu.Unlock()
+	metricOrders.Inc()
+	err := k.Machines.Maintain(ctx, k.holder(), a.host.Name, p.wave.Number)
+	k.log.WithFields(logrus.Fields{
+		"wave": p.wave.Number, "host": a.host.Name, "pool": a.host.Pool, "worker": a.host.Worker,
+		"ms": time.Since(now).Milliseconds(),
+	}).WithError(err).Info("maintenance ordered")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		hp.begun, hp.begunAt = true, now
+	case errors.Is(err, platform.ErrWave):
+		hp.begun = true // not of this wave after all
+	}
+}
+
+// tellStatus writes how a wave stands for the operator and reports whether that
+// took effect.
+func (k *Keeper) tellStatus(number int, complete bool) bool {
+	ctx, cancel := context.WithTimeout(k.ctx, callTime)
+	defer cancel()
+	_, _, err := k.Store.Commit(ctx, platform.Transaction{Write: []platform.Row{{
+		Table: platform.TableStatus, Key: platform.PrefixWave + strconv.Itoa(number), Value: platform.EncodeWaveStatus(complete),
+	}}})
+	k.log.WithFields(logrus.Fields{"wave": number, "complete": complete}).WithError(err).Info("wave status written")
+	return err == nil
+}
