--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -120,8 +120,8 @@
 		if w.reserved && !(step.Lasting && !step.Fills) || !claim.Fits(w.free()) || !b.eligible(e, step, t, w, now) {
 			continue
 		}
-		if !step.Lasting && w.health.doubtful(b.policy, now) && (w.batch() > 0 || e.progress.Failures(t) > 0) {
-			continue // one task at a time, and none that failed before
+		if !step.Lasting && w.health.doubtful(b.policy, now) && (w.batch() > 0 || e.progress.Failures(t) > 0 && now.Sub(w.health.last) < b.policy.SickTime) {
+			continue // one task at a time, and for a while none that failed before
 		}
 		cost := b.cost(e, step, t, w)
 		if best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
--- /dev/null
+++ b/internal/place/step_test.go
@@ -0,0 +1,98 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// A task that is lost with its worker goes on from its newest checkpoint.
+func TestCheckpointIsCarried(t *testing.T) {
+	f := newFleet(0, 2)
+	step := batch(1, 1000)
+	step.Checkpoints = true
+	f.add(newJob(1, step))
+	first := f.decide()[0]
+	for _, saved := range []string{"one", "two"} {
+		f.now = f.now.Add(time.Second)
+		f.Listed(first.Worker, []place.Running{{Task: first.Task, Attempt: first.Attempt, Percent: len(saved), Checkpoint: saved}}, nil, f.now, f.now)
+	}
+	f.SetSilent(first.Worker, true)
+	f.Lapse(first.Worker, f.now)
+	again := f.decide()
+	if len(again) != 1 || again[0].Checkpoint != "two" {
+		t.Errorf("started %+v, want the checkpoint two", again)
+	}
+}
+
+// Tasks run where their data is while there is room, and tasks that want one rack
+// stay on it.
+func TestRacks(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		step jobs.Step
+		want map[string]bool // workers; two a rack
+	}{
+		{"data on rack r1", jobs.Step{Count: 4, Size: jobs.Size{Millicores: 2000}, Rack: "r1"}, map[string]bool{key(2): true, key(3): true}},
+		{"one rack", jobs.Step{Count: 4, Size: jobs.Size{Millicores: 2000}, RackLocal: true}, nil},
+	} {
+		f := newFleet(0, 6)
+		f.add(newJob(1, tt.step))
+		racks := map[byte]bool{}
+		for _, s := range f.decide() {
+			if tt.want != nil && !tt.want[s.Worker] {
+				t.Errorf("%s: started on %s, want %v", tt.name, s.Worker, tt.want)
+			}
+			racks[(s.Worker[1]-'0')/2] = true
+		}
+		if len(racks) != 1 {
+			t.Errorf("%s: on %d racks, want 1", tt.name, len(racks))
+		}
+	}
+}
+
+// A gang starts together under one attempt number, fails together as one attempt,
+// and starts together again only when all its members have ended.
+func TestGangEndsAndStartsTogether(t *testing.T) {
+	f := newFleet(0, 3)
+	j := newJob(1, jobs.Step{Count: 2, Size: jobs.Size{Millicores: 3000}, Gang: true})
+	f.add(j)
+	first := f.decide()
+	if len(first) != 2 || first[0].Attempt != first[1].Attempt {
+		t.Fatalf("started %+v, want two under one number", first)
+	}
+	f.end(first[0], jobs.Failed)
+	if more := f.decide(); len(more) != 0 {
+		t.Fatalf("started %v while a member is left", more)
+	}
+	f.end(first[1], jobs.Broken)
+	second := f.decide()
+	if len(second) != 2 || second[0].Attempt != second[1].Attempt || second[0].Attempt <= first[0].Attempt {
+		t.Fatalf("started %+v, want both again under one higher number", second)
+	}
+	f.end(second[0], jobs.Done)
+	f.state(t, j, jobs.Complete)
+}
+
+// Where all workers are doubted, a task that failed before is tried again after a
+// while, also if no other task comes that could prove them.
+func TestTaskThatFailedIsTriedWhereAllAreDoubted(t *testing.T) {
+	f := newFleet(0, 1)
+	for id := byte(1); id <= 3; id++ { // each job fails there once
+		j := newJob(id, batch(1, 4000))
+		j.MaxAttempts = 9
+		f.add(j)
+	}
+	for range 6 {
+		f.now = f.now.Add(10 * time.Second)
+		for _, s := range f.decide() {
+			f.end(s, jobs.Failed)
+		}
+	}
+	f.now = f.now.Add(10 * time.Second)
+	if starts := f.decide(); len(starts) != 1 {
+		t.Errorf("%d starts after 10 s, want a probe", len(starts))
+	}
+}
