What a question returns is read only after its answer

Cause (found by reading): a caller whose patience ended read what the owner's loop might still be writing. Ruled out as harmless by the race detector only because no test's patience ends there.

--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -93,10 +93,14 @@
 			o.queue = append(o.queue, s)
 		}
 	})
-	if v == Refused {
-		after = o.outageRetry()
+	switch v {
+	case Overloaded:
+		return v, after
+	case Refused:
+		return v, o.outageRetry()
+	case Accepted, Unknown, Missing:
 	}
-	return v, after
+	return v, 0
 }
 
 // Bounds of when callers come back during an outage of the store.
@@ -151,6 +155,9 @@
 			reply <- Accepted
 		}
 	})
+	if v != Accepted {
+		return "", v // the loop may still be about to answer
+	}
 	return state, v
 }
 
@@ -165,6 +172,9 @@
 		n = o.board.Pending(queue)
 		reply <- Accepted
 	})
+	if v != Accepted {
+		return 0, v
+	}
 	return n, v
 }
 
@@ -195,6 +205,9 @@
 		}
 		reply <- verdict
 	})
+	if v != Accepted {
+		return 0, v
+	}
 	return left, v
 }
 
@@ -209,6 +222,9 @@
 		l = o.board.Load(time.Now())
 		reply <- Accepted
 	})
+	if v != Accepted {
+		return place.Load{}, v
+	}
 	return l, v
 }
 
@@ -231,6 +247,9 @@
 		}
 		reply <- Accepted
 	})
+	if v != Accepted {
+		return nil, v
+	}
 	return views, v
 }
 
