pool, daemon: log and measure how late an owner's loop is

"pool state" now has late-ms, decisions and deciding-ms of the last second; "worker does not answer" and "peer's liveness changed" have late-ms; two histograms go with them. No decision changes.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -145,6 +146,7 @@
 func (d *Daemon) ping(ctx context.Context, p *peer, status Status) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	began := time.Now()
 	var reply Status
 	err := p.link.Call(ctx, "Peer.Ping", status, &reply)
 	now := time.Now()
@@ -160,7 +162,9 @@
 	isAlive := p.alive(now)
 	d.mu.Unlock()
 	if wasAlive != isAlive {
-		d.log.WithField("peer", p.node).WithField("alive", isAlive).WithError(err).Info("peer's liveness changed")
+		d.log.WithFields(logrus.Fields{
+			"peer": p.node, "alive": isAlive, "late-ms": max(0, now.Sub(began)-pingTimeout).Milliseconds(),
+		}).WithError(err).Info("peer's liveness changed")
 	}
 	if err == nil {
 		d.fetchNewer(ctx, p, reply, status)
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -172,7 +172,8 @@
 				return
 			}
 			a.setUnresponsive(true)
-			a.owner.post(func() { a.owner.holdFailed(a, err) })
+			late := time.Since(requestedAt) - o.Wait - answerTimeout
+			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 			immediate = true
 			sleep(ctx, retryDelay)
 			continue
@@ -201,7 +202,8 @@
 	}
 	a.setUnresponsive(err != nil)
 	if err != nil {
-		a.owner.post(func() { a.owner.holdFailed(a, err) })
+		late := time.Since(requestedAt) - orderTimeout
+		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
 	}
 	a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -41,6 +41,8 @@
 	metricRefused = metrics.NewCounter("papayarudder_start_refusals_total")
 	metricUnknown = metrics.NewCounter("papayarudder_start_unknown_total")
 	metricLapses  = metrics.NewCounter("papayarudder_worker_lapses_total")
+	metricDecide  = metrics.NewHistogram("papayarudder_decision_seconds")
+	metricLate    = metrics.NewHistogram("papayarudder_loop_lateness_seconds")
 )
 
 // Timeouts, periods and limits of an owner's loop.
@@ -146,6 +148,7 @@
 	jobsLoaded     bool                 // the stored jobs are on the board
 	started        bool                 // scheduling has started
 	summarizedAt   time.Time
+	loop           loopStats
 	flushing       bool
 	closed         bool
 	deposed        bool
@@ -299,6 +302,7 @@
 func (o *Owner) dispatch(now time.Time) {
 	if o.started && !o.flushing {
 		orders := o.board.Decide(now)
+		o.loop.recordDecision(time.Since(now))
 		for _, s := range orders.Stops {
 			o.sendOrder(s.Worker, order{stop: &s})
 		}
@@ -342,12 +346,14 @@
 
 // tick does what depends on time alone.
 func (o *Owner) tick(now time.Time) {
+	o.loop.recordTick(now)
 	o.offerHandover(now)
 	if now.Sub(o.summarizedAt) > summaryPeriod {
 		o.summarizedAt = now
 		if s := o.board.Summary(now); s.Jobs > 0 {
-			o.log.WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
+			o.log.WithFields(o.loop.fields()).WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
+		o.loop.reset()
 	}
 	if o.started {
 		o.updateUnseen(now)
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -157,7 +157,9 @@
 	}
 }
 
-func (o *Owner) holdFailed(a *agent, err error) {
+// holdFailed handles a failed call for a worker's lists. late is how long after its
+// timeout the call returned: a timer that fires late shows that this process was held up.
+func (o *Owner) holdFailed(a *agent, err error, late time.Duration) {
 	if errors.Is(err, platform.ErrFenced) {
 		o.depose("a worker has seen a higher token")
 		return
@@ -168,7 +170,8 @@
 	}
 	if !a.silent {
 		a.silent = true
-		o.log.WithField("worker", a.key).WithError(err).Info("worker does not answer")
+		o.log.WithFields(logrus.Fields{"worker": a.key, "late-ms": max(0, late).Milliseconds()}).
+			WithError(err).Info("worker does not answer")
 		o.syncAgent(a)
 	}
 }
