--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -50,6 +50,7 @@
 	estimates        estimates
 	arrivals         arrivals
 	advisedQueues    map[string]bool // queues whose steps need tickets
+	examined         uint64
 }
 
 // NewBoard returns an empty board. Attempts are numbered from base+1.
@@ -60,6 +61,10 @@
 	}
 }
 
+// Examined returns how many jobs, steps, attempts and workers all decisions so far have
+// looked at. It measures their cost independently of the processor.
+func (b *Board) Examined() uint64 { return b.examined }
+
 // SetAdvised sets the queues whose steps need advice (tickets for workers) before
 // they start.
 func (b *Board) SetAdvised(queues map[string]bool) {
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -22,11 +22,13 @@
 func (b *Board) candidates(now time.Time) []candidate {
 	var all []candidate
 	for _, e := range b.jobs {
+		b.examined++
 		if e.progress.Final != "" {
 			continue
 		}
 		factor := b.estimates.factor(e.job.Queue)
 		for key, tasks := range e.waiting {
+			b.examined++
 			if len(tasks) == 0 {
 				continue
 			}
@@ -93,6 +95,7 @@
 func (b *Board) quarantineAllowed(now time.Time) bool {
 	quarantined := 0
 	for _, w := range b.workers {
+		b.examined++
 		if w.health.quarantined(b.policy, now) {
 			quarantined++
 		}
@@ -118,6 +121,7 @@
 	var best *worker
 	var bestCost int64
 	for _, w := range b.workers {
+		b.examined++
 		if w.reserved && !(step.LongRunning && !step.BestEffort) || !claim.Fits(w.free()) || !b.eligible(e, step, t, w, now) {
 			continue
 		}
--- /dev/null
+++ b/internal/place/cost_test.go
@@ -0,0 +1,90 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// busyBoard returns a board whose workers are full, with steps that wait for capacity
+// and ended jobs that callers may still ask for, and the start orders of what runs.
+func busyBoard(workers, waiting, ended int) (*testBoard, []place.StartOrder) {
+	f := newTestBoard(0, workers)
+	number := 0
+	add := func(step jobs.Step) jobs.Job {
+		number++
+		j := newJob(0, step)
+		j.ID = jobs.ID(fmt.Sprintf("%016x", number))
+		f.add(j)
+		return j
+	}
+	for range ended {
+		j := add(batch(1, 1000))
+		f.Cancel(j.ID, f.now)
+		f.Written(j.ID, jobs.Cancelled)
+	}
+	for range workers {
+		add(batch(4, 1000))
+	}
+	running := f.decide()
+	for range waiting {
+		add(batch(2, 1000))
+	}
+	f.decide()
+	return f, running
+}
+
+// Guards against an owner that falls behind because each decision looks at every worker
+// for every waiting step, and at everything that runs or has ended: after one end, a
+// decision looks at each worker and each waiting step a few times at most.
+func TestDecisionCostAfterOneEnd(t *testing.T) {
+	const looks = 4 // at each worker and each waiting step
+	for _, tt := range []struct{ workers, waiting, ended int }{
+		{85, 300, 3000},
+		{8 * 85, 8 * 300, 8 * 3000},
+	} {
+		f, running := busyBoard(tt.workers, tt.waiting, tt.ended)
+		f.endAttempt(running[0], jobs.Done)
+		before := f.Examined()
+		if n := len(f.decide()); n != 1 {
+			t.Fatalf("%d starts in the place of one task, want 1", n)
+		}
+		if have, want := f.Examined()-before, uint64(looks*(tt.workers+tt.waiting)); have > want {
+			t.Errorf("%d workers, %d waiting steps, %d ended jobs: looked at %d, want at most %d",
+				tt.workers, tt.waiting, tt.ended, have, want)
+		}
+	}
+}
+
+// Guards against decisions that cost as much when nothing waits as when everything does.
+func TestDecisionCostWithoutWaitingSteps(t *testing.T) {
+	f, running := busyBoard(8*85, 0, 8*3000)
+	f.endAttempt(running[0], jobs.Done)
+	before := f.Examined()
+	f.decide()
+	if have, want := f.Examined()-before, uint64(2*8*85); have > want {
+		t.Errorf("looked at %d, want at most twice the workers, %d", have, want)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ workers, waiting, ended int }{{85, 300, 3000}, {350, 300, 3000}, {680, 2400, 24000}} {
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
+			f, running := busyBoard(size.workers, size.waiting, size.ended)
+			for b.Loop() {
+				s := running[0]
+				f.endAttempt(s, jobs.Done)
+				f.now = f.now.Add(-9 * time.Millisecond)
+				running = append(running[1:], f.decide()...)
+				if len(running) < size.workers {
+					b.StopTimer()
+					f, running = busyBoard(size.workers, size.waiting, size.ended)
+					b.StartTimer()
+				}
+			}
+		})
+	}
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -29,6 +29,7 @@
 // are done, and long-running tasks whose backoff is over.
 func (b *Board) enqueueReadySteps(now time.Time) {
 	for _, e := range b.jobs {
+		b.examined++
 		if e.progress.Final != "" {
 			continue
 		}
@@ -66,6 +67,7 @@
 func (b *Board) orderStops(o *Orders, now time.Time) {
 	for _, key := range b.workerKeys() {
 		w := b.workers[key]
+		b.examined += 1 + uint64(len(w.attempts))
 		for _, a := range b.attemptsToStop(w) {
 			if a.Phase == Starting {
 				continue // wait for the answer to the start order
@@ -126,10 +128,12 @@
 // worker that can't be reached says nothing about its tasks.
 func (b *Board) stopStalled(now time.Time) {
 	for _, w := range b.workers {
+		b.examined++
 		if w.Silent {
 			continue
 		}
 		for _, a := range w.attempts {
+			b.examined++
 			if a.Phase != Live || a.stopRequested || a.step.LongRunning || a.step.Gang || a.Percent >= 100 {
 				continue
 			}
@@ -147,6 +151,7 @@
 func (b *Board) moveLongRunning(now time.Time) {
 	for _, key := range b.workerKeys() {
 		w := b.workers[key]
+		b.examined++
 		if !w.Draining && !w.Vacate {
 			continue
 		}
@@ -196,6 +201,7 @@
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
 	e := b.jobs[a.Task.Job]
 	for _, w := range b.workers {
+		b.examined++
 		if w.Key != a.Worker && b.eligible(e, a.step, a.Task, w, now) && a.step.Claim().Fits(w.free()) {
 			return true
 		}
@@ -215,6 +221,7 @@
 // placeTasks starts waiting tasks on workers with free capacity.
 func (b *Board) placeTasks(o *Orders, now time.Time) {
 	for _, w := range b.workers {
+		b.examined++
 		w.reserved = false
 	}
 	reservations := 1
@@ -243,6 +250,7 @@
 func (b *Board) largestWorkerMillicores() int {
 	most := 0
 	for _, w := range b.workers {
+		b.examined++
 		most = max(most, w.Size.Millicores)
 	}
 	return most
@@ -253,6 +261,7 @@
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
 	var best *worker
 	for _, w := range b.workers {
+		b.examined++
 		if w.reserved || !step.Claim().Fits(w.Size) || !b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
 			continue
 		}
--- a/internal/place/pace.go
+++ b/internal/place/pace.go
@@ -19,6 +19,7 @@
 func (b *Board) adjustPaces(o *Orders, now time.Time) {
 	for _, key := range b.workerKeys() {
 		w := b.workers[key]
+		b.examined++
 		if w.Silent || now.Sub(w.pacedAt) < minPaceInterval {
 			continue
 		}
--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -29,7 +29,9 @@
 			w.silentSince = now
 		}
 		lost := w.Silent && now.Sub(w.silentSince) >= silentGrace
+		b.examined++
 		for t, a := range w.attempts {
+			b.examined++
 			if !a.step.Speculative || a.hasCopy || a.step.LongRunning || a.step.Gang {
 				continue
 			}
