place: decisions look at what changed and what waits

Cause: Decide looked at every job (final ones too), every attempt and every worker after each list, answer and submission, and at every worker for every waiting step.

Change: pendingWork holds what the next decision has to look at: jobs that changed, steps that wait (kept in the last order, so that sorting them is cheap), workers with stops, new listings, failures or best-effort tasks, and the workers with room, sorted by it. A size that found no worker is remembered for the rest of the decision. CheckPending compares the indexes with a scan of the board in the model with random faults (3,000 orders of events).

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -62,12 +62,12 @@
 // seconds. Expired jobs don't count: they run last.
 func (b *Board) backlog(now time.Time) float64 {
 	work := 0.0
-	for _, e := range b.jobs {
-		if e.progress.Final != "" || e.job.LongRunning() || e.job.Repetitions > 0 {
+	for _, e := range b.pending.unfinished {
+		if e.job.LongRunning() || e.job.Repetitions > 0 {
 			continue
 		}
 		factor := b.estimates.factor(e.job.Queue)
-		criticalPath := time.Duration(factor * float64(slices.Max(e.criticalPaths)))
+		criticalPath := time.Duration(factor * float64(e.longestPath))
 		due := e.job.Due(0)
 		if now.After(due.Add(expiryFactor * e.job.Objective(0, criticalPath).Sub(due))) {
 			continue
--- a/internal/place/advice.go
+++ b/internal/place/advice.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -27,7 +29,7 @@
 	}
 	step := &c.entry.job.Steps[c.key.step]
 	var ids []string
-	for _, key := range b.workerKeys() {
+	for _, key := range slices.Sorted(maps.Keys(b.workers)) {
 		w := b.workers[key]
 		if w.acceptsTasks() && w.hasLabel(step.Label) && step.Claim().Fits(w.Size) && len(ids) < maxAdviceWorkers {
 			ids = append(ids, w.ID)
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,7 +17,8 @@
 	job           jobs.Job
 	progress      *jobs.Progress
 	criticalPaths []time.Duration
-	storedState   jobs.State // last state written to storage
+	longestPath   time.Duration // the longest of criticalPaths
+	storedState   jobs.State    // last state written to storage
 	dirty         bool
 	inherited     bool // its attempts may have been started by an earlier owner
 	finalAt       time.Time
@@ -46,7 +48,11 @@
 	jobs             map[jobs.ID]*jobEntry
 	workers          map[string]*worker
 	dirty            map[jobs.ID]*jobEntry
-	unconfirmedUntil time.Time // attempts of an earlier owner may be running undetected until then
+	pending          pendingWork
+	reserved         []*worker  // by the last decision
+	rejected         rejections // by the present decision
+	trying           bool       // starts may be undone, so that a rejection does not hold
+	unconfirmedUntil time.Time  // attempts of an earlier owner may be running undetected until then
 	estimates        estimates
 	arrivals         arrivals
 	advisedQueues    map[string]bool // queues whose steps need tickets
@@ -57,7 +63,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
 	}
 }
 
@@ -81,8 +87,9 @@
 	// replay sees the same time.
 	j.Submitted = j.Submitted.Add(-time.Duration(j.Submitted.Nanosecond() % int(time.Millisecond)))
 	b.recordAdd(j, p, now)
+	criticalPaths := j.CriticalPaths()
 	e := &jobEntry{
-		job: j, progress: p, criticalPaths: j.CriticalPaths(), storedState: p.State(),
+		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
 		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{},
 		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
 		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*advice{},
@@ -92,6 +99,8 @@
 		e.finalAt = now
 		return
 	}
+	b.pending.unfinished[j.ID] = e
+	b.pending.changedJobs[j.ID] = e
 	if j.Repetitions == 0 && !j.LongRunning() && now.Sub(j.Submitted) < arrivalWindow {
 		work := 0.0
 		for i := range j.Steps {
@@ -123,7 +132,7 @@
 	if work == 0 {
 		return 0
 	}
-	criticalPath := time.Duration(factor * float64(slices.Max(e.criticalPaths)))
+	criticalPath := time.Duration(factor * float64(e.longestPath))
 	left := e.job.Objective(occurrence, criticalPath).Sub(now)
 	return factor * work / max(left, remainingPath, minRemainingTime).Seconds()
 }
@@ -158,8 +167,8 @@
 // Pending returns the number of jobs in a queue of which no task has started.
 func (b *Board) Pending(queue string) int {
 	n := 0
-	for _, e := range b.jobs {
-		if e.job.Queue == queue && !e.progress.Begun && e.progress.Final == "" {
+	for _, e := range b.pending.unfinished {
+		if e.job.Queue == queue && !e.progress.Begun {
 			n++
 		}
 	}
@@ -181,18 +190,31 @@
 func (b *Board) finish(e *jobEntry, s jobs.State, now time.Time) {
 	e.progress.Final = s
 	e.finalAt = now
-	e.waiting, e.backoffs = map[stepKey][]jobs.Task{}, map[jobs.Task]backoff{}
+	for key := range e.waiting {
+		e.emptyWaiting(key)
+	}
+	e.backoffs = map[jobs.Task]backoff{}
+	delete(b.pending.unfinished, e.job.ID)
 	for _, attempts := range e.attempts {
 		for _, a := range attempts {
-			a.stopRequested = true
+			b.requestStop(a)
 		}
 	}
 	b.markDirty(e)
 }
 
+// markDirty records that a job's progress has changed: it is to be stored, and steps of
+// the job may have become ready.
 func (b *Board) markDirty(e *jobEntry) {
 	e.dirty = true
 	b.dirty[e.job.ID] = e
+	b.pending.changedJobs[e.job.ID] = e
+}
+
+// requestStop marks an attempt to be stopped by the next decision.
+func (b *Board) requestStop(a *Attempt) {
+	a.stopRequested = true
+	b.pending.stops[a.Worker] = a.worker
 }
 
 // Dirty returns the jobs with unsaved progress, and whether any of them is final.
@@ -260,18 +282,38 @@
 // SetWorker adds or updates a worker.
 func (b *Board) SetWorker(w Worker) {
 	b.recordStep(Step{Kind: StepWorker, Worker: w})
-	if known := b.workers[w.Key]; known != nil {
-		known.Worker = w
-		return
+	known := b.workers[w.Key]
+	if known == nil {
+		known = &worker{attempts: map[jobs.Task]*Attempt{}}
+		b.workers[w.Key] = known
+	}
+	b.changeWorker(known, func() { known.Worker = w })
+}
+
+// changeWorker changes what is known of a worker.
+func (b *Board) changeWorker(w *worker, change func()) {
+	b.pending.room.remove(w)
+	change()
+	if w.acceptsTasks() {
+		b.pending.room.insert(w)
+	}
+	b.pending.workerChanged(w)
+}
+
+// setUsed changes the resources that the attempts at a worker claim.
+func (b *Board) setUsed(w *worker, used jobs.Resources) {
+	b.pending.room.remove(w)
+	w.used = used
+	if w.acceptsTasks() {
+		b.pending.room.insert(w)
 	}
-	b.workers[w.Key] = &worker{Worker: w, attempts: map[jobs.Task]*Attempt{}}
 }
 
 // SetSilent sets whether a worker has stopped answering.
 func (b *Board) SetSilent(key string, silent bool) {
 	b.recordStep(Step{Kind: StepSilent, Key: key, Flag: silent})
 	if w := b.workers[key]; w != nil {
-		w.Silent = silent
+		b.changeWorker(w, func() { w.Silent = silent })
 	}
 }
 
@@ -280,7 +322,7 @@
 func (b *Board) SetVacate(key string, vacate bool) {
 	b.recordStep(Step{Kind: StepVacate, Key: key, Flag: vacate})
 	if w := b.workers[key]; w != nil {
-		w.Vacate = vacate
+		b.changeWorker(w, func() { w.Vacate = vacate })
 	}
 }
 
@@ -288,7 +330,10 @@
 func (b *Board) RemoveWorker(key string, now time.Time) {
 	b.recordStep(Step{Kind: StepRemoveWorker, Key: key, At: now})
 	b.removeAttempts(key, now)
-	delete(b.workers, key)
+	if w := b.workers[key]; w != nil {
+		b.pending.removeWorker(w)
+		delete(b.workers, key)
+	}
 }
 
 // ExpireLeases records that no attempt ordered at a worker runs any more, because its
@@ -316,14 +361,16 @@
 	if w == nil {
 		return nil
 	}
-	attempts := make([]*Attempt, 0, len(w.attempts))
-	for _, a := range w.attempts {
-		attempts = append(attempts, a)
-	}
-	slices.SortFunc(attempts, func(x, y *Attempt) int { return strings.Compare(x.Task.String(), y.Task.String()) })
+	attempts := slices.Collect(maps.Values(w.attempts))
+	sortAttempts(attempts)
 	return attempts
 }
 
+// sortAttempts sorts attempts by task, so that a replay gives the same orders.
+func sortAttempts(attempts []*Attempt) {
+	slices.SortFunc(attempts, func(x, y *Attempt) int { return strings.Compare(x.Task.String(), y.Task.String()) })
+}
+
 // findAttempt returns the attempt with this task and number at a worker, or nil.
 func (b *Board) findAttempt(key string, t jobs.Task, number int) *Attempt {
 	w := b.workers[key]
@@ -339,20 +386,32 @@
 // addAttempt adds an attempt at a worker and claims its resources.
 func (b *Board) addAttempt(e *jobEntry, w *worker, a *Attempt) {
 	a.step = &e.job.Steps[a.Task.Step]
+	a.worker = w
 	a.Pace = 100
 	w.attempts[a.Task] = a
-	w.used = w.used.Add(a.step.Claim())
+	w.count(a.step, 1)
+	b.setUsed(w, w.used.Add(a.step.Claim()))
+	b.pending.attemptAdded(a)
 	e.attempts[a.Task] = append(e.attempts[a.Task], a)
 	e.lastAttempt[a.Task] = max(e.lastAttempt[a.Task], a.Number)
 }
 
+// detach removes an attempt from its worker and releases its resources.
+func (b *Board) detach(a *Attempt) {
+	w := a.worker
+	if w.attempts[a.Task] == a {
+		delete(w.attempts, a.Task)
+		w.count(a.step, -1)
+		b.setUsed(w, w.used.Sub(a.step.Claim()))
+		b.pending.paceable(w)
+	}
+	delete(b.pending.copyable, a)
+}
+
 // removeAttempt removes an attempt. If it was the last one of an unfinished task,
 // the task is queued again.
 func (b *Board) removeAttempt(a *Attempt, now time.Time) {
-	if w := b.workers[a.Worker]; w != nil && w.attempts[a.Task] == a {
-		delete(w.attempts, a.Task)
-		w.used = w.used.Sub(a.step.Claim())
-	}
+	b.detach(a)
 	e := b.jobs[a.Task.Job]
 	if e == nil {
 		return
@@ -380,9 +439,9 @@
 		return // the last member to end requeues all
 	}
 	if a.step.Gang {
-		e.waiting[key] = nil
+		e.emptyWaiting(key)
 		for i := range a.step.Count {
-			e.waiting[key] = append(e.waiting[key], jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: i})
+			b.wait(e, jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: i})
 		}
 		return
 	}
@@ -394,11 +453,37 @@
 		}
 		r.until = now.Add(r.delay)
 		e.backoffs[a.Task] = r
+		b.pending.changedJobs[e.job.ID] = e
 		if r.delay > 0 {
 			return
 		}
 	}
-	e.enqueue(a.Task) // a copy of it may be queued already
+	b.enqueue(e, a.Task) // a copy of it may be queued already
+}
+
+// emptyWaiting removes the waiting tasks of a step. The step keeps its entry until the
+// next decision.
+func (e *jobEntry) emptyWaiting(key stepKey) {
+	if _, known := e.waiting[key]; known {
+		e.waiting[key] = nil
+	}
+}
+
+// wait adds a task to the waiting ones.
+func (b *Board) wait(e *jobEntry, t jobs.Task) {
+	key := stepKey{t.Occurrence, t.Step}
+	tasks, known := e.waiting[key]
+	if !known {
+		b.pending.steps = append(b.pending.steps, candidate{entry: e, key: key})
+	}
+	e.waiting[key] = append(tasks, t)
+}
+
+// enqueue adds a task to the waiting ones unless it is already there.
+func (b *Board) enqueue(e *jobEntry, t jobs.Task) {
+	if !slices.Contains(e.waiting[stepKey{t.Occurrence, t.Step}], t) {
+		b.wait(e, t)
+	}
 }
 
 func (b *Board) gangHasAttempts(e *jobEntry, key stepKey) bool {
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -18,43 +18,49 @@
 }
 
 // candidates returns all steps with waiting tasks in scheduling order: by class,
-// then by priority, then by latest start.
+// then by priority, then by latest start. The order changes little from one decision to
+// the next, which makes sorting the last one cheap.
 func (b *Board) candidates(now time.Time) []candidate {
-	var all []candidate
-	for _, e := range b.jobs {
+	steps := b.pending.steps[:0]
+	for _, c := range b.pending.steps {
 		b.examined++
-		if e.progress.Final != "" {
+		if len(c.entry.waiting[c.key]) == 0 {
+			delete(c.entry.waiting, c.key)
 			continue
 		}
-		factor := b.estimates.factor(e.job.Queue)
-		for key, tasks := range e.waiting {
-			b.examined++
-			if len(tasks) == 0 {
-				continue
-			}
-			all = append(all, b.candidate(e, key, factor, now))
-		}
+		steps = append(steps, b.candidate(c.entry, c.key, now))
 	}
-	slices.SortFunc(all, func(x, y candidate) int {
-		return cmp.Or(
-			cmp.Compare(x.class, y.class),
-			cmp.Compare(x.entry.job.Priority, y.entry.job.Priority),
-			x.latestStart.Compare(y.latestStart),
-			strings.Compare(string(x.entry.job.ID), string(y.entry.job.ID)),
-			cmp.Compare(x.key.occurrence, y.key.occurrence),
-			cmp.Compare(x.key.step, y.key.step),
-		)
-	})
-	return all
+	clear(b.pending.steps[len(steps):])
+	b.pending.steps = steps
+	slices.SortFunc(steps, compareCandidates)
+	return steps
+}
+
+func compareCandidates(x, y candidate) int {
+	if x.class != y.class {
+		return cmp.Compare(x.class, y.class)
+	}
+	if x.entry.job.Priority != y.entry.job.Priority {
+		return cmp.Compare(x.entry.job.Priority, y.entry.job.Priority)
+	}
+	if order := x.latestStart.Compare(y.latestStart); order != 0 {
+		return order
+	}
+	return cmp.Or(
+		strings.Compare(string(x.entry.job.ID), string(y.entry.job.ID)),
+		cmp.Compare(x.key.occurrence, y.key.occurrence),
+		cmp.Compare(x.key.step, y.key.step),
+	)
 }
 
 // expiryFactor is the multiple of its objective after which a job's result is
 // worthless to its caller.
 const expiryFactor = 3
 
-func (b *Board) candidate(e *jobEntry, key stepKey, factor float64, now time.Time) candidate {
+func (b *Board) candidate(e *jobEntry, key stepKey, now time.Time) candidate {
 	step := &e.job.Steps[key.step]
-	criticalPath := slices.Max(e.criticalPaths)
+	factor := b.estimates.factor(e.job.Queue)
+	criticalPath := e.longestPath
 	scaled := func(d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
 	c := candidate{entry: e, key: key, class: classOnTime}
 	c.latestStart = e.job.Objective(key.occurrence, scaled(criticalPath)).Add(-scaled(e.criticalPaths[key.step]))
@@ -94,7 +100,7 @@
 // quarantined. With more, the cause is probably not the workers.
 func (b *Board) quarantineAllowed(now time.Time) bool {
 	quarantined := 0
-	for _, w := range b.workers {
+	for _, w := range b.pending.failing {
 		b.examined++
 		if w.health.quarantined(b.policy, now) {
 			quarantined++
@@ -118,24 +124,51 @@
 // none fits.
 func (b *Board) chooseWorker(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
 	claim := step.Claim()
+	if !step.LongRunning && b.rejected.covers(claim) {
+		return nil
+	}
+	tightest := !step.LongRunning && step.Rack == "" && !step.RackLocal // the first that fits costs least
 	var best *worker
 	var bestCost int64
-	for _, w := range b.workers {
+	for _, w := range b.pending.room.atLeast(claim.Millicores) {
 		b.examined++
-		if w.reserved && !(step.LongRunning && !step.BestEffort) || !claim.Fits(w.free()) || !b.eligible(e, step, t, w, now) {
+		if !claim.Fits(w.free()) || !b.accepts(e, step, t, w, now) {
 			continue
 		}
-		if !step.LongRunning && w.health.onProbation(b.policy, now) && (w.batchAttempts() > 0 || e.progress.Failures(t) > 0 && now.Sub(w.health.lastFailure) < b.policy.QuarantineTime) {
-			continue // on probation: one batch task at a time, and at first none that failed before
+		if tightest {
+			return w
 		}
 		cost := b.placementCost(e, step, t, w)
 		if best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
 			best, bestCost = w, cost
 		}
 	}
+	if best == nil && b.rejectsAll(e, step, t) {
+		b.rejected.add(claim)
+	}
 	return best
 }
 
+// accepts reports whether a worker may run a task of a step now, regardless of its free
+// capacity.
+func (b *Board) accepts(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
+	if w.reserved && !(step.LongRunning && !step.BestEffort) || !b.eligible(e, step, t, w, now) {
+		return false
+	}
+	if step.LongRunning || !w.health.onProbation(b.policy, now) {
+		return true
+	}
+	// On probation: one batch task at a time, and at first none that failed before.
+	return w.batchAttempts() == 0 && (e.progress.Failures(t) == 0 || now.Sub(w.health.lastFailure) >= b.policy.QuarantineTime)
+}
+
+// rejectsAll reports whether a task for which no worker was found is one that any worker
+// might have run, so that larger tasks find none either.
+func (b *Board) rejectsAll(e *jobEntry, step *jobs.Step, t jobs.Task) bool {
+	return !b.trying && !step.LongRunning && step.Label == "" && step.MaxPerWorker == 0 && !b.advisedQueues[e.job.Queue] &&
+		e.progress.Failures(t) == 0 && len(e.attempts[t]) == 0
+}
+
 // placementCost returns the cost of running a task on a worker. Batch tasks are
 // packed tightly, long-running tasks are spread over workers and racks.
 func (b *Board) placementCost(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker) int64 {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -15,7 +15,7 @@
 	b.enqueueReadySteps(now)
 	b.moveLongRunning(now)
 	b.stopStalled(now)
-	b.orderStops(&o, now)
+	b.orderStops(&o)
 	b.speculate(now)
 	b.placeTasks(&o, now)
 	b.adjustPaces(&o, now)
@@ -28,48 +28,57 @@
 // enqueueReadySteps queues the tasks of steps that are due and whose dependencies
 // are done, and long-running tasks whose backoff is over.
 func (b *Board) enqueueReadySteps(now time.Time) {
-	for _, e := range b.jobs {
+	for id, e := range b.pending.changedJobs {
 		b.examined++
 		if e.progress.Final != "" {
+			delete(b.pending.changedJobs, id)
 			continue
 		}
 		for _, t := range sortedTasks(e.backoffs) {
 			r := e.backoffs[t]
 			if r.delay > 0 && !r.until.After(now) && len(e.attempts[t]) == 0 {
-				key := stepKey{t.Occurrence, t.Step}
-				if !slices.Contains(e.waiting[key], t) {
-					e.waiting[key] = append(e.waiting[key], t)
-				}
+				b.enqueue(e, t)
 			}
 		}
-		for k := range e.job.Occurrences() {
-			if e.job.Repetitions > 0 && e.job.Due(k).After(now) {
-				break
+		if due := b.enqueueDueOccurrences(e, now); due && len(e.backoffs) == 0 {
+			delete(b.pending.changedJobs, id)
+		}
+	}
+}
+
+// enqueueDueOccurrences queues the tasks of a job's steps that have become ready. It
+// reports whether all occurrences of the job were due.
+func (b *Board) enqueueDueOccurrences(e *jobEntry, now time.Time) bool {
+	for k := range e.job.Occurrences() {
+		if e.job.Repetitions > 0 && e.job.Due(k).After(now) {
+			return false
+		}
+		for i, s := range e.job.Steps {
+			key := stepKey{k, i}
+			if e.enqueuedSteps[key] || e.progress.StepDone(k, i) || !e.progress.Ready(k, i) {
+				continue
 			}
-			for i, s := range e.job.Steps {
-				key := stepKey{k, i}
-				if e.enqueuedSteps[key] || e.progress.StepDone(k, i) || !e.progress.Ready(k, i) {
-					continue
-				}
-				e.enqueuedSteps[key] = true
-				for index := range s.Count {
-					t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
-					if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
-						e.waiting[key] = append(e.waiting[key], t)
-					}
+			e.enqueuedSteps[key] = true
+			for index := range s.Count {
+				t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
+				if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
+					b.wait(e, t)
 				}
 			}
 		}
 	}
+	return true
 }
 
 // orderStops adds the stop orders that are due.
-func (b *Board) orderStops(o *Orders, now time.Time) {
-	for _, key := range b.workerKeys() {
-		w := b.workers[key]
+func (b *Board) orderStops(o *Orders) {
+	for _, key := range slices.Sorted(maps.Keys(b.pending.stops)) {
+		w := b.pending.stops[key]
 		b.examined += 1 + uint64(len(w.attempts))
+		left := false
 		for _, a := range b.attemptsToStop(w) {
 			if a.Phase == Starting {
+				left = true
 				continue // wait for the answer to the start order
 			}
 			if a.Phase != Unconfirmed {
@@ -78,11 +87,15 @@
 			a.stopRequested = false
 			o.Stops = append(o.Stops, StopOrder{Worker: w.Key, Task: a.Task, Attempt: a.Number, Cause: a.stopCause(), Unconfirmed: a.Phase == Unconfirmed})
 		}
+		if !left {
+			delete(b.pending.stops, key)
+		}
+		b.pending.paceable(w)
 	}
 }
 
-// attemptsToStop returns the attempts at a worker that are due to be stopped, sorted
-// by task so that a replay gives the same orders.
+// attemptsToStop returns the attempts at a worker that are due to be stopped, sorted by
+// task.
 func (b *Board) attemptsToStop(w *worker) []*Attempt {
 	var attempts []*Attempt
 	for _, a := range w.attempts {
@@ -90,7 +103,7 @@
 			attempts = append(attempts, a)
 		}
 	}
-	slices.SortFunc(attempts, func(x, y *Attempt) int { return strings.Compare(x.Task.String(), y.Task.String()) })
+	sortAttempts(attempts)
 	return attempts
 }
 
@@ -101,15 +114,6 @@
 	return slices.SortedFunc(maps.Keys(backoffs), func(x, y jobs.Task) int { return strings.Compare(x.String(), y.String()) })
 }
 
-func (b *Board) workerKeys() []string {
-	keys := make([]string, 0, len(b.workers))
-	for key := range b.workers {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // stopCause returns the reason for a stop, which is logged and recorded.
 func (a *Attempt) stopCause() string {
 	switch {
@@ -127,8 +131,9 @@
 // from one listing to a later one. Time since the last listing does not count: a
 // worker that can't be reached says nothing about its tasks.
 func (b *Board) stopStalled(now time.Time) {
-	for _, w := range b.workers {
+	for key, w := range b.pending.listed {
 		b.examined++
+		delete(b.pending.listed, key)
 		if w.Silent {
 			continue
 		}
@@ -139,8 +144,9 @@
 			}
 			limit := max(b.policy.StallTime, a.step.Estimate/4)
 			if w.listedAt.Sub(a.PercentChangedAt) > limit {
-				a.stopRequested, a.reschedule, a.stalled = true, true, true
-				w.health.recordFailure(now)
+				b.requestStop(a)
+				a.reschedule, a.stalled = true, true
+				b.recordFailureOn(w, now)
 			}
 		}
 	}
@@ -149,10 +155,10 @@
 // moveLongRunning stops and reschedules long-running tasks on workers that drain or
 // are to be vacated, as far as MaxUnavailable permits.
 func (b *Board) moveLongRunning(now time.Time) {
-	for _, key := range b.workerKeys() {
-		w := b.workers[key]
+	for _, key := range slices.Sorted(maps.Keys(b.pending.leaving)) {
+		w := b.pending.leaving[key]
 		b.examined++
-		if !w.Draining && !w.Vacate {
+		if w.lasting == 0 {
 			continue
 		}
 		for _, a := range b.Attempts(key) {
@@ -160,7 +166,8 @@
 				continue
 			}
 			if b.mayStop(a, now) && b.fitsElsewhere(a, now) {
-				a.stopRequested, a.reschedule = true, true
+				b.requestStop(a)
+				a.reschedule = true
 			}
 		}
 	}
@@ -200,9 +207,10 @@
 
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
 	e := b.jobs[a.Task.Job]
-	for _, w := range b.workers {
+	claim := a.step.Claim()
+	for _, w := range b.pending.room.atLeast(claim.Millicores) {
 		b.examined++
-		if w.Key != a.Worker && b.eligible(e, a.step, a.Task, w, now) && a.step.Claim().Fits(w.free()) {
+		if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
 			return true
 		}
 	}
@@ -220,12 +228,17 @@
 
 // placeTasks starts waiting tasks on workers with free capacity.
 func (b *Board) placeTasks(o *Orders, now time.Time) {
-	for _, w := range b.workers {
-		b.examined++
+	for _, w := range b.reserved {
 		w.reserved = false
 	}
+	b.reserved, b.rejected = nil, rejections{}
+	candidates := b.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	largest := b.largestWorkerMillicores()
 	reservations := 1
-	for _, c := range b.candidates(now) {
+	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
 		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c, now) {
 			continue
@@ -238,7 +251,7 @@
 		if left == 0 {
 			continue
 		}
-		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(b.largestWorkerMillicores())
+		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(largest)
 		if step.LongRunning && !step.BestEffort || large && reservations > 0 && c.class == classOnTime {
 			b.reserveWorker(c, step, now)
 			reservations--
@@ -271,6 +284,7 @@
 	}
 	if best != nil {
 		best.reserved = true
+		b.reserved = append(b.reserved, best)
 	}
 }
 
@@ -279,21 +293,20 @@
 	e := c.entry
 	step := &e.job.Steps[c.key.step]
 	tasks := e.waiting[c.key]
-	var left []jobs.Task
-	for i, t := range tasks {
+	for len(tasks) > 0 {
 		if b.unconfirmed(e, now) && !step.Speculative {
-			left = append(left, tasks[i:]...)
 			break
 		}
+		t := tasks[0]
 		w := b.chooseWorker(e, step, t, now)
 		if w == nil {
-			left = append(left, tasks[i:]...)
 			break
 		}
 		b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
+		tasks = tasks[1:]
 	}
-	e.waiting[c.key] = left
-	return len(left)
+	e.waiting[c.key] = tasks
+	return len(tasks)
 }
 
 // unconfirmed reports whether tasks of a job may be running undetected on a worker
@@ -332,6 +345,8 @@
 	for _, t := range tasks {
 		number = max(number, e.lastAttempt[t])
 	}
+	b.trying = true
+	defer func() { b.trying = false }()
 	var trial Orders
 	for _, t := range tasks {
 		w := b.chooseWorker(e, step, t, now)
@@ -350,9 +365,7 @@
 // undoStart removes an attempt whose start order was never sent.
 func (b *Board) undoStart(e *jobEntry, s StartOrder) {
 	w := b.workers[s.Worker]
-	a := w.attempts[s.Task]
-	delete(w.attempts, s.Task)
-	w.used = w.used.Sub(a.step.Claim())
+	b.detach(w.attempts[s.Task])
 	delete(e.attempts, s.Task)
 	e.lastAttempt[s.Task] = s.Attempt - 1
 }
--- /dev/null
+++ b/internal/place/export_test.go
@@ -0,0 +1,55 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+)
+
+// CheckPending returns an error if the index of pending work lacks something that a scan
+// of the whole board finds.
+func (b *Board) CheckPending() error {
+	p := &b.pending
+	for key, w := range b.workers {
+		lasting, filling := 0, 0
+		for _, a := range w.attempts {
+			if a.step.LongRunning {
+				lasting++
+			}
+			if a.step.BestEffort {
+				filling++
+			}
+			if a.stopRequested && p.stops[key] != w {
+				return fmt.Errorf("%s on %s: its stop is not pending", a.Task, key)
+			}
+		}
+		if lasting != w.lasting || filling != w.filling {
+			return fmt.Errorf("%s counts %d lasting and %d filling tasks, has %d and %d", key, w.lasting, w.filling, lasting, filling)
+		}
+		if slices.Contains(p.room.workers, w) != w.acceptsTasks() {
+			return fmt.Errorf("%s accepts tasks: %v, which the index of room contradicts", key, w.acceptsTasks())
+		}
+		if (w.Draining || w.Vacate) && p.leaving[key] != w || w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
+			return fmt.Errorf("%s is missing from a set: %+v, %d failures", key, w.Worker, w.health.failures)
+		}
+	}
+	if !slices.IsSortedFunc(p.room.workers, compareRoom) {
+		return fmt.Errorf("the index of room is out of order")
+	}
+	for id, e := range b.jobs {
+		if (e.progress.Final == "") != (p.unfinished[id] == e) {
+			return fmt.Errorf("%s is %q, which the set of unfinished jobs contradicts", id, e.progress.Final)
+		}
+		for key, tasks := range e.waiting {
+			n := 0
+			for _, c := range p.steps {
+				if c.entry == e && c.key == key {
+					n++
+				}
+			}
+			if n != 1 {
+				return fmt.Errorf("%s %v with %d waiting tasks stands %d times among the waiting steps", id, key, len(tasks), n)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -31,6 +31,7 @@
 		return
 	}
 	a.Phase, a.ConfirmedAt, a.PercentChangedAt = Live, now, now
+	b.pending.paceable(a.worker)
 	b.markBegun(t)
 }
 
@@ -62,7 +63,8 @@
 func (b *Board) StartUnanswered(key string, t jobs.Task, attempt int) {
 	b.recordStep(Step{Kind: StepStartUnanswered, Key: key, Task: t, Attempt: attempt})
 	if a := b.findAttempt(key, t, attempt); a != nil && a.Phase == Starting {
-		a.Phase, a.stopRequested, a.reschedule = Unconfirmed, true, true
+		a.Phase, a.reschedule = Unconfirmed, true
+		b.requestStop(a)
 	}
 }
 
@@ -85,9 +87,10 @@
 	if a == nil || !a.StopAckedAt.IsZero() {
 		return
 	}
-	a.stopRequested = true
+	b.requestStop(a)
 	if a.Phase == Stopping {
 		a.Phase = Live
+		b.pending.paceable(a.worker)
 	}
 }
 
@@ -109,6 +112,8 @@
 	if asked.After(w.listedAt) {
 		w.listedAt = asked
 	}
+	b.pending.listed[key] = w
+	b.pending.paceable(w)
 	for _, e := range ended {
 		b.applyEnd(w, e, now)
 	}
@@ -120,14 +125,19 @@
 			unexpected = append(unexpected, StopOrder{Worker: key, Task: r.Task, Attempt: r.Attempt, Cause: "not wanted here"})
 		}
 	}
-	for _, a := range b.Attempts(key) {
+	var gone []*Attempt
+	for _, a := range w.attempts {
 		if number, ok := listed[a.Task]; ok && number == a.Number {
 			continue
 		}
 		if b.hasEnded(a, asked) {
-			b.removeAttempt(a, now)
+			gone = append(gone, a)
 		}
 	}
+	sortAttempts(gone)
+	for _, a := range gone {
+		b.removeAttempt(a, now)
+	}
 	return unexpected
 }
 
@@ -264,11 +274,11 @@
 	case r.Outcome == jobs.Done && !step.LongRunning:
 		e.progress.MarkDone(r.Task)
 		e.dequeue(r.Task)
-		for _, o := range e.attempts[r.Task] {
-			o.stopRequested = true // copies
+		for _, o := range e.attempts[r.Task] { // copies
+			b.requestStop(o)
 		}
 		if step.Gang {
-			e.waiting[stepKey{r.Task.Occurrence, r.Task.Step}] = nil
+			e.emptyWaiting(stepKey{r.Task.Occurrence, r.Task.Step})
 		}
 		if e.progress.AllDone() {
 			b.finish(e, jobs.Complete, now)
@@ -280,6 +290,7 @@
 
 func (b *Board) recordSuccess(e *jobEntry, w *worker, a *Attempt, now time.Time) {
 	w.health.recordSuccess()
+	delete(b.pending.failing, w.Key)
 	if a.step.LongRunning || e.progress.Final != "" {
 		return
 	}
@@ -290,7 +301,9 @@
 	if a.step.Speculative {
 		e.dequeue(a.Task)
 		for _, o := range e.attempts[a.Task] {
-			o.stopRequested = o.stopRequested || o != a
+			if o != a {
+				b.requestStop(o)
+			}
 		}
 	}
 	if e.progress.AllDone() {
@@ -305,10 +318,16 @@
 		e.firstFailedOn = w.Key
 	}
 	if e.firstFailedOn == w.Key {
-		w.health.recordFailure(now)
+		b.recordFailureOn(w, now)
 	}
 }
 
+// recordFailureOn counts a failure against a worker.
+func (b *Board) recordFailureOn(w *worker, now time.Time) {
+	w.health.recordFailure(now)
+	b.pending.failing[w.Key] = w
+}
+
 func (b *Board) recordTaskFailure(e *jobEntry, w *worker, a *Attempt, now time.Time) {
 	if !a.step.LongRunning {
 		b.recordWorkerFailure(e, w, now)
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -41,7 +41,7 @@
 			w.idleSince = now
 		}
 		load := WorkerLoad{
-			ID: w.ID, Tasks: len(w.attempts), Lasting: len(w.attempts) - w.batchAttempts(),
+			ID: w.ID, Tasks: len(w.attempts), Lasting: w.lasting,
 			Used: w.used.Millicores, Open: w.acceptsTasks(),
 		}
 		if load.Tasks == 0 {
@@ -57,10 +57,7 @@
 	}
 	l.Rate = int(b.arrivals.at(now))
 	slices.SortFunc(l.Workers, func(x, y WorkerLoad) int { return strings.Compare(x.ID, y.ID) })
-	for _, e := range b.jobs {
-		if e.progress.Final != "" {
-			continue
-		}
+	for _, e := range b.pending.unfinished {
 		if e.job.Repetitions == 0 {
 			l.Density += int(e.requiredMillicores(0, b.estimates.factor(e.job.Queue), now))
 		}
--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -160,7 +160,9 @@
 			o.ExpireLeases(k, w.now)
 		}
 	}
+	w.checkPending()
 	orders := o.Decide(w.now)
+	w.checkPending()
 	for _, s := range orders.Starts {
 		if w.doneAcked[s.Task] {
 			w.t.Fatalf("%s attempt %d ordered after it was done", s.Task, s.Attempt)
@@ -178,6 +180,13 @@
 	}
 }
 
+// checkPending fails if the owner's board has lost track of what it must look at.
+func (w *simulation) checkPending() {
+	if err := w.owner.CheckPending(); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // deliver applies a message at its worker; the answer may be lost.
 func (w *simulation) deliver(n int, answered bool) {
 	m := w.messages[n]
--- a/internal/place/pace.go
+++ b/internal/place/pace.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Best-effort tasks use the processor time that latency-sensitive tasks leave, but
 // slow them down. Their pace drops quickly when the response time of a
@@ -17,10 +21,14 @@
 // adjustPaces sets the pace of best-effort tasks by the tail latency of the
 // latency-sensitive tasks on the same worker.
 func (b *Board) adjustPaces(o *Orders, now time.Time) {
-	for _, key := range b.workerKeys() {
-		w := b.workers[key]
-		b.examined++
-		if w.Silent || now.Sub(w.pacedAt) < minPaceInterval {
+	for _, key := range slices.Sorted(maps.Keys(b.pending.paced)) {
+		w := b.pending.paced[key]
+		b.examined += 1 + uint64(len(w.attempts))
+		if !w.Silent && now.Sub(w.pacedAt) < minPaceInterval {
+			continue
+		}
+		delete(b.pending.paced, key)
+		if w.Silent {
 			continue
 		}
 		ratio, latencySensitive, bestEffort := w.latencyRatio()
@@ -37,6 +45,7 @@
 			}
 			a.Pace = pace
 			w.pacedAt = now
+			b.pending.paceable(w)
 			o.Paces = append(o.Paces, PaceOrder{w.Key, a.Task, a.Number, pace})
 		}
 	}
--- /dev/null
+++ b/internal/place/pending.go
@@ -0,0 +1,64 @@
+package place
+
+import "github.com/papayarudder/papayarudder/internal/jobs"
+
+// pendingWork indexes what the next decision has to look at, so that its cost follows
+// what changed and what waits, not the size of the pool. A set may hold more than needs a
+// look; a decision removes what does not.
+type pendingWork struct {
+	unfinished  map[jobs.ID]*jobEntry // jobs that are not final
+	changedJobs map[jobs.ID]*jobEntry // jobs whose steps may have become ready
+	steps       []candidate           // steps with an entry in jobEntry.waiting, in the order of the last decision
+	stops       map[string]*worker    // workers with attempts to stop
+	listed      map[string]*worker    // workers with a new listing, whose tasks may have stalled
+	leaving     map[string]*worker    // workers that drain or are to be vacated
+	silent      map[string]*worker    // workers that do not answer, or did not until now
+	paced       map[string]*worker    // workers with best-effort tasks whose pace may change
+	failing     map[string]*worker    // workers with failures
+	copyable    map[*Attempt]struct{} // attempts of which a copy may be started
+	room        roomIndex
+}
+
+func newPendingWork() pendingWork {
+	return pendingWork{
+		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
+		stops: map[string]*worker{}, listed: map[string]*worker{}, leaving: map[string]*worker{}, silent: map[string]*worker{},
+		paced: map[string]*worker{}, failing: map[string]*worker{}, copyable: map[*Attempt]struct{}{},
+	}
+}
+
+// workerChanged records a change of what is known of a worker.
+func (p *pendingWork) workerChanged(w *worker) {
+	if w.Draining || w.Vacate {
+		p.leaving[w.Key] = w
+	} else {
+		delete(p.leaving, w.Key)
+	}
+	if w.Silent {
+		p.silent[w.Key] = w
+		return
+	}
+	p.listed[w.Key] = w
+	p.paceable(w)
+}
+
+// paceable records that the pace of a worker's best-effort tasks may have to change.
+func (p *pendingWork) paceable(w *worker) {
+	if w.filling > 0 {
+		p.paced[w.Key] = w
+	}
+}
+
+func (p *pendingWork) attemptAdded(a *Attempt) {
+	if a.step.Speculative && !a.step.LongRunning && !a.step.Gang {
+		p.copyable[a] = struct{}{}
+	}
+	p.paceable(a.worker)
+}
+
+func (p *pendingWork) removeWorker(w *worker) {
+	p.room.remove(w)
+	for _, workers := range []map[string]*worker{p.stops, p.listed, p.leaving, p.silent, p.paced, p.failing} {
+		delete(workers, w.Key)
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -87,10 +87,10 @@
 	Checkpoint       string
 
 	step          *jobs.Step
+	worker        *worker
 	stopRequested bool // a stop order is due
 	reschedule    bool // its task may be queued again without a backoff
 	stalled       bool // stopped because its percentage did not change
-	hasCopy       bool // a second copy of its task was queued
 }
 
 // Worker is one lifetime of a host that runs tasks.
@@ -111,6 +111,8 @@
 	Worker
 	used     jobs.Resources
 	attempts map[jobs.Task]*Attempt
+	lasting  int // attempts of long-running tasks
+	filling  int // attempts of best-effort tasks
 	health   health
 	reserved bool // by the current decision, for a task that does not fit yet
 
@@ -124,14 +126,16 @@
 func (w *worker) free() jobs.Resources { return w.Size.Sub(w.used) }
 
 // batchAttempts returns the number of attempts of batch tasks.
-func (w *worker) batchAttempts() int {
-	n := 0
-	for _, a := range w.attempts {
-		if !a.step.LongRunning {
-			n++
-		}
+func (w *worker) batchAttempts() int { return len(w.attempts) - w.lasting }
+
+// count adds n to the numbers of attempts of a step's kind.
+func (w *worker) count(s *jobs.Step, n int) {
+	if s.LongRunning {
+		w.lasting += n
+	}
+	if s.BestEffort {
+		w.filling += n
 	}
-	return n
 }
 
 // acceptsTasks reports whether the worker may get new tasks.
--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // Speculative execution starts a second copy of a task, where its step allows this,
@@ -21,55 +19,42 @@
 
 // speculate queues a second copy of each task that needs one.
 func (b *Board) speculate(now time.Time) {
-	var toCopy []*Attempt
-	for _, w := range b.workers {
+	for key, w := range b.pending.silent {
+		b.examined++
 		if !w.Silent {
 			w.silentSince = time.Time{}
+			delete(b.pending.silent, key)
 		} else if w.silentSince.IsZero() {
 			w.silentSince = now
 		}
-		lost := w.Silent && now.Sub(w.silentSince) >= silentGrace
+	}
+	var toCopy []*Attempt
+	for a := range b.pending.copyable {
 		b.examined++
-		for t, a := range w.attempts {
-			b.examined++
-			if !a.step.Speculative || a.hasCopy || a.step.LongRunning || a.step.Gang {
-				continue
-			}
-			e := b.jobs[t.Job]
-			if e == nil || e.progress.Final != "" || e.progress.Done(t) || len(e.attempts[t]) >= maxParallelAttempts {
-				continue
-			}
-			if lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now) {
-				toCopy = append(toCopy, a)
-			}
+		e := b.jobs[a.Task.Job]
+		if e == nil || e.progress.Final != "" || e.progress.Done(a.Task) || len(e.attempts[a.Task]) >= maxParallelAttempts {
+			continue
+		}
+		lost := a.worker.Silent && now.Sub(a.worker.silentSince) >= silentGrace
+		if lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now) {
+			toCopy = append(toCopy, a)
 		}
 	}
 	slices.SortFunc(toCopy, func(x, y *Attempt) int {
 		return cmp.Or(strings.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.Number, y.Number))
 	})
 	for _, a := range toCopy {
-		a.hasCopy = true
-		b.jobs[a.Task.Job].enqueue(a.Task)
+		delete(b.pending.copyable, a)
+		b.enqueue(b.jobs[a.Task.Job], a.Task)
 	}
 }
 
 // isStraggler reports whether an attempt runs far longer than expected. It is false
 // while other tasks of the step wait, so that copies use only idle capacity.
 func (b *Board) isStraggler(e *jobEntry, a *Attempt, now time.Time) bool {
-	if a.Phase != Live || a.ConfirmedAt.IsZero() || a.step.Estimate == 0 || len(e.waiting[stepKey{a.Task.Occurrence, a.Task.Step}]) > 0 {
+	if a.Phase != Live || a.ConfirmedAt.IsZero() || a.step.Estimate == 0 || float64(a.Percent) >= 100/stragglerFactor*2 {
 		return false
 	}
 	expected := b.estimates.factor(e.job.Queue) * float64(a.step.Estimate)
-	return float64(now.Sub(a.ConfirmedAt)) > stragglerFactor*expected && float64(a.Percent) < 100/stragglerFactor*2
-}
-
-// enqueue adds a task to the waiting ones unless it is already there.
-func (e *jobEntry) enqueue(t jobs.Task) {
-	key := stepKey{t.Occurrence, t.Step}
-	for _, o := range e.waiting[key] {
-		if o == t {
-			return
-		}
-	}
-	e.waiting[key] = append(e.waiting[key], t)
+	return float64(now.Sub(a.ConfirmedAt)) > stragglerFactor*expected && len(e.waiting[stepKey{a.Task.Occurrence, a.Task.Step}]) == 0
 }
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -95,10 +95,7 @@
 			s.Used += w.used.Millicores
 		}
 	}
-	for _, e := range b.jobs {
-		if e.progress.Final != "" {
-			continue
-		}
+	for _, e := range b.pending.unfinished {
 		s.Jobs++
 		for key, tasks := range e.waiting {
 			s.Waiting += len(tasks)
