pool: an owner's loop stores and decides while events keep coming

Cause: drainPosts ran up to 4,096 queued functions before it ticked, decided or stored anything, and more came meanwhile. Ends that are not stored are not acknowledged, and a worker with ends that are not acknowledged answers every hold at once, with all of them: at 150 workers some 1,200 lists a second. So once the owner was late the queue never got empty, whatever came anew.

Change: one pass runs what is queued at its start, for 20 ms at most, and a loop whose context has ended stops.

--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -54,6 +54,7 @@
 	summaryPeriod    = time.Second             // between log lines with the pool's state
 	attemptsPerOwner = 1000                    // attempt numbers reserved for each owner
 	postQueueSize    = 4096                    // functions queued for the loop
+	drainTimeout     = 20 * time.Millisecond   // for queued functions between two scheduling steps
 	retiredEntryTime = 6 * time.Second         // the platform removes the entry of an ended worker after three heartbeats, 4.5 s
 )
 
@@ -255,23 +256,23 @@
 		case <-ticker.C:
 			o.tick(time.Now())
 		}
-		o.drainPosts()
-		if o.deposed {
+		o.drainPosts(time.Now())
+		if o.deposed || o.ctx.Err() != nil {
 			return
 		}
 		o.dispatch(time.Now())
 	}
 }
 
-// drainPosts runs all queued functions, so that one scheduling step covers them.
-func (o *Owner) drainPosts() {
-	for range postQueueSize {
-		select {
-		case f := <-o.posts:
-			f()
-		default:
+// drainPosts runs the functions that are queued now, so that one scheduling step covers
+// them. It stops after drainTimeout: what is handled must become durable and be
+// acknowledged, or workers report it again and keep the queue full.
+func (o *Owner) drainPosts(now time.Time) {
+	for range len(o.posts) {
+		if time.Since(now) > drainTimeout {
 			return
 		}
+		(<-o.posts)()
 	}
 }
 
--- /dev/null
+++ b/internal/pool/owner_test.go
@@ -0,0 +1,86 @@
+package pool
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/platform"
+	"github.com/papayarudder/papayarudder/platform/mimic"
+)
+
+// newOwner returns an owner of a pool with one worker, to be run by the test, and the
+// worker's entry.
+func newOwner(t *testing.T) (*Owner, platform.WorkerEntry) {
+	t.Helper()
+	p, err := mimic.New(mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	settings, err := platform.ParseSettings(p.Settings("entry-1", netip.MustParseAddr("127.0.0.1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.NewStore(settings.Store)
+	self := Identity{Node: "entry-1", Life: "1"}
+	own, err := Claim(t.Context(), store, self, Ownership{Pool: "p1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, _, err := store.ReadAll(t.Context(), platform.TableWorkers, "")
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("%d workers, %v", len(rows), err)
+	}
+	entry, err := platform.DecodeWorker(rows[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := logrus.New()
+	silent.SetOutput(io.Discard)
+	o := New(t.Context(), own, Settings{Self: self, Store: store, Log: logrus.NewEntry(silent)})
+	o.SetWorkers([]platform.WorkerEntry{entry})
+	return o, entry
+}
+
+// completes submits a job of one task and reports whether it completes in time.
+func completes(t *testing.T, o *Owner, id jobs.ID, within time.Duration) bool {
+	t.Helper()
+	j := jobs.Job{ID: id, Spec: "20ms", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 1, Size: jobs.Resources{Millicores: 100}}}}
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if _, v := o.State(t.Context(), id); v == Missing || v == Unknown {
+			o.Submit(t.Context(), j)
+		}
+		if s, _ := o.State(t.Context(), id); s == jobs.Complete {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against an owner that handles events as long as any come, and meanwhile stores,
+// acknowledges and starts nothing.
+func TestJobCompletesWhileEventsKeepComing(t *testing.T) {
+	t.Parallel()
+	o, _ := newOwner(t)
+	go o.Run()
+	defer o.Close()
+	if !completes(t, o, "0000000000000001", 5*time.Second) {
+		t.Fatal("the pool completes no job")
+	}
+	var event func()
+	event = func() {
+		time.Sleep(time.Millisecond)
+		go o.post(event)
+	}
+	for range 8 {
+		o.post(event)
+	}
+	if !completes(t, o, "0000000000000002", 2*time.Second) {
+		t.Error("a job of 20 ms is not complete after 2 s")
+	}
+}
