pool: an owner's work for an event does not grow with its workers

Change: agents are indexed by worker; SetWorkers looks only at entries whose row changed; the registrations are collected after something changed on which they depend; a transaction covers the agents with new ends; the agents' busy flags change with starts and with each tick.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -59,6 +59,7 @@
 	registered    bool                 // it is registered durably
 	leaseEnd      time.Duration        // when its leases end, on the store's clock; 0 while they are renewed
 	silent        bool                 // it does not answer
+	knownBusy     bool                 // the value of busy that was set last
 	lifetimeEnded bool
 }
 
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -161,7 +161,7 @@
 		o.dirtySince = now
 	}
 	heartbeatDue := now.Sub(o.committedAt) > heartbeatPeriod // other processes read it as the owner's heartbeat
-	due := heartbeatDue || len(o.queue) > 0 || o.hasUnregistered() || o.registrationsChanged() || final || o.flushing ||
+	due := heartbeatDue || len(o.queue) > 0 || o.registrationsDue() || final || o.flushing ||
 		len(ids) > 0 && now.Sub(o.dirtySince) > maxProgressDelay || len(o.expired) > 0
 	if !due {
 		return
@@ -183,7 +183,7 @@
 func (o *Owner) buildCommit(ids []jobs.ID) *commit {
 	c := &commit{seq: o.seq + 1, states: map[jobs.ID]jobs.State{}, ends: map[*agent]uint64{}}
 	size := 0
-	if o.hasUnregistered() || o.registrationsChanged() {
+	if o.registrationsDue() {
 		o.addRegistrations(c)
 	}
 	for len(o.queue) > 0 && len(c.rows) < maxCommitRows/2 && size < maxCommitBytes/2 {
@@ -210,9 +210,10 @@
 	}
 	if allFit {
 		o.dirtySince = time.Time{}
-		for _, a := range o.agents {
+		for a := range o.newEnds {
 			c.ends[a] = a.handledEnd
 		}
+		clear(o.newEnds)
 	}
 	for len(o.expired) > 0 && len(c.rows)+len(c.remove) < maxCommitRows {
 		id := string(o.expired[0])
@@ -243,6 +244,9 @@
 		for id := range c.states {
 			o.board.WriteFailed(id)
 		}
+		for a := range c.ends {
+			o.newEnds[a] = true
+		}
 		for _, r := range c.remove {
 			if r.Table == tableJob {
 				o.expired = append(o.expired, jobs.ID(r.Key))
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -126,7 +126,9 @@
 
 	// The fields below are used only in the loop.
 	board          *place.Board
-	agents         map[string]*agent
+	agents         map[string]*agent    // by lifetime
+	lifetimes      map[string][]*agent  // by worker id
+	newEnds        map[*agent]bool      // agents with handled ends that are in no transaction yet
 	vacateUntil    map[string]time.Time // workers to vacate, by id, and until when
 	queue          []*submission
 	pending        map[jobs.ID]*submission
@@ -142,20 +144,22 @@
 	offerFailedAt  time.Time // when the last offer failed, zero if none did since the store went down
 	handOver       func(name string) bool
 	lease          time.Duration
-	expired        []jobs.ID            // jobs whose rows are to be removed
-	registrations  []registration       // as stored
-	retiredAt      map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil    map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	jobsLoaded     bool                 // the stored jobs are on the board
-	started        bool                 // scheduling has started
-	summarizedAt   time.Time
-	loop           loopStats
-	flushing       bool
-	closed         bool
-	deposed        bool
-	queues         map[string]platform.Queue
-	advise         func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries        map[string]platform.WorkerEntry // of this pool, by id
+	expired        []jobs.ID      // jobs whose rows are to be removed
+	registrations  []registration // as stored
+	// registrationsStale means that something changed on which registrationsDue depends.
+	registrationsStale, registrationsDiffer bool
+	retiredAt                               map[string]time.Time // lifetimes ended by an order for their host, and when
+	unseenUntil                             map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	jobsLoaded                              bool                 // the stored jobs are on the board
+	started                                 bool                 // scheduling has started
+	summarizedAt                            time.Time
+	loop                                    loopStats
+	flushing                                bool
+	closed                                  bool
+	deposed                                 bool
+	queues                                  map[string]platform.Queue
+	advise                                  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries                                 map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
@@ -215,7 +219,7 @@
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		board:  board,
-		agents: map[string]*agent{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 	}
@@ -310,6 +314,7 @@
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
 			o.sendOrder(s.Worker, order{start: &s})
+			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
 			o.sendOrder(p.Worker, order{pace: &p})
@@ -317,15 +322,23 @@
 		for _, q := range orders.Advice {
 			o.askAdvice(q)
 		}
-		for _, a := range o.agents {
-			a.setBusy(!o.board.Idle(a.key))
-		}
 	}
 	if o.started {
 		o.maybeCommit(now)
 	}
 }
 
+// updateBusy tells an agent whether its worker has tasks.
+func (o *Owner) updateBusy(a *agent) {
+	if a == nil {
+		return
+	}
+	if busy := !o.board.Idle(a.key); busy != a.knownBusy {
+		a.knownBusy = busy
+		a.setBusy(busy)
+	}
+}
+
 // sendOrder hands an order to a worker's agent. If the agent's queue is full, a
 // start counts as refused, a stop as failed, and a pace is dropped.
 func (o *Owner) sendOrder(key string, ord order) {
@@ -378,6 +391,7 @@
 // whose lifetimes have ended, and removes workers that are gone.
 func (o *Owner) removeLostWorkers(now time.Time) {
 	for _, a := range o.agents {
+		o.updateBusy(a)
 		gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
 		if a.silent && a.leasesExpired(now) || a.lifetimeEnded {
 			if !o.board.Idle(a.key) {
@@ -388,8 +402,7 @@
 		}
 		if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
 			o.board.RemoveWorker(a.key, now)
-			a.close()
-			delete(o.agents, a.key)
+			o.removeAgent(a)
 		} else if gone {
 			o.syncAgent(a)
 		}
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -55,11 +55,16 @@
 	return registrations, nil
 }
 
-// registrationsChanged reports whether the stored registrations differ from the
-// current ones. A new owner waits for every registered lifetime, so one that has
-// ended must be removed, or it would delay all jobs.
-func (o *Owner) registrationsChanged() bool {
-	return !slices.Equal(o.registrations, o.collectRegistrations())
+// registrationsDue reports whether the registrations have to be stored: a worker that
+// answers is not registered yet, or the stored ones differ from the current ones. A new
+// owner waits for every registered lifetime, so one that has ended must be removed, or it
+// would delay all jobs.
+func (o *Owner) registrationsDue() bool {
+	if o.registrationsStale {
+		o.registrationsStale = false
+		o.registrationsDiffer = o.hasUnregistered() || !slices.Equal(o.registrations, o.collectRegistrations())
+	}
+	return o.registrationsDiffer
 }
 
 // hasUnregistered reports whether a worker that answers is not registered yet.
@@ -94,6 +99,7 @@
 // endLeases stops renewing the leases of workers that do not answer, and records
 // when they end.
 func (o *Owner) endLeases(now time.Time) {
+	o.registrationsStale = true
 	clock := o.store.Clock()
 	for _, a := range o.agents {
 		if a.answered && a.silent && clock > 0 {
@@ -118,7 +124,7 @@
 
 // markRegistered allows tasks on the workers whose registration has become durable.
 func (o *Owner) markRegistered(registrations []registration) {
-	o.registrations = registrations
+	o.registrations, o.registrationsStale = registrations, true
 	for _, r := range registrations {
 		if a := o.agents[r.key]; a != nil && !a.registered {
 			a.registered = true
@@ -130,7 +136,7 @@
 // setUnseen records which lifetimes registered by an earlier owner may run tasks
 // unseen by this one, and until when.
 func (o *Owner) setUnseen(registrations []registration, now time.Time) {
-	o.registrations = registrations
+	o.registrations, o.registrationsStale = registrations, true
 	clock := o.store.Clock()
 	for _, r := range registrations {
 		until := now.Add(takeoverWait + o.maxLeaseTime()) // the earlier owner may start tasks until workers know the new token
@@ -153,15 +159,13 @@
 		return
 	}
 	for key, until := range o.unseenUntil {
-		if a := o.agents[key]; a != nil && (a.answered || a.lifetimeEnded) || now.After(until) {
+		id, _, _ := strings.Cut(key, "@")
+		seen := slices.ContainsFunc(o.lifetimes[id], func(a *agent) bool {
+			return a.answered || a.key == key && a.lifetimeEnded // an answer of a later lifetime shows that this one has ended
+		})
+		if seen || now.After(until) {
 			delete(o.unseenUntil, key)
-		}
-	}
-	for _, a := range o.agents { // a worker that answers with a new lifetime has ended the earlier one
-		for key := range o.unseenUntil {
-			if a.answered && key != a.key && strings.HasPrefix(key, a.entry.ID+"@") {
-				delete(o.unseenUntil, key)
-			}
+			o.registrationsStale = true
 		}
 	}
 	if len(o.unseenUntil) == 0 {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -194,8 +194,8 @@
 			return
 		}
 		verdict := Missing
-		for _, a := range o.agents {
-			if a.entry.ID == worker && !a.lifetimeEnded && a.answered {
+		for _, a := range o.lifetimes[worker] {
+			if !a.lifetimeEnded && a.answered {
 				left += len(o.board.Attempts(a.key))
 				lifetime = a.key
 				verdict = Accepted
@@ -219,6 +219,7 @@
 	o.post(func() {
 		o.retiredAt[lifetime] = time.Now()
 		delete(o.unseenUntil, lifetime)
+		o.registrationsStale = true
 		if a := o.agents[lifetime]; a != nil {
 			o.endLifetime(a, "its host was ordered elsewhere")
 			o.removeLostWorkers(time.Now())
@@ -291,7 +292,7 @@
 		var wait func()
 		wait = func() {
 			ids, _ := o.board.Dirty()
-			if o.inFlight == nil && len(ids) == 0 && len(o.queue) == 0 && !o.registrationsChanged() || !o.storeDownSince.IsZero() {
+			if o.inFlight == nil && len(ids) == 0 && len(o.queue) == 0 && !o.registrationsDue() || !o.storeDownSince.IsZero() {
 				reply <- Accepted
 				return
 			}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -25,7 +26,8 @@
 		for _, e := range entries {
 			next[e.ID] = e
 		}
-		for id, e := range o.entries {
+		previous := o.entries
+		for id, e := range previous {
 			if _, ok := next[id]; !ok {
 				if a := o.agents[lifetimeKey(e)]; a != nil && a.missingSince.IsZero() {
 					a.missingSince = now
@@ -42,7 +44,9 @@
 			return // the lists of a worker can't be interpreted before the jobs are known
 		}
 		for _, e := range entries {
-			o.addAgent(e)
+			if old, known := previous[e.ID]; !known || old.Version != e.Version {
+				o.addAgent(e)
+			}
 		}
 	})
 }
@@ -54,8 +58,8 @@
 	if at, retired := o.retiredAt[key]; retired && time.Since(at) < retiredEntryTime {
 		return
 	}
-	for _, a := range o.agents {
-		if a.entry.ID == e.ID && a.key != key && !a.lifetimeEnded {
+	for _, a := range o.lifetimes[e.ID] {
+		if a.key != key && !a.lifetimeEnded {
 			o.endLifetime(a, "it has started anew")
 		}
 	}
@@ -63,12 +67,26 @@
 	if a == nil {
 		a = newAgent(o.ctx, o, e)
 		o.agents[key] = a
+		o.lifetimes[e.ID] = append(o.lifetimes[e.ID], a)
+		o.registrationsStale = true
 	}
 	a.entry = e
 	a.missingSince = time.Time{}
 	o.syncAgent(a)
 }
 
+// removeAgent ends the agent of a lifetime.
+func (o *Owner) removeAgent(a *agent) {
+	a.close()
+	delete(o.agents, a.key)
+	id := a.entry.ID
+	o.lifetimes[id] = slices.DeleteFunc(o.lifetimes[id], func(other *agent) bool { return other == a })
+	if len(o.lifetimes[id]) == 0 {
+		delete(o.lifetimes, id)
+	}
+	o.registrationsStale = true
+}
+
 // restoreRetired adds retired workers again whose entries still exist after
 // retiredEntryTime. The platform also reports success for an order that was carried
 // out before; the worker then keeps running.
@@ -88,10 +106,8 @@
 
 // syncWorker updates all lifetimes of a worker on the board.
 func (o *Owner) syncWorker(id string) {
-	for _, a := range o.agents {
-		if a.entry.ID == id {
-			o.syncAgent(a)
-		}
+	for _, a := range o.lifetimes[id] {
+		o.syncAgent(a)
 	}
 }
 
@@ -115,6 +131,7 @@
 		return
 	}
 	a.lifetimeEnded = true
+	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
 	o.syncAgent(a)
 	a.cancel()
@@ -128,6 +145,7 @@
 	now := time.Now()
 	if !a.answered || a.silent {
 		a.answered, a.silent = true, false
+		o.registrationsStale = true
 		o.syncAgent(a)
 	}
 	running := make([]place.Running, 0, len(l.Running))
@@ -152,8 +170,11 @@
 			o.sendOrder(a.key, order{stop: &unexpected})
 		}
 	}
-	if len(newEnds) > 0 && o.dirtySince.IsZero() {
-		o.dirtySince = now
+	if len(newEnds) > 0 {
+		o.newEnds[a] = true
+		if o.dirtySince.IsZero() {
+			o.dirtySince = now
+		}
 	}
 }
 
