pool: decisions take at most a fifth of an owner's time

Change: after a decision the next one waits four times as long as it took, 50 ms at most; events that come meanwhile share it. TestDecisionsTakeAShareOfTheTime failed before: "2283 decisions took 199.357078ms of 200ms, want at most 66.666666ms"; 3 of 3 runs pass now. go test -race ./internal/pool ./internal/daemon: ok.

--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -55,6 +55,7 @@
 	attemptsPerOwner = 1000                    // attempt numbers reserved for each owner
 	postQueueSize    = 4096                    // functions queued for the loop
 	drainTimeout     = 20 * time.Millisecond   // for queued functions between two scheduling steps
+	decisionPause    = 4                       // after a decision, as a multiple of its duration: the rest of the owner's work comes first
 	retiredEntryTime = 6 * time.Second         // the platform removes the entry of an ended worker after three heartbeats, 4.5 s
 )
 
@@ -140,6 +141,8 @@
 	commitAfter    time.Time // no transaction is sent before
 	committedAt    time.Time // when the last transaction took effect
 	storeDownSince time.Time // zero while the store answers
+	decideAfter    time.Time // no decision is made before
+	decideTimer    *time.Timer
 	offering       bool      // an offer to hand the pool over is under way
 	offerFailedAt  time.Time // when the last offer failed, zero if none did since the store went down
 	handOver       func(name string) bool
@@ -222,6 +225,7 @@
 		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
+		decideTimer: time.NewTimer(tickPeriod),
 	}
 }
 
@@ -259,6 +263,7 @@
 			f()
 		case <-ticker.C:
 			o.tick(time.Now())
+		case <-o.decideTimer.C:
 		}
 		o.drainPosts(time.Now())
 		if o.deposed || o.ctx.Err() != nil {
@@ -305,9 +310,11 @@
 // dispatch runs a scheduling step, hands its orders to the agents and commits
 // changes.
 func (o *Owner) dispatch(now time.Time) {
-	if o.started && !o.flushing {
+	if o.started && !o.flushing && !now.Before(o.decideAfter) {
 		orders := o.board.Decide(now)
-		o.loop.recordDecision(time.Since(now))
+		took := time.Since(now)
+		o.loop.recordDecision(took)
+		o.decideAfter = now.Add(took + min(decisionPause*took, tickPeriod))
 		for _, s := range orders.Stops {
 			o.sendOrder(s.Worker, order{stop: &s})
 		}
@@ -322,6 +329,8 @@
 		for _, q := range orders.Advice {
 			o.askAdvice(q)
 		}
+	} else if now.Before(o.decideAfter) {
+		o.decideTimer.Reset(o.decideAfter.Sub(now))
 	}
 	if o.started {
 		o.maybeCommit(now)
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -84,3 +84,17 @@
 		t.Error("a job of 20 ms is not complete after 2 s")
 	}
 }
+
+// Guards against an owner that spends all its time on decisions while renewals, answers
+// and transactions wait.
+func TestDecisionsTakeAShareOfTheTime(t *testing.T) {
+	o, _ := benchOwner(85, 0)
+	began := time.Now()
+	const span = 200 * time.Millisecond
+	for time.Since(began) < span {
+		o.dispatch(time.Now()) // as after each event
+	}
+	if want := span / 3; o.loop.deciding > want { // a fifth, and one decision more
+		t.Errorf("%d decisions took %v of %v, want at most %v", o.loop.decisions, o.loop.deciding, span, want)
+	}
+}
