pool: each changed job and each worker's ends have their turn in a transaction

Cause: with more changed jobs than the 90 rows of a transaction, jobs were stored in the order of their ids, so that high ids waited for as long as lower ones changed (of the jobs that ended from 29 to 33 s nearly all ids begin with 0 to 7), and no end of any worker was acknowledged unless every changed job fitted. Workers then answered each hold at once, with all their ends again.

Change: final jobs first, then those that have been changed for longest; a worker's ends are acknowledged up to the first whose job is still to be stored. TestEndsAreAcknowledgedWhileManyJobsChange failed before: "the first of 227 changed jobs' transactions acknowledges no end" and "worker ...: acknowledged up to 0, want 8".

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -20,7 +21,8 @@
 	longestPath   time.Duration // the longest of criticalPaths
 	storedState   jobs.State    // last state written to storage
 	dirty         bool
-	inherited     bool // its attempts may have been started by an earlier owner
+	dirtyOrder    uint64 // orders the dirty jobs by how long they have been
+	inherited     bool   // its attempts may have been started by an earlier owner
 	finalAt       time.Time
 
 	attempts      map[jobs.Task][]*Attempt
@@ -48,6 +50,7 @@
 	jobs             map[jobs.ID]*jobEntry
 	workers          map[string]*worker
 	dirty            map[jobs.ID]*jobEntry
+	dirtied          uint64 // how often a job became dirty
 	pending          pendingWork
 	reserved         []*worker  // by the last decision
 	rejected         rejections // by the present decision
@@ -206,7 +209,11 @@
 // markDirty records that a job's progress has changed: it is to be stored, and steps of
 // the job may have become ready.
 func (b *Board) markDirty(e *jobEntry) {
-	e.dirty = true
+	if !e.dirty {
+		e.dirty = true
+		b.dirtied++
+		e.dirtyOrder = b.dirtied
+	}
 	b.dirty[e.job.ID] = e
 	b.pending.changedJobs[e.job.ID] = e
 }
@@ -217,16 +224,33 @@
 	b.pending.stops[a.Worker] = a.worker
 }
 
-// Dirty returns the jobs with unsaved progress, and whether any of them is final.
+// Dirty returns the jobs with unsaved progress, and whether any of them is final. Final
+// ones come first, then those that have been dirty for longest: where not all can be
+// saved at once, each has its turn.
 func (b *Board) Dirty() (ids []jobs.ID, final bool) {
-	for id, e := range b.dirty {
-		ids = append(ids, id)
-		final = final || e.progress.Final != ""
+	entries := slices.SortedFunc(maps.Values(b.dirty), func(x, y *jobEntry) int {
+		if xFinal, yFinal := x.progress.Final != "", y.progress.Final != ""; xFinal != yFinal {
+			return cmp.Compare(btoi(yFinal), btoi(xFinal))
+		}
+		return cmp.Compare(x.dirtyOrder, y.dirtyOrder)
+	})
+	ids = make([]jobs.ID, len(entries))
+	for i, e := range entries {
+		ids[i] = e.job.ID
 	}
-	slices.Sort(ids)
-	return ids, final
+	return ids, len(entries) > 0 && entries[0].progress.Final != ""
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// IsDirty reports whether a job has unsaved progress.
+func (b *Board) IsDirty(id jobs.ID) bool { return b.dirty[id] != nil }
+
 // EncodeProgress returns a job's encoded progress and state for storage, and marks the
 // job clean.
 func (b *Board) EncodeProgress(id jobs.ID) ([]byte, jobs.State, error) {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -33,6 +34,12 @@
 	pace  *place.PaceOrder
 }
 
+// pendingEnd is the end of an attempt that has been handled.
+type pendingEnd struct {
+	number uint64
+	job    jobs.ID // whose progress it changed
+}
+
 // agent talks to one lifetime of a worker: it renews the leases of its tasks, reads
 // its lists of running and ended tasks, and sends it orders.
 type agent struct {
@@ -54,6 +61,7 @@
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
 	handledEnd    uint64               // highest number of an end that has been handled
+	unstored      []pendingEnd         // handled ends whose effect is not known to be durable, by number
 	durableEnd    uint64               // highest number of an end whose effect is durable
 	answered      bool                 // it has answered this owner
 	registered    bool                 // it is registered durably
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -193,10 +194,10 @@
 		c.rows = append(c.rows, platform.Row{Table: tableJob, Part: o.name, Key: string(s.job.ID), Value: s.row})
 		size += len(s.row)
 	}
-	allFit := true
+	o.dirtySince = time.Time{}
 	for _, id := range ids {
 		if len(c.rows) >= maxCommitRows || size > maxCommitBytes {
-			allFit = false
+			o.dirtySince = time.Now() // the next transaction takes the rest
 			break
 		}
 		data, state, err := o.board.EncodeProgress(id)
@@ -208,12 +209,10 @@
 		c.rows = append(c.rows, platform.Row{Table: tableProgress, Part: o.name, Key: string(id), Value: data})
 		size += len(data)
 	}
-	if allFit {
-		o.dirtySince = time.Time{}
-		for a := range o.newEnds {
-			c.ends[a] = a.handledEnd
+	for a := range o.newEnds {
+		if number := o.storedWith(a); number > 0 {
+			c.ends[a] = number
 		}
-		clear(o.newEnds)
 	}
 	for len(o.expired) > 0 && len(c.rows)+len(c.remove) < maxCommitRows {
 		id := string(o.expired[0])
@@ -223,6 +222,19 @@
 	return c
 }
 
+// storedWith returns the number up to which the effects of a worker's ends are durable
+// once the transaction that was just built is.
+func (o *Owner) storedWith(a *agent) uint64 {
+	number := uint64(0)
+	for _, e := range a.unstored {
+		if o.board.IsDirty(e.job) {
+			break
+		}
+		number = e.number
+	}
+	return number
+}
+
 // handleCommitResult applies the result of a transaction.
 func (o *Owner) handleCommitResult(c *commit, version uint64, err error) {
 	now := time.Now()
@@ -244,9 +256,6 @@
 		for id := range c.states {
 			o.board.WriteFailed(id)
 		}
-		for a := range c.ends {
-			o.newEnds[a] = true
-		}
 		for _, r := range c.remove {
 			if r.Table == tableJob {
 				o.expired = append(o.expired, jobs.ID(r.Key))
@@ -281,5 +290,9 @@
 	for a, number := range c.ends {
 		a.durableEnd = max(a.durableEnd, number)
 		a.setAck(a.durableEnd)
+		a.unstored = slices.DeleteFunc(a.unstored, func(e pendingEnd) bool { return e.number <= number })
+		if len(a.unstored) == 0 {
+			delete(o.newEnds, a)
+		}
 	}
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -129,7 +129,7 @@
 	board          *place.Board
 	agents         map[string]*agent    // by lifetime
 	lifetimes      map[string][]*agent  // by worker id
-	newEnds        map[*agent]bool      // agents with handled ends that are in no transaction yet
+	newEnds        map[*agent]bool      // agents with handled ends that are not acknowledged yet
 	vacateUntil    map[string]time.Time // workers to vacate, by id, and until when
 	queue          []*submission
 	pending        map[jobs.ID]*submission
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -98,3 +98,36 @@
 		t.Errorf("%d decisions took %v of %v, want at most %v", o.loop.decisions, o.loop.deciding, span, want)
 	}
 }
+
+// Guards against ends that are never acknowledged because more jobs change than one
+// transaction takes, and against jobs that wait for ever as others come before them.
+func TestEndsAreAcknowledgedWhileManyJobsChange(t *testing.T) {
+	o, _ := benchOwner(85, 0)
+	now := time.Now()
+	want := map[*agent]uint64{}
+	for _, a := range o.agents {
+		var l platform.Listing
+		for i, r := range o.board.Attempts(a.key) {
+			l.Ended = append(l.Ended, platform.EndedAttempt{Number: uint64(1 + i), Task: r.Task, Attempt: r.Number, Outcome: jobs.Stopped})
+		}
+		o.handleListing(a, l, now)
+		want[a] = uint64(len(l.Ended))
+	}
+	for n := uint64(1); n <= benchActive/maxCommitRows+1; n++ {
+		ids, _ := o.board.Dirty()
+		c := o.buildCommit(ids)
+		if n == 1 && len(c.ends) == 0 {
+			t.Errorf("the first of %d changed jobs' transactions acknowledges no end", len(ids))
+		}
+		o.handleCommitResult(c, n, nil)
+		o.commitAfter = time.Time{}
+		for id := range 50 { // the jobs with the lowest ids change again
+			o.board.WriteFailed(benchJob(id, 1, now).ID)
+		}
+	}
+	for a, number := range want {
+		if a.durableEnd != number {
+			t.Fatalf("worker %s: acknowledged up to %d, want %d", a.key, a.durableEnd, number)
+		}
+	}
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -159,6 +159,7 @@
 			continue
 		}
 		a.handledEnd = e.Number
+		a.unstored = append(a.unstored, pendingEnd{e.Number, e.Task.Job})
 		metricEnds.Inc()
 		o.log.WithFields(logrus.Fields{
 			"task": e.Task.String(), "attempt": e.Attempt, "worker": a.key, "outcome": e.Outcome, "end": e.Number,
