upkeep: a busy owner's pool keeps its last load for two seconds

Cause: a pool whose owner does not answer within 0.3 s has no load in that plan, so it lacks no hosts; and an owner is slowest to answer in a load peak.

Change: the last load counts for 2 s; a host is given away only after its owner has answered that it is empty, as before. The first request without an answer is logged. TestLoadOfABusyOwnerStaysKnown failed before: "no answer since a moment: 0 millicores wanted, want 5000".

--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -38,6 +38,7 @@
 	movingListPeriod  = 300 * time.Millisecond // while hosts are moving, instead of listPeriod
 	loadPeriod        = 150 * time.Millisecond // between load requests to the pools' owners
 	loadTimeout       = 300 * time.Millisecond // for their answers
+	loadValidity      = 2 * time.Second        // of an owner's last answer, if it does not answer again
 	moveGrace         = 3 * time.Second        // after the usual time of a move, before a move without effect is dropped
 	listPeriod        = time.Second            // between requests for the platform's list of hosts
 	callTimeout       = 800 * time.Millisecond // for an answer of the store or the machine API
@@ -88,10 +89,11 @@
 	*Planner
 	listRequestedAt  time.Time
 	loadsRequestedAt time.Time
-	orderSentBy      map[string]time.Time // by host: time by which its newest order has been sent
-	renewDuration    time.Duration        // of the last renewal
-	failingSince     time.Time            // since when renewals fail, zero while they succeed
-	offeredAt        time.Time            // when the fleet was last offered to other processes
+	lastLoads        map[string]loadAnswer // by pool
+	orderSentBy      map[string]time.Time  // by host: time by which its newest order has been sent
+	renewDuration    time.Duration         // of the last renewal
+	failingSince     time.Time             // since when renewals fail, zero while they succeed
+	offeredAt        time.Time             // when the fleet was last offered to other processes
 	startedAt        time.Time
 }
 
@@ -101,7 +103,7 @@
 	return &Keeper{
 		Settings: s, log: s.Log.WithField("fleet-token", s.Own.Token), ctx: ctx, cancel: cancel,
 		Planner: NewPlanner(DefaultMovePolicy(), DefaultWavePolicy(s.Bounds.Maintenance), s.Bounds.Migration),
-		ended:   make(chan struct{}), orderSentBy: map[string]time.Time{}, startedAt: time.Now(),
+		ended:   make(chan struct{}), lastLoads: map[string]loadAnswer{}, orderSentBy: map[string]time.Time{}, startedAt: time.Now(),
 	}
 }
 
@@ -197,7 +199,16 @@
 	k.SetHosts(hosts, now)
 }
 
-// refreshLoads asks the owners of all pools for their demand and capacity.
+// loadAnswer is an owner's answer to a request for its pool's load.
+type loadAnswer struct {
+	load place.Load
+	at   time.Time
+	lost bool // the request after it had no answer
+}
+
+// refreshLoads asks the owners of all pools for their demand and capacity. A pool whose
+// owner is slow to answer, as it is in a load peak, keeps its last load for a while:
+// without one it would get no hosts.
 func (k *Keeper) refreshLoads() {
 	c := k.Config()
 	now := time.Now()
@@ -222,8 +233,17 @@
 	calls.Wait()
 	known := map[string]place.Load{}
 	for i, l := range loads {
+		name := c.Pools[i].Name
+		last := k.lastLoads[name]
 		if l != nil {
-			known[c.Pools[i].Name] = *l
+			last = loadAnswer{load: *l, at: now}
+		} else if !last.at.IsZero() && !last.lost {
+			last.lost = true
+			k.log.WithField("pool", name).Info("the pool's owner does not answer; its last load is used")
+		}
+		k.lastLoads[name] = last
+		if now.Sub(last.at) < loadValidity {
+			known[name] = last.load
 		}
 	}
 	k.SetLoads(c.Pools, known)
--- a/internal/upkeep/renew_test.go
+++ b/internal/upkeep/renew_test.go
@@ -1,13 +1,16 @@
 package upkeep
 
 import (
+	"context"
 	"io"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
 	"github.com/papayarudder/papayarudder/platform/mimic"
@@ -73,3 +76,48 @@
 		t.Error("a replaced holder is still authorized")
 	}
 }
+
+// Guards against a pool that gets no hosts in a load peak because its owner is too busy to
+// answer for a moment.
+func TestLoadOfABusyOwnerStaysKnown(t *testing.T) {
+	now := time.Now()
+	lost := false
+	k := newKeeperWithLoads(func(string) (place.Load, error) {
+		if lost {
+			return place.Load{}, errors.New("no answer")
+		}
+		return place.Load{Wanted: 5000}, nil
+	})
+	for _, tt := range []struct {
+		name string
+		lost bool
+		age  time.Duration // of the last answer
+		want int
+	}{
+		{"an answer", false, 0, 5000},
+		{"no answer since a moment", true, loadValidity / 2, 5000},
+		{"no answer for long", true, loadValidity, 0},
+		{"an answer again", false, 0, 5000},
+	} {
+		lost = tt.lost
+		if a, known := k.lastLoads["p1"]; known {
+			a.at = now.Add(-tt.age)
+			k.lastLoads["p1"] = a
+		}
+		k.loadsRequestedAt = time.Time{}
+		k.refreshLoads()
+		if have := k.view.loads["p1"].Wanted; have != tt.want {
+			t.Errorf("%s: %d millicores wanted, want %d", tt.name, have, tt.want)
+		}
+	}
+}
+
+func newKeeperWithLoads(load func(pool string) (place.Load, error)) *Keeper {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Settings{
+		Log:    logrus.NewEntry(logger),
+		Config: func() *platform.Config { return &platform.Config{Pools: []platform.PoolConfig{{Name: "p1"}}} },
+		Load:   func(_ context.Context, pool string) (place.Load, error) { return load(pool) },
+	})
+}
