place: a lasting task whose start got no answer is not stopped while it runs

Cause: a start without an answer is stopped at once, which for a lasting task is an order that makes it unavailable, past max_unavailable. Change: a long-running task's attempt is stopped only after a listing that lacks it; one that lists it confirms it. If the worker does not answer, its leases decide, as before. TestLongRunningTaskWithALateAnswerRunsOn failed before: "it runs: 1 stops and 0 starts, want 0 and none".

--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -210,6 +210,32 @@
 	}
 }
 
+// Guards against a long-running task that is stopped although it runs, because the answer
+// to its start was late: with another one away, callers lose two.
+func TestLongRunningTaskWithALateAnswerRunsOn(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		runs  bool
+		stops int
+	}{{"it runs", true, 0}, {"it does not run", false, 1}} {
+		f := newTestBoard(0, 2)
+		f.add(newJob(1, jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 1000}, LongRunning: true, MaxUnavailable: 1}))
+		s := f.Decide(f.now).Starts[0]
+		f.StartUnanswered(s.Worker, s.Task, s.Attempt)
+		stops := len(f.Decide(f.now).Stops)
+		var running []place.Running
+		if tt.runs {
+			running = []place.Running{{Task: s.Task, Attempt: s.Attempt}}
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.Listed(s.Worker, running, nil, f.now, f.now)
+		orders := f.Decide(f.now)
+		if stops += len(orders.Stops); stops != tt.stops || len(orders.Starts) != 0 {
+			t.Errorf("%s: %d stops and %d starts, want %d and none", tt.name, stops, len(orders.Starts), tt.stops)
+		}
+	}
+}
+
 func TestTasksOfSilentWorkerWaitForLeaseExpiry(t *testing.T) {
 	f := newTestBoard(0, 2)
 	f.add(newJob(1, batch(1, 1000)))
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -59,11 +59,17 @@
 }
 
 // StartUnanswered records that a start order got no answer. A stop order follows, after
-// which the worker's next listing shows that the attempt does not run.
+// which the worker's next listing shows that the attempt does not run. For a long-running
+// task it follows only after a listing without the attempt: stopping one that runs would
+// make it unavailable.
 func (b *Board) StartUnanswered(key string, t jobs.Task, attempt int) {
 	b.recordStep(Step{Kind: StepStartUnanswered, Key: key, Task: t, Attempt: attempt})
 	if a := b.findAttempt(key, t, attempt); a != nil && a.Phase == Starting {
 		a.Phase, a.reschedule = Unconfirmed, true
+		if a.step.LongRunning {
+			a.awaitsListing = true
+			return
+		}
 		b.requestStop(a)
 	}
 }
@@ -130,6 +136,10 @@
 		if number, ok := listed[a.Task]; ok && number == a.Number {
 			continue
 		}
+		if a.awaitsListing {
+			a.awaitsListing = false
+			b.requestStop(a)
+		}
 		if b.hasEnded(a, asked) {
 			gone = append(gone, a)
 		}
@@ -166,6 +176,7 @@
 	}
 	if a.Phase == Starting || a.Phase == Unconfirmed && !a.stopRequested {
 		a.Phase = Live
+		a.awaitsListing = false
 		a.PercentChangedAt = now
 		b.markBegun(r.Task)
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -91,6 +91,7 @@
 	stopRequested bool // a stop order is due
 	reschedule    bool // its task may be queued again without a backoff
 	stalled       bool // stopped because its percentage did not change
+	awaitsListing bool // its start was not answered; the next listing shows whether it runs
 }
 
 // Worker is one lifetime of a host that runs tasks.
