pool: ended jobs expire

Change: an owner removes what ended longer ago than the platform requires states to be known (status_s, 120 s there), once a second; a takeover counts from its own start. TestEndedJobsExpire failed before: "5 s after its retention of 100 ms an ended job is kept: verdict 0, 2 rows".

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -275,7 +275,7 @@
 		d.startKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log, HandOver: d.handOverPool, Recording: d.Recording}
+	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log, HandOver: d.handOverPool, Recording: d.Recording, Retention: d.bounds().StateRetention}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -147,6 +147,7 @@
 	offerFailedAt  time.Time // when the last offer failed, zero if none did since the store went down
 	handOver       func(name string) bool
 	lease          time.Duration
+	retention      time.Duration
 	expired        []jobs.ID      // jobs whose rows are to be removed
 	registrations  []registration // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
@@ -171,6 +172,9 @@
 	Store *platform.Store
 	Log   *logrus.Entry
 	Lease time.Duration // of tasks on workers, 0 for the default
+	// Retention is how long ended jobs are kept, so that their callers can ask for
+	// their states; 0 keeps them for ever.
+	Retention time.Duration
 	// Recording records every scheduling step, nil for none.
 	Recording *event.Log
 	// HandOver offers the pool to other processes after this one has lost the
@@ -219,7 +223,7 @@
 	}
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
-		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease,
+		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		board:  board,
 		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
@@ -377,6 +381,9 @@
 			o.log.WithFields(o.loop.fields()).WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
 		o.loop.reset()
+		if o.retention > 0 {
+			o.expired = append(o.expired, o.board.Expire(o.retention, now)...)
+		}
 	}
 	if o.started {
 		o.updateUnseen(now)
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -131,3 +131,31 @@
 		}
 	}
 }
+
+// Guards against an owner whose memory, and a pool whose rows, grow with every job that
+// ever ended.
+func TestEndedJobsExpire(t *testing.T) {
+	t.Parallel()
+	o, _ := newOwner(t)
+	o.retention = 100 * time.Millisecond
+	go o.Run()
+	defer o.Close()
+	const id = "0000000000000001"
+	if !completes(t, o, id, 5*time.Second) {
+		t.Fatal("the pool completes no job")
+	}
+	rows := 0
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		jobRows, _, err := o.store.ReadAll(t.Context(), tableJob, "p1")
+		progressRows, _, progressErr := o.store.ReadAll(t.Context(), tableProgress, "p1")
+		if err != nil || progressErr != nil {
+			t.Fatal(err, progressErr)
+		}
+		if rows = len(jobRows) + len(progressRows); rows == 0 {
+			break
+		}
+	}
+	if _, v := o.State(t.Context(), id); v != Missing || rows != 0 {
+		t.Errorf("5 s after its retention of 100 ms an ended job is kept: verdict %d, %d rows", v, rows)
+	}
+}
