--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -51,10 +51,11 @@
 	}
 }
 
-// candidate is a process that can own pools, and how many it owns.
+// candidate is a process that can own pools.
 type candidate struct {
-	node  string
-	owned int
+	node      string
+	owned     int     // pools that it owns
+	processor float64 // as in Status
 }
 
 // heartbeat is the last version that this process read of the row that a pool's
@@ -122,10 +123,10 @@
 		return nil, nil
 	}
 	majority := d.majority(now)
-	candidates := []candidate{{d.self.Node, 0}}
+	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
-			candidates = append(candidates, candidate{p.node, 0})
+			candidates = append(candidates, candidate{node: p.node, processor: p.processor})
 		}
 	}
 	var ownerless []string
@@ -171,22 +172,41 @@
 }
 
 // rankCandidates returns the indexes of the candidates for a pool, best first. The
-// candidate with the fewest pools comes first. A hash of pool and node breaks ties,
-// so that the order differs from pool to pool.
+// candidate comes first whose pools, with this one, would have the most processor time
+// each. A hash of pool and node breaks ties, so that the order differs from pool to pool.
 func rankCandidates(name string, candidates []candidate) []int {
+	least := leastProcessor(candidates)
+	load := func(c candidate) float64 {
+		if c.processor > 0 {
+			return float64(c.owned+1) / c.processor
+		}
+		return float64(c.owned+1) / least
+	}
 	index := make([]int, len(candidates))
 	for i := range index {
 		index[i] = i
 	}
 	slices.SortFunc(index, func(x, y int) int {
 		return cmp.Or(
-			cmp.Compare(candidates[x].owned, candidates[y].owned),
+			cmp.Compare(load(candidates[x]), load(candidates[y])),
 			cmp.Compare(xxh3.HashString(name+"/"+candidates[x].node), xxh3.HashString(name+"/"+candidates[y].node)),
 		)
 	})
 	return index
 }
 
+// leastProcessor returns the smallest known processor time of the candidates, which
+// stands for the unknown ones, or 1 if none is known.
+func leastProcessor(candidates []candidate) float64 {
+	least := 0.0
+	for _, c := range candidates {
+		if c.processor > 0 && (least == 0 || c.processor < least) {
+			least = c.processor
+		}
+	}
+	return cmp.Or(least, 1)
+}
+
 // ownerAlive reports whether the process that owns a pool is known to run. The caller
 // holds d.mu.
 func (d *Daemon) ownerAlive(own pool.Ownership, now time.Time) bool {
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -50,7 +50,7 @@
 		if !p.alive(now) || !p.ready {
 			continue
 		}
-		c := candidate{p.node, 0}
+		c := candidate{node: p.node, processor: p.processor}
 		for _, own := range d.ownerships {
 			if own.Owner.Node == p.node {
 				c.owned++
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -85,6 +85,7 @@
 	answeredAt         time.Time // time of the last answer
 	refusedConnections int       // consecutive refused connections
 	ready              bool      // the peer can own pools
+	processor          float64   // as in Status
 	pinging            bool
 }
 
@@ -101,10 +102,16 @@
 	Config  uint64 // version of the active configuration
 	Owned   uint64 // sum of the fencing tokens of all known owners; grows with every change of owner
 	Stopped bool
+	// Processor is the processor time that the host gets in a second, in cores. It is 0 if
+	// it is unknown, or from a process of a version without this field.
+	Processor float64
 }
 
 func (d *Daemon) status() Status {
-	s := Status{Node: d.self.Node, Life: d.self.Life, Ready: d.canOwn(), Stopped: d.stopping.Load()}
+	s := Status{
+		Node: d.self.Node, Life: d.self.Life, Ready: d.canOwn(), Stopped: d.stopping.Load(),
+		Processor: d.settings.Limits.Processor,
+	}
 	if c := d.config.Load(); c != nil {
 		s.Config = c.Version
 	}
@@ -156,6 +163,7 @@
 	switch {
 	case err == nil:
 		p.life, p.answeredAt, p.refusedConnections, p.ready = reply.Life, now, 0, reply.Ready && !reply.Stopped
+		p.processor = reply.Processor
 	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
 		p.refusedConnections++
 	}
