place: copies are weighed only for tasks that may be late

It now skips those that have run for less than three quarters of their estimate, below which no queue's learnt factor makes them stragglers.

--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -31,11 +31,14 @@
 	var toCopy []*Attempt
 	for a := range b.pending.copyable {
 		b.examined++
+		lost := a.worker.Silent && now.Sub(a.worker.silentSince) >= silentGrace
+		if !lost && a.Phase != Unconfirmed && !a.mayStraggle(now) {
+			continue
+		}
 		e := b.jobs[a.Task.Job]
 		if e == nil || e.progress.Final != "" || e.progress.Done(a.Task) || len(e.attempts[a.Task]) >= maxParallelAttempts {
 			continue
 		}
-		lost := a.worker.Silent && now.Sub(a.worker.silentSince) >= silentGrace
 		if lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now) {
 			toCopy = append(toCopy, a)
 		}
@@ -49,10 +52,17 @@
 	}
 }
 
+// mayStraggle reports whether an attempt can be a straggler, however short its queue's run
+// times are in fact.
+func (a *Attempt) mayStraggle(now time.Time) bool {
+	return a.Phase == Live && !a.ConfirmedAt.IsZero() && a.step.Estimate > 0 &&
+		now.Sub(a.ConfirmedAt) > a.step.Estimate*stragglerFactor/maxEstimateFactor
+}
+
 // isStraggler reports whether an attempt runs far longer than expected. It is false
 // while other tasks of the step wait, so that copies use only idle capacity.
 func (b *Board) isStraggler(e *jobEntry, a *Attempt, now time.Time) bool {
-	if a.Phase != Live || a.ConfirmedAt.IsZero() || a.step.Estimate == 0 || float64(a.Percent) >= 100/stragglerFactor*2 {
+	if !a.mayStraggle(now) || float64(a.Percent) >= 100/stragglerFactor*2 {
 		return false
 	}
 	expected := b.estimates.factor(e.job.Queue) * float64(a.step.Estimate)
