--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -24,6 +24,7 @@
 	startupDelay    = 300 * time.Millisecond // time to discover peers after a start
 	firstClaimDelay = time.Second            // for pools that never had an owner, since all processes may be starting
 	rankDelay       = 400 * time.Millisecond // each lower-ranked candidate waits this much longer
+	lateClaimDelay  = 2 * time.Second        // a process that runs late leaves pools to others for this long
 )
 
 // claimPools periodically claims the pools without an owner that fall to this process.
@@ -36,8 +37,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		now := time.Now()
-		due, unconfirmed := d.claimable(now)
+		due, unconfirmed := d.claimTick(time.Now())
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
 		}
@@ -51,6 +51,18 @@
 	}
 }
 
+// claimTick is called every claimPeriod. It returns what claimable returns.
+func (d *Daemon) claimTick(now time.Time) (due, unconfirmed []string) {
+	d.mu.Lock()
+	last := d.claimTickAt
+	d.claimTickAt = now
+	if !last.IsZero() {
+		d.recordLateness(now, now.Sub(last)-claimPeriod)
+	}
+	d.mu.Unlock()
+	return d.claimable(now)
+}
+
 // candidate is a process that can own pools.
 type candidate struct {
 	node      string
@@ -122,7 +134,10 @@
 	if !d.ownersRead || !d.workersRead {
 		return nil, nil
 	}
-	majority := d.majority(now)
+	majority, delay := d.majority(now), time.Duration(0)
+	if d.late(now) {
+		delay = lateClaimDelay
+	}
 	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
@@ -163,7 +178,7 @@
 		rank := rankCandidates(name, candidates)
 		candidates[rank[0]].owned++
 		for i, at := range rank {
-			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay && !d.claiming[name] {
+			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay+delay && !d.claiming[name] {
 				due = append(due, name)
 			}
 		}
--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -1,8 +1,16 @@
 package daemon
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/platform"
 )
 
 // A pool goes to the process with the most processor time for each pool that it would own:
@@ -46,3 +54,81 @@
 		t.Errorf("first for eight pools: %v, want each of three processes for some pool", first)
 	}
 }
+
+// claimer returns a process beside four peers, each of which owns the pool with its name
+// and answered at the given time.
+func claimer(answered time.Time) *Daemon {
+	logger, _ := test.NewNullLogger()
+	d := New(platform.Settings{Node: "self"}, logrus.NewEntry(logger))
+	d.startedAt = answered.Add(-time.Minute)
+	d.ownersRead, d.workersRead = true, true
+	d.recordStoreAnswer()
+	c := &configuration{}
+	for i := range 4 {
+		name := fmt.Sprintf("p%d", i)
+		c.Pools = append(c.Pools, platform.PoolConfig{Name: name})
+		d.peers[name] = &peer{node: name, life: name, answeredAt: answered, ready: true}
+		d.ownerships[name] = pool.Ownership{Pool: name, Token: 1, Owner: pool.Identity{Node: name, Life: name}}
+	}
+	d.ownerships[fleetName] = pool.Ownership{Pool: fleetName, Token: 1, Owner: pool.Identity{Node: "p3", Life: "p3"}}
+	d.config.Store(c)
+	return d
+}
+
+// A process that was held up claims nothing for the silence that it saw meanwhile: saturated
+// processes took pools from owners that were running (inc-57a4). It does claim pools of
+// owners that stay silent once it runs on time, and at last those that nobody else claims.
+func TestLateObserverDoesNotJudge(t *testing.T) {
+	type span struct{ from, to, every int } // ms
+	steady := func(from, to int) span { return span{from, to, 50} }
+	for _, tt := range []struct {
+		name    string
+		answers []int  // of all peers but p0, in ms
+		p0      []int  // answers of p0
+		refused int    // when connections to p0 are refused, 0 for never
+		ticks   []span // of this process
+		want    int    // first claim of p0, -1 for none
+	}{
+		{"on time, owner silent", []int{200, 400, 600, 800, 1000, 1200}, nil, 0, []span{steady(0, 1200)}, 900},
+		{"a little late, owner silent", []int{200, 400, 600, 800, 1000, 1200}, nil, 0, []span{steady(0, 300), steady(480, 1200)}, 930},
+		{"held up, all answer afterwards", []int{1300, 1600, 1900, 2200, 2500}, []int{1300, 1600, 1900, 2200, 2500}, 0, []span{steady(0, 100), steady(1200, 2500)}, -1},
+		{"held up, the owner answers last", []int{1200, 1600, 1900, 2200, 2500}, []int{1300, 1600, 1900, 2200, 2500}, 0, []span{steady(0, 100), steady(1200, 2500)}, -1},
+		{"held up, owner silent afterwards", []int{1300, 1600, 1900, 2200, 2500}, nil, 0, []span{steady(0, 100), steady(1200, 2500)}, 2100},
+		{"held up after the owner went silent", []int{200, 400, 600, 800, 1000, 2300, 2600, 2900, 3200}, nil, 0, []span{steady(0, 850), steady(2200, 3300)}, 3100},
+		{"held up again and again, owner silent", []int{400, 800, 1200, 1600, 2000, 2400, 2800, 3200, 3600, 4000}, nil, 0, []span{{0, 4000, 400}}, -1},
+		{"held up again and again, owner refuses", []int{400, 800, 1200, 1600, 2000, 2400, 2800, 3200, 3600, 4000}, nil, 400, []span{{0, 4000, 400}}, 2400},
+		{"held up for long, owner silent", []int{400, 800, 1200, 1600, 2000, 2400, 2800, 3200, 3600, 4000, 4400, 4800, 5200, 5600, 6000, 6400, 6800, 7200, 7600, 8000}, nil, 0, []span{{0, 8000, 400}}, 7600},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Now()
+			d := claimer(start)
+			answer := func(names []string, times []int, ms int) {
+				for _, at := range times {
+					for _, name := range names {
+						if p := d.peers[name]; at <= ms && start.Add(time.Duration(at)*time.Millisecond).After(p.answeredAt) {
+							p.answeredAt, p.firstExcusedAt = start.Add(time.Duration(at)*time.Millisecond), time.Time{}
+						}
+					}
+				}
+			}
+			got := -1
+			for _, s := range tt.ticks {
+				for ms := s.from; ms <= s.to && got < 0; ms += s.every {
+					answer([]string{"p1", "p2", "p3"}, tt.answers, ms)
+					answer([]string{"p0"}, tt.p0, ms)
+					if tt.refused > 0 && ms >= tt.refused {
+						d.peers["p0"].refusedConnections = 2
+					}
+					if due, _ := d.claimTick(start.Add(time.Duration(ms) * time.Millisecond)); len(due) > 0 {
+						if got = ms; !slices.Equal(due, []string{"p0"}) {
+							t.Errorf("claims %v at %d ms, want p0 alone", due, ms)
+						}
+					}
+				}
+			}
+			if got != tt.want {
+				t.Errorf("first claim at %d ms, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,9 @@
 	waves       map[int]platform.Wave
 	keeper      *upkeep.Keeper
 	startedAt   time.Time
+	claimTickAt time.Time     // when claimTick was called last
+	lateAt      time.Time     // when this process was last found late
+	lateness    time.Duration // by how much it was late then
 }
 
 // New returns a process; Run starts it.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -23,6 +23,8 @@
 	pingTimeout      = 450 * time.Millisecond // for the answer to a ping
 	peerTimeout      = 900 * time.Millisecond // a peer without an answer for this long counts as failed
 	recentPeerWindow = 15 * time.Second       // peers that answered within this time count towards a majority
+	maxLateness      = 200 * time.Millisecond // a process that runs later than this does not judge the silence of its peers
+	maxExcuse        = 4 * time.Second        // for which a peer's silence may be excused, in case this process stays late
 )
 
 // memberRow is the stored entry of a process.
@@ -87,13 +89,47 @@
 	ready              bool      // the peer can own pools
 	processor          float64   // as in Status
 	pinging            bool
+	excusedAt          time.Time // silence before this time does not count
+	firstExcusedAt     time.Time // first excuse since the last answer, zero if there was none
 }
 
 // alive reports whether the peer counts as alive.
 func (p *peer) alive(now time.Time) bool {
-	return p.life != "" && p.refusedConnections < 2 && now.Sub(p.answeredAt) < peerTimeout
+	silentSince := p.answeredAt
+	if p.excusedAt.After(silentSince) {
+		silentSince = p.excusedAt
+	}
+	return p.life != "" && p.refusedConnections < 2 && now.Sub(silentSince) < peerTimeout
 }
 
+// excuse gives a peer that was alive at a time before now a new peerTimeout.
+func (p *peer) excuse(before, now time.Time) {
+	if !p.alive(before) || !p.firstExcusedAt.IsZero() && now.Sub(p.firstExcusedAt) > maxExcuse {
+		return
+	}
+	p.excusedAt = now
+	if p.firstExcusedAt.IsZero() {
+		p.firstExcusedAt = now
+	}
+}
+
+// recordLateness records that this process did something at now that was due earlier by
+// the given time. If that is more than maxLateness, what looked like silence of its peers
+// since then may have been its own. The caller holds d.mu.
+func (d *Daemon) recordLateness(now time.Time, lateness time.Duration) {
+	if lateness <= maxLateness || now.Sub(d.lateAt) < claimPeriod && lateness <= d.lateness {
+		return
+	}
+	d.lateAt, d.lateness = now, lateness
+	for _, p := range d.peers {
+		p.excuse(now.Add(-lateness), now)
+	}
+}
+
+// late reports whether this process ran late within the last peerTimeout. The caller
+// holds d.mu.
+func (d *Daemon) late(now time.Time) bool { return now.Sub(d.lateAt) < peerTimeout }
+
 // Status is the argument and the reply of a ping.
 type Status struct {
 	Node    string
@@ -158,12 +194,15 @@
 	err := p.link.Call(ctx, "Peer.Ping", status, &reply)
 	now := time.Now()
 	d.mu.Lock()
+	if ctx.Err() != nil {
+		d.recordLateness(now, now.Sub(began)-pingTimeout)
+	}
 	wasAlive := p.alive(now)
 	p.pinging = false
 	switch {
 	case err == nil:
 		p.life, p.answeredAt, p.refusedConnections, p.ready = reply.Life, now, 0, reply.Ready && !reply.Stopped
-		p.processor = reply.Processor
+		p.processor, p.firstExcusedAt = reply.Processor, time.Time{}
 	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
 		p.refusedConnections++
 	}
