--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -73,11 +73,36 @@
 // heartbeat is the last version that this process read of the row that a pool's
 // owner keeps updating in the store.
 type heartbeat struct {
-	version   uint64
-	changedAt time.Time // when this version was first read
-	readAt    time.Time // last time that the store was asked
+	requestedAt time.Time // when the last read began, whatever came of it
+	version     uint64
+	foundAt     time.Time // when the first read that found this version had ended; zero before any read
+	confirmedAt time.Time // when the last read that found it began
 }
 
+// request reports whether a read is due at now, and records that it begins.
+func (b *heartbeat) request(now time.Time) bool {
+	if now.Sub(b.requestedAt) < heartbeatReadPeriod {
+		return false
+	}
+	b.requestedAt = now
+	return true
+}
+
+// record records a read that found the given version.
+func (b *heartbeat) record(version uint64, began, ended time.Time) {
+	switch {
+	case began.Before(b.confirmedAt): // a later read has already been recorded
+	case b.foundAt.IsZero() || b.version != version:
+		b.version, b.foundAt, b.confirmedAt = version, ended, began
+	default:
+		b.confirmedAt = began
+	}
+}
+
+// unchangedFor returns for how long the row has certainly kept its version: from the end
+// of one read to the beginning of another. Reads in flight and failed ones show nothing.
+func (b *heartbeat) unchangedFor() time.Duration { return max(0, b.confirmedAt.Sub(b.foundAt)) }
+
 const (
 	heartbeatReadPeriod = 300 * time.Millisecond  // between reads for an unreachable owner
 	heartbeatTimeout    = 1500 * time.Millisecond // an owner whose row stays unchanged for this long has failed
@@ -89,13 +114,15 @@
 	now := time.Now()
 	d.mu.Lock()
 	b := d.heartbeats[name]
-	if now.Sub(b.readAt) < heartbeatReadPeriod {
-		d.mu.Unlock()
-		return
+	if b == nil {
+		b = &heartbeat{}
+		d.heartbeats[name] = b
 	}
-	b.readAt = now
-	d.heartbeats[name] = b
+	due := b.request(now)
 	d.mu.Unlock()
+	if !due {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	readVersion := pool.HeartbeatVersion
@@ -109,11 +136,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b = d.heartbeats[name]
-	if b.changedAt.IsZero() || b.version != version {
-		b.version, b.changedAt = version, now
-	}
-	d.heartbeats[name] = b
+	b.record(version, now, time.Now())
 }
 
 // claimable returns the pools that this process should claim now. In unconfirmed it
@@ -161,9 +184,8 @@
 	}
 	for _, name := range ownerless {
 		if own := d.ownerships[name]; !majority && own.Token > 0 && !d.ownerDead(own, now) {
-			b := d.heartbeats[name]
 			unconfirmed = append(unconfirmed, name)
-			if b.changedAt.IsZero() || b.readAt.Sub(b.changedAt) < heartbeatTimeout {
+			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < heartbeatTimeout {
 				continue // the owner may be alive and unreachable only from here
 			}
 		}
--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -132,3 +132,44 @@
 		})
 	}
 }
+
+// A heartbeat counts as unchanged only between reads that were answered: an owner whose row
+// was read once, while further reads failed or were under way, lost its pool (inc-57a4).
+func TestHeartbeatStandsStillBetweenAnsweredReads(t *testing.T) {
+	type read struct {
+		began, ended int // ms; 0 for no answer
+		version      uint64
+	}
+	for _, tt := range []struct {
+		name string
+		in   []read // in the order of their ends, those without an answer first
+		want int    // ms
+	}{
+		{"no read", nil, 0},
+		{"one read", []read{{100, 120, 5}}, 0},
+		{"one read, another begun", []read{{1600, 0, 0}, {100, 120, 5}}, 0},
+		{"one read, others failed", []read{{400, 0, 0}, {700, 0, 0}, {1700, 0, 0}, {100, 120, 5}}, 0},
+		{"unchanged from the first answer to the last request", []read{{100, 120, 5}, {400, 420, 5}, {1700, 1750, 5}}, 1580},
+		{"an answer that took long", []read{{100, 1000, 5}, {400, 1600, 5}}, 0},
+		{"changed", []read{{100, 120, 5}, {1700, 1720, 6}}, 0},
+		{"changed, then unchanged", []read{{100, 120, 5}, {400, 420, 6}, {700, 720, 6}}, 280},
+		{"answers out of order", []read{{400, 450, 6}, {100, 500, 5}, {700, 720, 6}}, 250},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Now()
+			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+			b := &heartbeat{}
+			for _, r := range slices.SortedFunc(slices.Values(tt.in), func(x, y read) int { return x.began - y.began }) {
+				b.request(at(r.began))
+			}
+			for _, r := range tt.in {
+				if r.ended > 0 {
+					b.record(r.version, at(r.began), at(r.ended))
+				}
+			}
+			if got := b.unchangedFor(); got != time.Duration(tt.want)*time.Millisecond {
+				t.Errorf("unchanged for %v, want %d ms", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,7 @@
 	ownersRead  bool                            // the ownership table has been read once
 	workersRead bool                            // the worker table has been read once
 	vacantSince map[string]time.Time            // when a pool was first seen without an owner
-	heartbeats  map[string]heartbeat            // of owners that this process can't reach, by pool
+	heartbeats  map[string]*heartbeat           // of owners that this process can't reach, by pool
 	claiming    map[string]bool                 // pools with a claim in progress
 	workers     map[string]platform.WorkerEntry // by worker id
 	waves       map[int]platform.Wave
@@ -67,7 +67,7 @@
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
 		server: wire.NewServer(), peers: map[string]*peer{}, owners: map[string]*pool.Owner{},
-		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]heartbeat{}, claiming: map[string]bool{},
+		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{},
 		workers: map[string]platform.WorkerEntry{}, waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
