pool: an answer to an earlier call does not reopen a silent worker

Cause: the outcome of whichever hold call returned last decided whether a worker answers. A renewal waits at the worker for up to 2 s. When it was sent before the worker went silent and is answered after two calls have timed out, the worker counted as answering again. It holds unresolved attempts, so it is the fullest and gets the next starts. They queue behind the stops of those attempts (0.3 s and a delay of 0.15 s each, two at a time) before their own timeout of 0.3 s begins, and until then nothing of them is logged. The reverse also happened: the timeout of an earlier call silenced a worker that had answered a later one.

Fix: an agent keeps when the latest answered call was sent and by when the latest failed one was due, and the later of the two decides. After an answer that does not settle it, the worker is asked at once instead of with the next waiting renewal, without renewing its leases. "worker answers again" is logged, since the log did not show when a worker was open again.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -49,7 +49,8 @@
 	ackNumber      uint64        // ends up to this number may be acknowledged
 	ackRaised      chan struct{} // closed when ackNumber rises
 	busy           bool          // it has tasks
-	unresponsive   bool          // its last hold call failed; starts are refused until one succeeds
+	answeredCallAt time.Time     // when the latest hold call that was answered was sent
+	failedCallAt   time.Time     // when the latest hold call that failed should have been answered
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
@@ -171,15 +172,15 @@
 			if ctx.Err() != nil {
 				return
 			}
-			a.setUnresponsive(true)
+			a.callFailed(requestedAt.Add(o.Wait))
 			a.owner.post(func() { a.owner.holdFailed(a, err) })
 			immediate = true
 			sleep(ctx, retryDelay)
 			continue
 		}
 		a.setClock(l.Clock, time.Now())
-		a.setUnresponsive(false)
-		immediate = false
+		a.callAnswered(requestedAt)
+		immediate = a.isUnresponsive() // to find out at once whether it answers again
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 		if n := len(l.Ended); n > 0 {
 			a.awaitAck(ctx, l.Ended[n-1].Number)
@@ -199,11 +200,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	a.setUnresponsive(err != nil)
 	if err != nil {
+		a.callFailed(requestedAt)
 		a.owner.post(func() { a.owner.holdFailed(a, err) })
 		return
 	}
+	a.callAnswered(requestedAt)
 	a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 }
 
@@ -211,17 +213,36 @@
 // answer.
 var errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
 
+// isUnresponsive reports whether the worker has left a hold call unanswered and has
+// not answered one that was sent later. The answer to an earlier call, such as a
+// renewal that waited at the worker, does not show that it answers new calls. Starts
+// are refused while the worker is unresponsive.
 func (a *agent) isUnresponsive() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.unresponsive
+	return a.failedCallAt.After(a.answeredCallAt)
 }
 
-func (a *agent) setUnresponsive(unresponsive bool) {
+// callAnswered records that a hold call sent at sentAt was answered.
+func (a *agent) callAnswered(sentAt time.Time) {
 	a.mu.Lock()
-	a.unresponsive = unresponsive
+	defer a.mu.Unlock()
+	if sentAt.After(a.answeredCallAt) {
+		a.answeredCallAt = sentAt
+	}
+}
+
+// callFailed records that a hold call failed that should have been answered by dueAt.
+func (a *agent) callFailed(dueAt time.Time) {
+	if now := time.Now(); now.Before(dueAt) {
+		dueAt = now
+	}
+	a.mu.Lock()
+	if dueAt.After(a.failedCallAt) {
+		a.failedCallAt = dueAt
+	}
 	a.mu.Unlock()
-	if unresponsive {
+	if a.isUnresponsive() {
 		a.rejectQueuedStarts()
 	}
 }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -126,8 +126,13 @@
 		return
 	}
 	now := time.Now()
-	if !a.answered || a.silent {
-		a.answered, a.silent = true, false
+	answersAgain := a.silent && !a.isUnresponsive()
+	if answersAgain {
+		a.silent = false
+		o.log.WithField("worker", a.key).Info("worker answers again")
+	}
+	if !a.answered || answersAgain {
+		a.answered = true
 		o.syncAgent(a)
 	}
 	running := make([]place.Running, 0, len(l.Running))
@@ -166,7 +171,7 @@
 		o.endLifetime(a, "another lifetime answers")
 		return
 	}
-	if !a.silent {
+	if !a.silent && a.isUnresponsive() {
 		a.silent = true
 		o.log.WithField("worker", a.key).WithError(err).Info("worker does not answer")
 		o.syncAgent(a)
