pool: a start for a worker found silent meanwhile is refused at once

Callers saw jobs start late beside a silent worker, with no start of them in the log.

Cause: the agent notices a silent worker before the owner's loop does, and rejects the starts that are queued at that moment. A start that the loop sends after that, until it has handled the notice, was queued behind the stops of the worker's unresolved attempts. Each stop takes 0.3 s without an answer and a delay of 0.15 s, two are sent at a time, and only then was the start refused. The gap is as long as the decision that is being made, so it grows with the pool and with an owner that lacks processor time.

Evidence: the new test failed before:

agent_test.go:167: a start for a worker that does not answer waits behind its stops

Fix: the agent refuses a start on arrival while the worker is unresponsive, under the lock under which it becomes so: a start is either queued before and rejected then, or refused. It is logged as "start refused" like those, and so is one for which the queue is full, which was not logged.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -209,9 +209,11 @@
 	a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 }
 
-// errUnresponsive means that an order was not sent because the worker does not
-// answer.
-var errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+// Reasons why an order was not sent.
+var (
+	errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+	errQueueFull    = errors.Wrap(platform.ErrNotDone, "the worker's order queue is full")
+)
 
 // isUnresponsive reports whether the worker has left a hold call unanswered and has
 // not answered one that was sent later. The answer to an earlier call, such as a
@@ -247,6 +249,22 @@
 	}
 }
 
+// enqueue queues an order. It does not accept a start for an unresponsive worker, which
+// would wait behind orders that get no answer.
+func (a *agent) enqueue(o order) error {
+	a.mu.Lock() // a start queued before callFailed takes effect is rejected by it
+	defer a.mu.Unlock()
+	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
+		return errUnresponsive
+	}
+	select {
+	case a.orders <- o:
+		return nil
+	default:
+		return errQueueFull
+	}
+}
+
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
 // elsewhere at once. Otherwise they would wait until every stop before them has
 // timed out.
--- a/internal/pool/agent_test.go
+++ b/internal/pool/agent_test.go
@@ -136,3 +136,34 @@
 		t.Error("a worker that answered the later of two calls counts as silent")
 	}
 }
+
+// A worker stops answering while the owner decides, so the owner sends it a start all
+// the same. The start must be refused at once instead of waiting behind stops that get
+// no answer either.
+func TestStartForAWorkerFoundSilentMeanwhileIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	w, a := newStubAgent(t)
+	o := a.owner
+	a.registered = true
+	o.syncAgent(a)
+	now := time.Now()
+	j := jobs.Job{ID: "0000000000000002", Spec: "20ms", Queue: "q", Pool: "p1", Submitted: now, Steps: []jobs.Step{{Count: 1, Size: jobs.Resources{Millicores: 100}}}}
+	o.board.Add(j, jobs.NewProgress(j), now)
+	starts := o.board.Decide(now).Starts
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	w.silent.Store(true)
+	a.readLists(t.Context())
+	calls := w.calls.Load()
+	for n := range maxParallelOrders {
+		a.orders <- order{stop: &place.StopOrder{Task: startOrder(n).start.Task, Attempt: 1}}
+	}
+	for w.calls.Load() < calls+maxParallelOrders {
+		time.Sleep(time.Millisecond)
+	}
+	o.sendOrder(a.key, order{start: &starts[0]})
+	if !o.board.Idle(a.key) {
+		t.Error("a start for a worker that does not answer waits behind its stops")
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -321,22 +321,22 @@
 	}
 }
 
-// sendOrder hands an order to a worker's agent. If the agent's queue is full, a
+// sendOrder hands an order to a worker's agent. If the agent does not accept it, a
 // start counts as refused, a stop as failed, and a pace is dropped.
 func (o *Owner) sendOrder(key string, ord order) {
 	a := o.agents[key]
 	if a == nil {
 		return
 	}
-	select {
-	case a.orders <- ord:
-	default:
-		if ord.start != nil {
-			o.board.Refused(key, ord.start.Task, ord.start.Attempt, time.Now())
-		}
-		if ord.stop != nil {
-			o.board.StopFailed(key, ord.stop.Task, ord.stop.Attempt)
-		}
+	err := a.enqueue(ord)
+	if err == nil {
+		return
+	}
+	if ord.start != nil {
+		o.startAnswered(a, *ord.start, err)
+	}
+	if ord.stop != nil {
+		o.board.StopFailed(key, ord.stop.Task, ord.stop.Attempt)
 	}
 }
 
