--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -143,8 +143,13 @@
 		return
 	}
 	now := time.Now()
-	if !a.answered || a.silent {
-		a.answered, a.silent = true, false
+	answersAgain := a.silent && !a.isUnresponsive()
+	if answersAgain {
+		a.silent = false
+		o.log.WithField("worker", a.key).Info("worker answers again")
+	}
+	if !a.answered || answersAgain {
+		a.answered = true
 		o.registrationsStale = true
 		o.syncAgent(a)
 	}
@@ -190,7 +195,7 @@
 		o.endLifetime(a, "another lifetime answers")
 		return
 	}
-	if !a.silent {
+	if !a.silent && a.isUnresponsive() {
 		a.silent = true
 		o.log.WithFields(logrus.Fields{"worker": a.key, "late-ms": max(0, late).Milliseconds()}).
 			WithError(err).Info("worker does not answer")
