daemon: a new configuration is fetched from one peer at a time

Cause: each ping's answer that named a newer configuration than the ping's sender had when it sent it led to a fetch of the whole configuration, from all 35 peers in parallel; the pings' timeout ended the calls but not their answers.

Change: a fetch begins 0.5 s after the version was first seen, if the store has not delivered it by then, and one at a time, with 2 s for the answer. TestConfigurationIsFetchedFromOnePeerAtATime is on the new rule, configFetch.begin; without it there was nothing to test it on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,7 @@
 	claiming    map[string]bool                 // pools with a claim in progress
 	workers     map[string]platform.WorkerEntry // by worker id
 	waves       map[int]platform.Wave
+	configFetch configFetch
 	keeper      *upkeep.Keeper
 	startedAt   time.Time
 	claimTickAt time.Time     // when claimTick was called last
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -221,11 +221,8 @@
 // fetchNewer fetches the configuration and the owners from a peer whose status shows
 // newer ones.
 func (d *Daemon) fetchNewer(ctx context.Context, p *peer, theirs, ours Status) {
-	if theirs.Config > ours.Config {
-		var raw []byte
-		if err := p.link.Call(ctx, "Peer.Config", Empty{}, &raw); err == nil && len(raw) > 0 {
-			d.applyConfig(raw, p.node)
-		}
+	if c := d.config.Load(); c == nil || theirs.Config > c.Version {
+		d.fetchConfig(p, theirs.Config)
 	}
 	if theirs.Owned > ours.Owned {
 		var owned []pool.Ownership
@@ -237,6 +234,54 @@
 	}
 }
 
+const (
+	configFetchDelay   = 500 * time.Millisecond // for the store to deliver a configuration that a peer already has
+	configFetchTimeout = 2 * time.Second
+)
+
+// configFetch limits how often a process fetches a configuration from its peers. All of
+// them have a new one at about the same time; fetched from each, a large one would fill
+// the link of the host for seconds.
+type configFetch struct {
+	version uint64 // the newest one known of
+	seenAt  time.Time
+	running bool
+}
+
+// begin reports whether to fetch a version now: it is known of for configFetchDelay, and no
+// fetch is under way.
+func (f *configFetch) begin(version uint64, now time.Time) bool {
+	if version > f.version {
+		f.version, f.seenAt = version, now
+	}
+	if f.running || now.Sub(f.seenAt) < configFetchDelay {
+		return false
+	}
+	f.running = true
+	return true
+}
+
+// fetchConfig fetches a peer's configuration if the store has not delivered it in time.
+func (d *Daemon) fetchConfig(p *peer, version uint64) {
+	d.mu.Lock()
+	due := d.configFetch.begin(version, time.Now())
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
+	defer cancel()
+	var raw []byte
+	if err := p.link.Call(ctx, "Peer.Config", Empty{}, &raw); err != nil {
+		d.log.WithFields(logrus.Fields{"peer": p.node, "version": version}).WithError(err).Info("fetching the configuration from a peer failed")
+	} else if len(raw) > 0 {
+		d.applyConfig(raw, p.node)
+	}
+	d.mu.Lock()
+	d.configFetch.running = false
+	d.mu.Unlock()
+}
+
 // Empty is the argument of RPCs that take none.
 type Empty struct{}
 
--- /dev/null
+++ b/internal/daemon/peers_test.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a large configuration that every process fetches from all its peers at
+// once, so that the links are full and owners and peers count as silent.
+func TestConfigurationIsFetchedFromOnePeerAtATime(t *testing.T) {
+	type step struct {
+		ms      int
+		version uint64
+		done    bool // the fetch under way ends first
+		want    bool
+	}
+	for _, tt := range []struct {
+		name string
+		in   []step
+	}{
+		{"the store delivers first", []step{{0, 7, false, false}, {10, 7, false, false}, {490, 7, false, false}}},
+		{"the store does not deliver", []step{{0, 7, false, false}, {500, 7, false, true}, {501, 7, false, false}}},
+		{"the first peer fails", []step{{0, 7, false, false}, {500, 7, false, true}, {900, 7, true, true}}},
+		{"a newer one is on its way", []step{{0, 7, false, false}, {400, 8, false, false}, {600, 8, false, false}, {900, 8, false, true}}},
+		{"peers are of different age", []step{{0, 8, false, false}, {400, 7, false, false}, {500, 7, false, true}}},
+	} {
+		var f configFetch
+		start := time.Now()
+		for _, s := range tt.in {
+			if s.done {
+				f.running = false
+			}
+			if have := f.begin(s.version, start.Add(time.Duration(s.ms)*time.Millisecond)); have != s.want {
+				t.Errorf("%s: at %d ms fetches version %d: %v, want %v", tt.name, s.ms, s.version, have, s.want)
+			}
+		}
+	}
+}
