broker: a new dispatcher asks again before it grants what a silent member may hold

Workers got more requests at once than they have slots: 14 of 8 when an entry stalls while the dispatcher is lost.

Cause: a new dispatcher asked each live member once which slots it holds and then granted all others. The question fails after 0.35 to 0.5 s, since a call whose heartbeat is late is given up, and a member that is suspected is not asked at all. So an entry that lacks processor time for half a second counted as holding nothing.

Fix: the dispatcher asks again, after 50 ms and then twice as long each time, until every live member has answered, for at most 1 s: five questions to each member at most. It names those that have not in its event. A process that refuses connections has ended, and is not waited for. Suspected members get a heartbeat at once, which shows either. What the last dispatcher issued is taken over from its first answer only, since its list does not change when such a grant is released.

Price: a frozen or cut-off dispatcher costs 1 s more.

Not mended: slots of a member that is silent for more than 1 s are granted again (to keep them reserved and let grants flow within 3 s, a successor has to know who holds what), and grants on their way for more than 100 ms.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -12,8 +12,8 @@
 // # Recovery
 //
 // Queues are not stored. A broker that becomes responsible for a pool first asks
-// every live member which grants of the pool it holds. It repeats this every few
-// seconds and takes back each grant that its entry does not hold, because the
+// every live member which grants of the pool it holds, and asks again while one does
+// not answer. It repeats this every few seconds and takes back each grant that its entry does not hold, because the
 // message that granted or released it was lost.
 package broker
 
@@ -45,6 +45,12 @@
 	// transit.
 	usualGrantDelivery = 50 * time.Millisecond
 	maxGrantDelivery   = 3 * time.Second
+
+	// A new dispatcher waits for the holdings of all live members for at most
+	// recoveryTimeout. Grants have to flow again within 3 s after a dispatcher is lost,
+	// of which some 0.5 s pass until it is noticed.
+	recoveryTimeout    = time.Second
+	recoveryRetryDelay = 50 * time.Millisecond // doubles each time
 )
 
 // MemberGrants is one member's answer about a pool: the grants that it holds as an
@@ -53,13 +59,13 @@
 	Member         string
 	Grants         []sched.Grant
 	RecentlyIssued []sched.Grant
+	Ended          bool // set instead of an answer: the member's process has ended, but its lease has not
 }
 
 // Config holds the dependencies of a broker.
 type Config struct {
-	// QueryGrants asks every live member for its grants of a pool. A member that can't
-	// be reached is in live but not in holdings; a member that is gone is in
-	// neither.
+	// QueryGrants asks every live member for its grants of a pool. A member that does
+	// not answer is in live but not in holdings; a member that is gone is in neither.
 	QueryGrants func(ctx context.Context, pool string) (holdings []MemberGrants, live []string)
 	// Trace records every step of every queue; nil disables tracing.
 	Trace trace.Sink
@@ -200,7 +206,7 @@
 			last = now
 		case <-reconcile.C:
 			for _, d := range b.allDispatchers() {
-				go d.reconcile(maxGrantDelivery, false)
+				go d.reconcile(maxGrantDelivery)
 			}
 		}
 	}
--- a/internal/broker/dispatcher.go
+++ b/internal/broker/dispatcher.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -77,11 +78,48 @@
 // is issued. Grants of the previous dispatcher count as in use until they must
 // have reached their entries.
 func (d *dispatcher) recoverGrants() {
-	restored := d.reconcile(0, true)
-	d.config.Log.Add(event.DispatchRecover, d.pool, uint64(restored), "slots in use were learnt from the entries")
+	restored, silent := d.readHoldings()
+	cause := "slots in use were learnt from the entries"
+	if len(silent) > 0 {
+		cause = "slots in use were not learnt from " + strings.Join(silent, ", ")
+	}
+	d.config.Log.Add(event.DispatchRecover, d.pool, uint64(restored), cause)
 	close(d.ready)
 	time.Sleep(2 * usualGrantDelivery)
-	d.reconcile(usualGrantDelivery, false)
+	d.reconcile(usualGrantDelivery)
+}
+
+// readHoldings takes over the grants in use, those included that the previous
+// dispatcher issued recently. It asks again while a live member does not answer, for
+// at most recoveryTimeout, because that member may hold any slot. It returns the
+// number of grants taken over and the members that did not answer.
+func (d *dispatcher) readHoldings() (restored int, silent []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), recoveryTimeout)
+	defer cancel()
+	answered := map[string]bool{}
+	for delay := recoveryRetryDelay; ; delay *= 2 {
+		askedAt := d.config.Now()
+		holdings, live := d.config.QueryGrants(ctx, d.pool)
+		d.mu.Lock()
+		for _, h := range holdings {
+			inUse := h.Grants
+			if !answered[h.Member] {
+				inUse = slices.Concat(h.Grants, h.RecentlyIssued)
+			}
+			answered[h.Member] = true
+			restored += d.takeOverAll(inUse, askedAt)
+		}
+		d.mu.Unlock()
+		silent = slices.DeleteFunc(slices.Clone(live), func(name string) bool { return answered[name] })
+		if len(silent) == 0 {
+			return restored, nil
+		}
+		select {
+		case <-ctx.Done():
+			return restored, silent
+		case <-time.After(delay):
+		}
+	}
 }
 
 // reconcileAfterPause reconciles all grants, because another process may have
@@ -95,7 +133,7 @@
 	d.deliver(d.queue.RefuseAll(sched.Stopping))
 	d.mu.Unlock()
 	for range checksAfterPause {
-		d.reconcile(usualGrantDelivery, false)
+		d.reconcile(usualGrantDelivery)
 		time.Sleep(pauseCheckInterval)
 	}
 }
@@ -159,10 +197,8 @@
 
 // reconcile asks every member which grants it holds. It takes over grants of
 // other dispatchers, and takes back grants older than minAge that their entries
-// do not hold or whose entries are gone. With includeGiven it also takes over
-// the grants that the previous dispatcher issued recently. It returns the
-// number of grants taken over.
-func (d *dispatcher) reconcile(minAge time.Duration, includeGiven bool) (restored int) {
+// do not hold or whose entries are gone.
+func (d *dispatcher) reconcile(minAge time.Duration) {
 	askedAt := d.config.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -172,19 +208,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range holdings {
+		if h.Ended {
+			continue // its workers may still run what it sent them
+		}
 		answered[h.Member] = true
 		for _, g := range h.Grants {
 			held[g.ID] = true
 		}
-		inUse := h.Grants
-		if includeGiven {
-			inUse = slices.Concat(h.Grants, h.RecentlyIssued)
-		}
-		for _, g := range inUse {
-			if d.takeOver(g, askedAt) {
-				restored++
-			}
-		}
+		d.takeOverAll(h.Grants, askedAt)
 	}
 	for _, g := range slices.Collect(maps.Values(d.grantByRequest)) {
 		gone := !slices.Contains(live, g.Entry)
@@ -193,6 +224,15 @@
 			d.releaseLocked(Release{Grant: g.ID, Outcome: sched.Unused})
 		}
 	}
+}
+
+// takeOverAll takes over grants and returns how many it took over. d.mu is held.
+func (d *dispatcher) takeOverAll(grants []sched.Grant, askedAt time.Time) (restored int) {
+	for _, g := range grants {
+		if d.takeOver(g, askedAt) {
+			restored++
+		}
+	}
 	return restored
 }
 
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -317,7 +317,8 @@
 }
 
 // collectHoldings asks every member, this one included, for its grants of a pool.
-// It does not call suspected members. A member that is in live but has no holding
+// It does not call suspected members, but sends them a heartbeat at once to learn
+// whether they answer again or have ended. A member that is in live but has no holding
 // did not answer, and its grants count as held.
 func (r *roster) collectHoldings(ctx context.Context, pool string) (holdings []broker.MemberGrants, live []string) {
 	var mu sync.Mutex
@@ -326,14 +327,19 @@
 	r.forEachPeer(func(p *peer) {
 		var reply HeldReply
 		err := errSuspected
-		if !p.suspected {
+		if p.suspected {
+			p.wire.HeartbeatNow()
+		} else {
 			err = p.wire.Call(ctx, "Member.Held", HeldArgs{Pool: pool}, &reply)
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		live = append(live, p.info.Name)
-		if err == nil {
+		switch {
+		case err == nil:
 			holdings = append(holdings, broker.MemberGrants{Member: p.info.Name, Grants: reply.Grants, RecentlyIssued: reply.Given})
+		case p.wire.Refused():
+			holdings = append(holdings, broker.MemberGrants{Member: p.info.Name, Ended: true})
 		}
 	})
 	return holdings, live
--- a/internal/proof/dispatch_test.go
+++ b/internal/proof/dispatch_test.go
@@ -70,6 +70,38 @@
 	}
 }
 
+// An entry whose requests hold most slots is frozen while the dispatcher is lost, and
+// resumes 0.6 s later. The next dispatcher must not grant the slots that the entry's
+// requests still use.
+func TestSlotsOfAFrozenEntryStayInUse(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 4, 2)
+	lost, others := c.dispatcher("north")
+	frozen := others[0]
+	long := c.newWorkload("crate")
+	long.retries, long.timeout, long.entries = 0, 8*time.Second, []*process{frozen}
+	long.workTime = 2 * time.Second
+	long.start(12)
+	c.waitFor("the long requests to hold slots", 5*time.Second, func() bool { return lost.pool("north").Running == 12 })
+	short := c.newWorkload("label")
+	short.keyed, short.retries, short.timeout, short.entries = false, 0, 5*time.Second, others[1:]
+	short.pause = time.Millisecond
+	short.start(40)
+	time.Sleep(100 * time.Millisecond)
+	frozen.signal(syscall.SIGSTOP)
+	lost.kill()
+	time.Sleep(600 * time.Millisecond)
+	frozen.signal(syscall.SIGCONT)
+	time.Sleep(recoveryTarget)
+	short.stop()
+	long.stop()
+	for name, worker := range c.workers {
+		if busy, _ := worker.Peaks(); busy > 8 {
+			t.Errorf("worker %s had %d of 8 slots in use", name, busy)
+		}
+	}
+}
+
 // outage returns the longest time between two answers since the loss began, and
 // the answers per second before it and in the recoveryTarget after it.
 func outage(results []result, lossStart, lossEnd time.Time) (longestGap time.Duration, rateBefore, rateAfter float64) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,6 +22,7 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,6 +63,7 @@
 	timing       Timing
 	report       func(alive bool)
 	waiting      atomic.Int64 // calls in progress
+	refused      atomic.Bool  // the last dial was refused
 	heartbeatNow chan struct{}
 	done         chan struct{}
 
@@ -87,6 +89,10 @@
 // Addr returns the peer's address.
 func (p *Peer) Addr() netip.AddrPort { return p.addr }
 
+// Refused reports whether the last connection attempt was refused: nothing listens at
+// the peer's address, so its process has ended.
+func (p *Peer) Refused() bool { return p.refused.Load() }
+
 // HeartbeatNow requests a heartbeat at once. It does not wait for the answer.
 func (p *Peer) HeartbeatNow() {
 	select {
@@ -136,6 +142,7 @@
 	}
 	dialer := net.Dialer{Timeout: p.timing.DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", p.addr.String())
+	p.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", p.addr, err)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// A process that has ended must be told from one that is silent: nobody waits for the
+// first, and the second may still hold slots.
+func TestOnlyAnEndedProcessRefuses(t *testing.T) {
+	silent, silentAddr := listenOn(t)
+	ended, endedAddr := listenOn(t)
+	_ = ended.Close()
+	for _, tt := range []struct {
+		name string
+		addr netip.AddrPort
+		want bool
+	}{{"silent", silentAddr, false}, {"ended", endedAddr, true}} {
+		peer := NewPeer(tt.addr, fastTiming, nil)
+		defer peer.Close()
+		err := peer.Call(t.Context(), "Any.Method", Beat{}, &Beat{})
+		if err == nil || peer.Refused() != tt.want {
+			t.Errorf("%s: refused %v after %v, want %v", tt.name, peer.Refused(), err, tt.want)
+		}
+	}
+	_ = silent.Close()
+}
+
 func TestHeartbeatNowReportsAtOnce(t *testing.T) {
 	listener, addr := listenOn(t)
 	server := NewServer()
