--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -88,15 +88,19 @@
 	return true
 }
 
-// record records a read that found the given version.
-func (b *heartbeat) record(version uint64, began, ended time.Time) {
-	switch {
-	case began.Before(b.confirmedAt): // a later read has already been recorded
-	case b.foundAt.IsZero() || b.version != version:
-		b.version, b.foundAt, b.confirmedAt = version, ended, began
-	default:
-		b.confirmedAt = began
+// record records a read that found the given version, and reports whether the row changed
+// since the read before.
+func (b *heartbeat) record(version uint64, began, ended time.Time) bool {
+	if began.Before(b.confirmedAt) {
+		return false // a later read has already been recorded
+	}
+	b.confirmedAt = began
+	if !b.foundAt.IsZero() && b.version == version {
+		return false
 	}
+	changed := !b.foundAt.IsZero()
+	b.version, b.foundAt = version, ended
+	return changed
 }
 
 // unchangedFor returns for how long the row has certainly kept its version: from the end
@@ -106,42 +110,54 @@
 const (
 	heartbeatReadPeriod = 300 * time.Millisecond  // between reads for an unreachable owner
 	heartbeatTimeout    = 1500 * time.Millisecond // an owner whose row stays unchanged for this long has failed
+	busyOwnerTimeout    = time.Second             // the same, if a majority of the processes can be reached
+	maxBusyTime         = 3 * time.Second         // for which an owner may be silent and keep its pool by its heartbeat
 )
 
 // readHeartbeat reads from the store whether a pool's unreachable owner is alive. It
 // returns at once if the last read began less than heartbeatReadPeriod ago.
 func (d *Daemon) readHeartbeat(ctx context.Context, name string) {
-	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	d.recordHeartbeat(name, func() (uint64, error) {
+		if name == fleetName {
+			return upkeep.HeartbeatVersion(ctx, d.store, name)
+		}
+		return pool.HeartbeatVersion(ctx, d.store, name)
+	}, time.Now)
+}
+
+// recordHeartbeat calls read for the version of the owner's row if that is due.
+func (d *Daemon) recordHeartbeat(name string, read func() (uint64, error), clock func() time.Time) {
+	began := clock()
 	d.mu.Lock()
 	b := d.heartbeats[name]
 	if b == nil {
 		b = &heartbeat{}
 		d.heartbeats[name] = b
 	}
-	due := b.request(now)
+	due := b.request(began)
 	d.mu.Unlock()
 	if !due {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	readVersion := pool.HeartbeatVersion
-	if name == fleetName {
-		readVersion = upkeep.HeartbeatVersion
-	}
-	version, err := readVersion(ctx, d.store, name)
+	version, err := read()
 	if err != nil {
 		d.log.WithField("pool", name).WithError(err).Info("reading the owner's heartbeat failed")
 		return
 	}
+	ended := clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b.record(version, now, time.Now())
+	if b.record(version, began, ended) {
+		d.vacantSince[name] = ended // the owner runs, so that the candidates begin to wait again
+	}
 }
 
 // claimable returns the pools that this process should claim now. In unconfirmed it
-// returns pools whose owner this process can't reach while it reaches no majority of
-// the processes; only the owner's heartbeat in the store shows whether it failed.
+// returns pools whose owner's heartbeat in the store this process should read, since only
+// that shows whether the owner failed: it is silent, and may be busy or unreachable only
+// from here.
 func (d *Daemon) claimable(now time.Time) (due, unconfirmed []string) {
 	c := d.config.Load()
 	if c == nil || !d.canOwn() || now.Sub(d.startedAt) < startupDelay {
@@ -163,14 +179,14 @@
 	}
 	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
 	for _, p := range d.peers {
-		if p.alive(now) && p.ready {
+		if p.alive(now) && p.ready && !p.silentFor(now, suspicionTime) {
 			candidates = append(candidates, candidate{node: p.node, processor: p.processor})
 		}
 	}
 	var ownerless []string
 	for _, name := range names {
 		own, owned := d.ownerships[name]
-		if owned && d.ownerAlive(own, now) {
+		if owned && d.ownerAlive(own, now) && !d.ownerSuspected(own, now) {
 			delete(d.vacantSince, name)
 			delete(d.heartbeats, name)
 			for i := range candidates {
@@ -183,13 +199,8 @@
 		ownerless = append(ownerless, name)
 	}
 	for _, name := range ownerless {
-		if own := d.ownerships[name]; !majority && own.Token > 0 && !d.ownerDead(own, now) {
-			unconfirmed = append(unconfirmed, name)
-			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < heartbeatTimeout {
-				continue // the owner may be alive and unreachable only from here
-			}
-		}
-		if d.ownerships[name].Token == 0 && now.Sub(d.startedAt) < firstClaimDelay {
+		own := d.ownerships[name]
+		if own.Token == 0 && now.Sub(d.startedAt) < firstClaimDelay {
 			continue
 		}
 		since, known := d.vacantSince[name]
@@ -199,15 +210,41 @@
 		}
 		rank := rankCandidates(name, candidates)
 		candidates[rank[0]].owned++
-		for i, at := range rank {
-			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay+delay && !d.claiming[name] {
-				due = append(due, name)
+		self := slices.IndexFunc(rank, func(at int) bool { return candidates[at].node == d.self.Node })
+		if now.Sub(since) < time.Duration(self)*rankDelay+delay || d.claiming[name] {
+			continue
+		}
+		if still := d.requiredStandstill(own, majority, now); still > 0 {
+			unconfirmed = append(unconfirmed, name)
+			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < still {
+				continue // the owner may run, and be busy or unreachable only from here
 			}
 		}
+		if !d.ownerAlive(own, now) {
+			due = append(due, name)
+		}
 	}
 	return due, unconfirmed
 }
 
+// requiredStandstill returns for how long the heartbeat of a pool's owner must have stood
+// still before this process may claim the pool; 0 if the heartbeat does not matter. The
+// caller holds d.mu.
+func (d *Daemon) requiredStandstill(own pool.Ownership, majority bool, now time.Time) time.Duration {
+	p := d.peers[own.Owner.Node]
+	switch {
+	case own.Token == 0 || d.ownerDead(own, now):
+		return 0
+	case !majority:
+		return heartbeatTimeout
+	case p.refuses(), p.silentFor(now, maxBusyTime) && now.Sub(d.startedAt) >= maxBusyTime:
+		return 0
+	case own.Pool == fleetName: // its holder writes less often
+		return heartbeatTimeout
+	}
+	return busyOwnerTimeout
+}
+
 // rankCandidates returns the indexes of the candidates for a pool, best first. The
 // candidate comes first whose pools, with this one, would have the most processor time
 // each. A hash of pool and node breaks ties, so that the order differs from pool to pool.
@@ -254,6 +291,13 @@
 	return p != nil && p.alive(now) && p.life == own.Owner.Life
 }
 
+// ownerSuspected reports whether the process that owns a pool has left a ping unanswered,
+// which makes it worth reading its heartbeat. The caller holds d.mu.
+func (d *Daemon) ownerSuspected(own pool.Ownership, now time.Time) bool {
+	p := d.peers[own.Owner.Node]
+	return p != nil && p.silentFor(now, suspicionTime)
+}
+
 // ownerDead reports whether the process that owned a pool has certainly ended, because
 // the node runs a process with a newer life. The caller holds d.mu.
 func (d *Daemon) ownerDead(own pool.Ownership, now time.Time) bool {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -21,6 +21,7 @@
 	tableMember      = "member" // table of processes, by node name
 	pingPeriod       = 250 * time.Millisecond
 	pingTimeout      = 450 * time.Millisecond // for the answer to a ping
+	suspicionTime    = pingTimeout            // a peer without an answer for this long may have failed
 	peerTimeout      = 900 * time.Millisecond // a peer without an answer for this long counts as failed
 	recentPeerWindow = 15 * time.Second       // peers that answered within this time count towards a majority
 	maxLateness      = 200 * time.Millisecond // a process that runs later than this does not judge the silence of its peers
@@ -95,11 +96,16 @@
 
 // alive reports whether the peer counts as alive.
 func (p *peer) alive(now time.Time) bool {
-	silentSince := p.answeredAt
-	if p.excusedAt.After(silentSince) {
-		silentSince = p.excusedAt
-	}
-	return p.life != "" && p.refusedConnections < 2 && now.Sub(silentSince) < peerTimeout
+	return p.life != "" && !p.refuses() && !p.silentFor(now, peerTimeout)
+}
+
+// refuses reports whether the peer refuses connections. A nil peer doesn't.
+func (p *peer) refuses() bool { return p != nil && p.refusedConnections >= 2 }
+
+// silentFor reports whether the peer has given no answer for a time that is not excused. A
+// nil peer is silent.
+func (p *peer) silentFor(now time.Time, t time.Duration) bool {
+	return p == nil || now.Sub(p.answeredAt) >= t && now.Sub(p.excusedAt) >= t
 }
 
 // excuse gives a peer that was alive at a time before now a new peerTimeout.
