--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -41,24 +41,44 @@
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
 		}
-		for _, name := range due {
+		for _, v := range due {
 			go func() {
-				if err := d.claim(ctx, name); err != nil {
-					d.log.WithField("pool", name).WithError(err).Info("claiming the pool failed")
+				if err := d.claim(ctx, v.pool, v.cause); err != nil {
+					d.log.WithField("pool", v.pool).WithError(err).Info("claiming the pool failed")
 				}
 			}()
 		}
 	}
 }
 
+// claimCause tells in the log why a pool is claimed.
+type claimCause string
+
+// Causes of claims.
+const (
+	causeNoOwner    claimCause = "no owner yet"
+	causeEnded      claimCause = "the owner ended"
+	causeRefused    claimCause = "connections refused"
+	causeSilent     claimCause = "silent"
+	causeStandstill claimCause = "silent and heartbeat stood still"
+	causeHandedOver claimCause = "handed over"
+)
+
+// vacancy is a pool to claim.
+type vacancy struct {
+	pool  string
+	cause claimCause
+}
+
 // claimTick is called every claimPeriod. It returns what claimable returns.
-func (d *Daemon) claimTick(now time.Time) (due, unconfirmed []string) {
+func (d *Daemon) claimTick(now time.Time) (due []vacancy, unconfirmed []string) {
 	d.mu.Lock()
 	last := d.claimTickAt
 	d.claimTickAt = now
 	if !last.IsZero() {
 		d.recordLateness(now, now.Sub(last)-claimPeriod)
 	}
+	d.logLiveness(now)
 	d.mu.Unlock()
 	return d.claimable(now)
 }
@@ -158,7 +178,7 @@
 // returns pools whose owner's heartbeat in the store this process should read, since only
 // that shows whether the owner failed: it is silent, and may be busy or unreachable only
 // from here.
-func (d *Daemon) claimable(now time.Time) (due, unconfirmed []string) {
+func (d *Daemon) claimable(now time.Time) (due []vacancy, unconfirmed []string) {
 	c := d.config.Load()
 	if c == nil || !d.canOwn() || now.Sub(d.startedAt) < startupDelay {
 		return nil, nil
@@ -214,35 +234,40 @@
 		if now.Sub(since) < time.Duration(self)*rankDelay+delay || d.claiming[name] {
 			continue
 		}
-		if still := d.requiredStandstill(own, majority, now); still > 0 {
+		still, cause := d.requiredStandstill(own, majority, now)
+		if still > 0 {
 			unconfirmed = append(unconfirmed, name)
 			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < still {
 				continue // the owner may run, and be busy or unreachable only from here
 			}
 		}
 		if !d.ownerAlive(own, now) {
-			due = append(due, name)
+			due = append(due, vacancy{name, cause})
 		}
 	}
 	return due, unconfirmed
 }
 
 // requiredStandstill returns for how long the heartbeat of a pool's owner must have stood
-// still before this process may claim the pool; 0 if the heartbeat does not matter. The
-// caller holds d.mu.
-func (d *Daemon) requiredStandstill(own pool.Ownership, majority bool, now time.Time) time.Duration {
+// still before this process may claim the pool, 0 if the heartbeat does not matter, and
+// the cause of such a claim. The caller holds d.mu.
+func (d *Daemon) requiredStandstill(own pool.Ownership, majority bool, now time.Time) (time.Duration, claimCause) {
 	p := d.peers[own.Owner.Node]
 	switch {
-	case own.Token == 0 || d.ownerDead(own, now):
-		return 0
+	case own.Token == 0:
+		return 0, causeNoOwner
+	case d.ownerDead(own, now):
+		return 0, causeEnded
 	case !majority:
-		return heartbeatTimeout
-	case p.refuses(), p.silentFor(now, maxBusyTime) && now.Sub(d.startedAt) >= maxBusyTime:
-		return 0
+		return heartbeatTimeout, causeStandstill
+	case p.refuses():
+		return 0, causeRefused
+	case p.silentFor(now, maxBusyTime) && now.Sub(d.startedAt) >= maxBusyTime:
+		return 0, causeSilent
 	case own.Pool == fleetName: // its holder writes less often
-		return heartbeatTimeout
+		return heartbeatTimeout, causeStandstill
 	}
-	return busyOwnerTimeout
+	return busyOwnerTimeout, causeStandstill
 }
 
 // rankCandidates returns the indexes of the candidates for a pool, best first. The
@@ -330,7 +355,7 @@
 }
 
 // claim makes this process the owner of a pool and starts the owner.
-func (d *Daemon) claim(ctx context.Context, name string) error {
+func (d *Daemon) claim(ctx context.Context, name string, cause claimCause) error {
 	d.mu.Lock()
 	if d.claiming[name] || d.stopping.Load() || !d.workersRead {
 		d.mu.Unlock()
@@ -338,6 +363,7 @@
 	}
 	d.claiming[name] = true
 	previous := d.ownerships[name]
+	fields := d.claimFields(previous, cause, time.Now())
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
@@ -352,11 +378,24 @@
 	}
 	d.recordStoreAnswer()
 	d.applyOwnership(own)
-	d.log.WithFields(logrus.Fields{"pool": name, "token": own.Token, "from": previous.Owner.Node}).Info("pool claimed")
+	d.log.WithFields(fields).WithFields(logrus.Fields{"pool": name, "token": own.Token}).Info("pool claimed")
 	d.startOwner(own)
 	return nil
 }
 
+// claimFields returns what the log tells about a claim, as it was when the claim began. The
+// caller holds d.mu.
+func (d *Daemon) claimFields(previous pool.Ownership, cause claimCause, now time.Time) logrus.Fields {
+	fields := logrus.Fields{
+		"from": previous.Owner.Node, "cause": cause, "majority": d.majority(now),
+		"late-ms": d.recentLateness(now).Milliseconds(),
+	}
+	if p := d.peers[previous.Owner.Node]; p != nil && !p.answeredAt.IsZero() {
+		fields["silent-ms"] = now.Sub(p.answeredAt).Milliseconds()
+	}
+	return fields
+}
+
 // refreshOwnership reads a pool's owner from the store after a failed claim.
 func (d *Daemon) refreshOwnership(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -93,11 +93,16 @@
 	newLife int    // when the owner's node answers with a new life, 0 for never
 }
 
-// firstClaim returns when the process first claims a pool, -1 if it claims none.
-func (s story) firstClaim(t *testing.T) int {
+// firstClaim returns when the process first claims a pool, -1 if it claims none, and why.
+func (s story) firstClaim(t *testing.T) (int, claimCause) {
 	t.Helper()
-	start := time.Now()
-	d := claimer(start)
+	return s.play(t, claimer(time.Now()))
+}
+
+// play does the same for a process that claimer returned.
+func (s story) play(t *testing.T, d *Daemon) (int, claimCause) {
+	t.Helper()
+	start := d.peers["p0"].answeredAt
 	answer := func(node string, at time.Time) {
 		d.peers[node].answeredAt, d.peers[node].firstExcusedAt = at, time.Time{}
 	}
@@ -127,10 +132,10 @@
 		}
 		due, unconfirmed := d.claimTick(now)
 		if len(due) > 0 {
-			if !slices.Equal(due, []string{"p0"}) {
+			if len(due) > 1 || due[0].pool != "p0" {
 				t.Errorf("claims %v at %d ms, want p0 alone", due, ms)
 			}
-			return ms
+			return ms, due[0].cause
 		}
 		for _, name := range unconfirmed {
 			v := uint64(1)
@@ -140,7 +145,7 @@
 			d.recordHeartbeat(name, func() (uint64, error) { return v, nil }, func() time.Time { return now })
 		}
 	}
-	return -1
+	return -1, ""
 }
 
 // A process that was held up claims nothing for the silence that it saw meanwhile: saturated
@@ -166,8 +171,8 @@
 		{"held up for long, owner silent", story{ticks: alwaysLate, others: answers}, 7600},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := tt.in.firstClaim(t); got != tt.want {
-				t.Errorf("first claim at %d ms, want %d", got, tt.want)
+			if got, cause := tt.in.firstClaim(t); got != tt.want {
+				t.Errorf("first claim at %d ms (%s), want %d", got, cause, tt.want)
 			}
 		})
 	}
@@ -179,27 +184,51 @@
 	onTime := []span{{0, 9000, 50}}
 	answers := span{200, 9000, 200}
 	for _, tt := range []struct {
-		name string
-		in   story
-		want int
+		name  string
+		in    story
+		want  int
+		cause claimCause
 	}{
-		{"frozen", story{ticks: onTime, others: answers}, 1700},
-		{"silent for 2.5 s, writes", story{ticks: onTime, others: answers, owner: span{2500, 9000, 200}, writes: span{100, 9000, 550}}, -1},
-		{"silent for 2.5 s, writes late", story{ticks: onTime, others: answers, owner: span{2500, 9000, 200}, writes: span{100, 9000, 900}}, -1},
-		{"silent for long, writes", story{ticks: onTime, others: answers, writes: span{100, 9000, 550}}, 3000},
-		{"silent, stops to write", story{ticks: onTime, others: answers, writes: span{100, 1000, 550}}, 2000},
-		{"pings lost now and then, does not write", story{ticks: onTime, others: answers, owner: span{800, 9000, 800}}, -1},
-		{"refuses connections", story{ticks: onTime, others: answers, refused: 400}, 400},
-		{"a new life answers", story{ticks: onTime, others: answers, newLife: 300, owner: span{400, 9000, 200}}, 300},
+		{"frozen", story{ticks: onTime, others: answers}, 1700, causeStandstill},
+		{"silent for 2.5 s, writes", story{ticks: onTime, others: answers, owner: span{2500, 9000, 200}, writes: span{100, 9000, 550}}, -1, ""},
+		{"silent for 2.5 s, writes late", story{ticks: onTime, others: answers, owner: span{2500, 9000, 200}, writes: span{100, 9000, 900}}, -1, ""},
+		{"silent for long, writes", story{ticks: onTime, others: answers, writes: span{100, 9000, 550}}, 3000, causeSilent},
+		{"silent, stops to write", story{ticks: onTime, others: answers, writes: span{100, 1000, 550}}, 2000, causeStandstill},
+		{"pings lost now and then, does not write", story{ticks: onTime, others: answers, owner: span{800, 9000, 800}}, -1, ""},
+		{"refuses connections", story{ticks: onTime, others: answers, refused: 400}, 400, causeRefused},
+		{"a new life answers", story{ticks: onTime, others: answers, newLife: 300, owner: span{400, 9000, 200}}, 300, causeEnded},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := tt.in.firstClaim(t); got != tt.want {
-				t.Errorf("first claim at %d ms, want %d", got, tt.want)
+			if got, cause := tt.in.firstClaim(t); got != tt.want || cause != tt.cause {
+				t.Errorf("first claim at %d ms (%s), want %d (%s)", got, cause, tt.want, tt.cause)
 			}
 		})
 	}
 }
 
+// The log tells when a peer goes silent and when it answers again: only changes between the
+// beginning and the end of one ping were logged, so that silence never was (inc-57a4).
+func TestSilenceOfAPeerIsLogged(t *testing.T) {
+	d := claimer(time.Now())
+	logger, lines := test.NewNullLogger()
+	d.log = logrus.NewEntry(logger)
+	for _, p := range d.peers {
+		p.loggedAlive = true
+	}
+	story{ticks: []span{{0, 9000, 50}}, others: span{200, 9000, 200}, owner: span{1400, 9000, 200}, writes: span{100, 9000, 550}}.play(t, d)
+	var got []string
+	for _, e := range lines.AllEntries() {
+		got = append(got, fmt.Sprintf("%s: %v alive %v after %v ms, late %v ms", e.Message, e.Data["peer"], e.Data["alive"], e.Data["silent-ms"], e.Data["late-ms"]))
+	}
+	want := []string{
+		"peer's liveness changed: p0 alive false after 900 ms, late 0 ms",
+		"peer's liveness changed: p0 alive true after 1400 ms, late 0 ms",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("log %q, want %q", got, want)
+	}
+}
+
 // A heartbeat counts as unchanged only between reads that were answered: an owner whose row
 // was read once, while further reads failed or were under way, lost its pool (inc-57a4).
 func TestHeartbeatStandsStillBetweenAnsweredReads(t *testing.T) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -85,12 +85,13 @@
 func TestOwnerLost(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
+		cause   string // of the next owner's claim
 		fail    func(s *system, p *process)
 		restore func(s *system, p *process)
 	}{
-		{"killed", func(s *system, p *process) { s.kill(p) }, func(s *system, p *process) { s.start(p) }},
-		{"stopped", func(s *system, p *process) { s.signal(p, syscall.SIGTERM) }, func(*system, *process) {}},
-		{"suspended and resumed", func(s *system, p *process) { s.signal(p, syscall.SIGSTOP) }, func(s *system, p *process) { s.signal(p, syscall.SIGCONT) }},
+		{"killed", "connections refused", func(s *system, p *process) { s.kill(p) }, func(s *system, p *process) { s.start(p) }},
+		{"stopped", "handed over", func(s *system, p *process) { s.signal(p, syscall.SIGTERM) }, func(*system, *process) {}},
+		{"suspended and resumed", "silent and heartbeat stood still", func(s *system, p *process) { s.signal(p, syscall.SIGSTOP) }, func(s *system, p *process) { s.signal(p, syscall.SIGCONT) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSystem(t, 3, mimic.Options{})
@@ -106,6 +107,12 @@
 			s.submit(p, "/labels/"+id(9), oneStep)
 			t.Logf("a job was accepted %v after the owner was lost", time.Since(began).Round(time.Millisecond))
 			time.Sleep(time.Second)
+			row := string(s.platform.Store.Get("own", "p1", "owner"))
+			for _, other := range s.processes {
+				if strings.Contains(row, `"`+other.node+`"`) && !strings.Contains(other.log.String(), `"cause":"`+tt.cause+`"`) {
+					t.Errorf("the log of the next owner %s names no claim with the cause %q", other.node, tt.cause)
+				}
+			}
 			tt.restore(s, lost)
 			for _, i := range []int{0, 1, 2, 3, 9} {
 				s.waitState(p, "/labels/"+id(i), "complete", 15*time.Second)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -92,6 +92,9 @@
 	pinging            bool
 	excusedAt          time.Time // silence before this time does not count
 	firstExcusedAt     time.Time // first excuse since the last answer, zero if there was none
+	lastError          error     // of the last ping, nil if it was answered
+	loggedAlive        bool      // as in the last log line about it
+	silentSince        time.Time // last answer before that line, if it said that the peer is not alive
 }
 
 // alive reports whether the peer counts as alive.
@@ -132,6 +135,36 @@
 	}
 }
 
+// recentLateness returns by how much this process ran late within the last peerTimeout, 0 if
+// it did not. The caller holds d.mu.
+func (d *Daemon) recentLateness(now time.Time) time.Duration {
+	if !d.late(now) {
+		return 0
+	}
+	return d.lateness
+}
+
+// logLiveness logs which peers began or ceased to count as alive since the last call. The
+// caller holds d.mu.
+func (d *Daemon) logLiveness(now time.Time) {
+	for _, p := range d.peers {
+		alive := p.alive(now)
+		if alive == p.loggedAlive {
+			continue
+		}
+		p.loggedAlive = alive
+		fields := logrus.Fields{"peer": p.node, "alive": alive, "late-ms": d.recentLateness(now).Milliseconds()}
+		switch {
+		case !alive:
+			p.silentSince = p.answeredAt
+			fields["silent-ms"], fields["refused"] = now.Sub(p.answeredAt).Milliseconds(), p.refusedConnections
+		case !p.silentSince.IsZero():
+			fields["silent-ms"] = p.answeredAt.Sub(p.silentSince).Milliseconds()
+		}
+		d.log.WithFields(fields).WithError(p.lastError).Info("peer's liveness changed")
+	}
+}
+
 // late reports whether this process ran late within the last peerTimeout. The caller
 // holds d.mu.
 func (d *Daemon) late(now time.Time) bool { return now.Sub(d.lateAt) < peerTimeout }
@@ -203,8 +236,7 @@
 	if ctx.Err() != nil {
 		d.recordLateness(now, now.Sub(began)-pingTimeout)
 	}
-	wasAlive := p.alive(now)
-	p.pinging = false
+	p.pinging, p.lastError = false, err
 	switch {
 	case err == nil:
 		p.life, p.answeredAt, p.refusedConnections, p.ready = reply.Life, now, 0, reply.Ready && !reply.Stopped
@@ -212,13 +244,7 @@
 	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
 		p.refusedConnections++
 	}
-	isAlive := p.alive(now)
 	d.mu.Unlock()
-	if wasAlive != isAlive {
-		d.log.WithFields(logrus.Fields{
-			"peer": p.node, "alive": isAlive, "late-ms": max(0, now.Sub(began)-pingTimeout).Milliseconds(),
-		}).WithError(err).Info("peer's liveness changed")
-	}
 	if err == nil {
 		d.fetchNewer(ctx, p, reply, status)
 	}
@@ -303,7 +329,7 @@
 func (s *peerService) Take(name string, reply *bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	*reply = s.d.claim(ctx, name) == nil
+	*reply = s.d.claim(ctx, name, causeHandedOver) == nil
 	return nil
 }
 
