daemon: a process that lost the store is not offered pools

Cause: a process counted as fit to own pools for 5.4 s after the store's last answer, whatever the store said meanwhile, and a pool was offered to the three that rank first. Since they rank by processor time, these are the same for all pools, so that a partial outage met them together.

Change: after a failed call for a table or a feed a process is not ready until one succeeds; peers learn it with the next ping. TestProcessThatLostTheStoreIsNotReady failed before: "the store turns this process away: ready is true".

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,7 @@
 	config          atomic.Pointer[configuration]
 	stopping        atomic.Bool
 	storeAnsweredAt atomic.Int64 // Unix time in ms of the store's last answer
+	storeFailing    atomic.Bool  // the last call for a table or a feed failed
 
 	mu          sync.Mutex
 	peers       map[string]*peer                // by node name
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -60,8 +60,10 @@
 		peers[p.node] = p
 	}
 	d.mu.Unlock()
-	tries := 0
-	for _, i := range rankCandidates(name, candidates) {
+	for tries, i := range rankCandidates(name, candidates) {
+		if tries == maxHandoverTries || time.Since(now) > handoverTimeout {
+			break
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 		var taken bool
 		err := peers[candidates[i].node].link.Call(ctx, "Peer.Take", name, &taken)
@@ -70,14 +72,11 @@
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
 			return true
 		}
-		if tries++; tries == maxHandoverTries {
-			break
-		}
 	}
 	d.log.WithField("pool", name).Warn("handover failed: no process took the pool over")
 	return false
 }
 
-// maxHandoverTries is how many processes are asked in turn to take over a pool. If none
-// of them reaches the store, the others are unlikely to reach it either.
-const maxHandoverTries = 3
+// maxHandoverTries is how many processes are asked in turn to take over a pool. The store
+// may turn away some processes, among them those that rank first, and serve the others.
+const maxHandoverTries = 8
--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -1,8 +1,17 @@
 package daemon
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/papayarudder/papayarudder/platform"
 )
 
 // Guards against a large configuration that every process fetches from all its peers at
@@ -36,3 +45,33 @@
 		}
 	}
 }
+
+// Guards against a pool that is offered, for seconds, to processes that have lost the store
+// like its owner.
+func TestProcessThatLostTheStoreIsNotReady(t *testing.T) {
+	var refuses bool
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if refuses {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte(`{"rows":[],"ver":7,"now_ms":1}`))
+	}))
+	defer store.Close()
+	logger, _ := test.NewNullLogger()
+	addr := netip.MustParseAddrPort(store.Listener.Addr().String())
+	d := New(platform.Settings{Node: "self", Store: platform.StoreSettings{Addr: addr}}, logrus.NewEntry(logger))
+	d.config.Store(&configuration{})
+	for _, tt := range []struct {
+		name    string
+		refuses bool
+	}{{"the store answers", false}, {"the store turns this process away", true}, {"the store answers again", false}} {
+		refuses = tt.refuses
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		_ = d.watch(tableMember, d.readMembers, func(platform.Row) {})(ctx)
+		cancel()
+		if have := d.status().Ready; have == tt.refuses {
+			t.Errorf("%s: ready is %v", tt.name, have)
+		}
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -50,6 +50,9 @@
 				}
 			}
 			if ctx.Err() == nil {
+				if !errors.Is(err, platform.ErrCompacted) { // which is an answer
+					d.recordStoreFailure()
+				}
 				sleep(ctx, o.recordFailure(err, time.Now()))
 			}
 		}
@@ -99,12 +102,17 @@
 	return max(after, page.Version), nil
 }
 
-func (d *Daemon) recordStoreAnswer() { d.storeAnsweredAt.Store(time.Now().UnixMilli()) }
+func (d *Daemon) recordStoreAnswer() {
+	d.storeAnsweredAt.Store(time.Now().UnixMilli())
+	d.storeFailing.Store(false)
+}
+
+func (d *Daemon) recordStoreFailure() { d.storeFailing.Store(true) }
 
-// storeReachable reports whether the store has answered recently. An idle feed answers
-// every feedWait.
+// storeReachable reports whether the store has answered recently, and answered last. An
+// idle feed answers every feedWait.
 func (d *Daemon) storeReachable() bool {
-	return time.Since(time.UnixMilli(d.storeAnsweredAt.Load())) < feedWait+2*feedAnswerMargin
+	return !d.storeFailing.Load() && time.Since(time.UnixMilli(d.storeAnsweredAt.Load())) < feedWait+2*feedAnswerMargin
 }
 
 func (d *Daemon) readOperator(ctx context.Context) (uint64, error) {
