--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -52,6 +52,7 @@
 	name           string
 	standby        bool
 	load           place.Load
+	workers        map[string]place.WorkerLoad // of load, by id
 	loadKnown      bool
 	draining       bool            // one of its hosts is being drained of lasting tasks
 	hostCount      int             // hosts that run tasks, may get new ones, or are arriving
@@ -79,7 +80,10 @@
 	var names []string
 	for _, p := range pools {
 		l, known := loads[p.Name]
-		v := &poolView{name: p.Name, standby: p.Standby, load: l, loadKnown: known}
+		v := &poolView{name: p.Name, standby: p.Standby, load: l, loadKnown: known, workers: map[string]place.WorkerLoad{}}
+		for _, w := range l.Workers {
+			v.workers[w.ID] = w
+		}
 		views[p.Name] = v
 		names = append(names, p.Name)
 		if p.Standby {
@@ -185,14 +189,13 @@
 		v.hostCount++
 		return
 	}
-	i := slices.IndexFunc(v.load.Workers, func(w place.WorkerLoad) bool { return w.ID == h.Worker })
-	if i < 0 {
+	w, known := v.workers[h.Worker]
+	if !known {
 		if mustStay(h.Name) {
 			v.hostCount++ // it is arriving; its worker is not in the load yet
 		}
 		return // otherwise the worker is unknown to the pool or gone
 	}
-	w := v.load.Workers[i]
 	if !w.Open && w.Tasks == 0 {
 		return
 	}
--- a/internal/upkeep/planner.go
+++ b/internal/upkeep/planner.go
@@ -39,7 +39,7 @@
 // SetHosts sets the platform's list of hosts, as requested at requestedAt. The list
 // may be older than the newest orders.
 func (p *Planner) SetHosts(hosts []platform.Host, requestedAt time.Time) {
-	p.view.hosts, p.view.listedAt = hosts, requestedAt
+	p.view.hosts, p.view.listedAt, p.view.utilizations = hosts, requestedAt, nil
 	for i, h := range hosts {
 		m, moved := p.inTransit[h.Name]
 		if !moved {
@@ -68,7 +68,7 @@
 			p.view.standby[c.Name] = true
 		}
 	}
-	p.view.loads, p.view.workers = loads, map[string]place.WorkerLoad{}
+	p.view.loads, p.view.workers, p.view.utilizations = loads, map[string]place.WorkerLoad{}, nil
 	for _, l := range loads {
 		for _, w := range l.Workers {
 			p.view.workers[w.ID] = w
--- a/internal/upkeep/wave_plan.go
+++ b/internal/upkeep/wave_plan.go
@@ -80,10 +80,24 @@
 	loads    map[string]place.Load       // by pool
 	workers  map[string]place.WorkerLoad // by worker id
 	blocked  map[string]bool             // hosts that must not be ordered now
+
+	utilizations map[string]float64 // computed since hosts and loads were set, by pool
 }
 
 // utilization returns the used and requested share of a pool's capacity.
 func (v *fleetView) utilization(pool string) float64 {
+	u, known := v.utilizations[pool]
+	if !known {
+		if v.utilizations == nil {
+			v.utilizations = map[string]float64{}
+		}
+		u = v.computeUtilization(pool)
+		v.utilizations[pool] = u
+	}
+	return u
+}
+
+func (v *fleetView) computeUtilization(pool string) float64 {
 	l, known := v.loads[pool]
 	if !known {
 		return 0
@@ -197,10 +211,6 @@
 // off, those being drained, idle ones, then the others by the number of their
 // lasting tasks and the utilization of their pools.
 func (p *wavePlan) sortHosts(v *fleetView, hosts []platform.Host) {
-	utilization := map[string]float64{}
-	for _, h := range hosts {
-		utilization[h.Pool] = v.utilization(h.Pool)
-	}
 	class := func(h platform.Host) int {
 		w, known := v.workers[h.Worker]
 		switch {
@@ -218,7 +228,7 @@
 			cmp.Compare(class(x), class(y)),
 			p.hosts[x.Name].drainingSince.Compare(p.hosts[y.Name].drainingSince),
 			cmp.Compare(v.workers[x.Worker].Lasting, v.workers[y.Worker].Lasting),
-			cmp.Compare(utilization[x.Pool], utilization[y.Pool]),
+			cmp.Compare(v.utilization(x.Pool), v.utilization(y.Pool)),
 			strings.Compare(x.Name, y.Name),
 		)
 	})
