--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -423,11 +423,13 @@
 	d.mu.Lock()
 	d.owners[own.Pool] = o
 	entries := d.poolWorkers(own.Pool)
+	d.outdated[o] = false // changes from now on are sent after these
 	d.mu.Unlock()
 	if c := d.config.Load(); c != nil {
 		o.SetQueues(c.Queues)
 	}
-	o.SetWorkers(entries)
+	d.sendWorkers(o, entries)
+	go d.sendLatestWorkers(o)
 	go o.Run()
 	go func() {
 		<-o.Ended()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,8 @@
 	log      *logrus.Entry
 	server   *wire.Server
 
+	sendWorkers func(o *pool.Owner, entries []platform.WorkerEntry)
+
 	config          atomic.Pointer[configuration]
 	stopping        atomic.Bool
 	storeAnsweredAt atomic.Int64 // Unix time in ms of the store's last answer
@@ -51,6 +53,7 @@
 	heartbeats  map[string]*heartbeat           // of owners that this process can't reach, by pool
 	claiming    map[string]bool                 // pools with a claim in progress
 	workers     map[string]platform.WorkerEntry // by worker id
+	outdated    map[*pool.Owner]bool            // owners that are being passed workers; true if newer ones wait
 	waves       map[int]platform.Wave
 	keeper      *upkeep.Keeper
 	startedAt   time.Time
@@ -68,6 +71,7 @@
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
 		server: wire.NewServer(), peers: map[string]*peer{}, owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{},
+		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers,
 		workers: map[string]platform.WorkerEntry{}, waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -205,8 +205,36 @@
 func (d *Daemon) updateOwnerWorkers() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, o := range d.owners {
-		go o.SetWorkers(d.poolWorkers(name))
+	for _, o := range d.owners {
+		d.updateWorkers(o)
+	}
+}
+
+// updateWorkers passes its pool's workers to an owner in this process. While the owner is
+// still taking in earlier ones, it is passed the latest ones afterwards. The caller holds
+// d.mu.
+func (d *Daemon) updateWorkers(o *pool.Owner) {
+	_, updating := d.outdated[o]
+	d.outdated[o] = true
+	if !updating {
+		go d.sendLatestWorkers(o)
+	}
+}
+
+// sendLatestWorkers passes workers to an owner until it has the latest ones. One goroutine
+// does so for each owner, as an owner must not get older ones after them.
+func (d *Daemon) sendLatestWorkers(o *pool.Owner) {
+	for {
+		d.mu.Lock()
+		if !d.outdated[o] {
+			delete(d.outdated, o)
+			d.mu.Unlock()
+			return
+		}
+		d.outdated[o] = false
+		entries := d.poolWorkers(o.Name())
+		d.mu.Unlock()
+		d.sendWorkers(o, entries)
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/watch_test.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// sentWorkers records what the owners of a process are told of their workers.
+type sentWorkers struct {
+	mu    sync.Mutex
+	calls map[string]int      // by pool
+	last  map[string][]string // ids of the workers, by pool
+	delay time.Duration       // of the first call
+}
+
+func (s *sentWorkers) record(o *pool.Owner, entries []platform.WorkerEntry) {
+	s.mu.Lock()
+	s.calls[o.Name()]++
+	delay := s.delay
+	s.delay = 0
+	s.mu.Unlock()
+	time.Sleep(delay)
+	ids := make([]string, 0, len(entries))
+	for _, e := range entries {
+		ids = append(ids, e.ID)
+	}
+	slices.Sort(ids)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last[o.Name()] = ids
+}
+
+// ownerOf returns a process that owns the pools, and what it tells their owners.
+func ownerOf(pools ...string) (*Daemon, *sentWorkers) {
+	logger, _ := test.NewNullLogger()
+	d := New(platform.Settings{Node: "self"}, logrus.NewEntry(logger))
+	sent := &sentWorkers{calls: map[string]int{}, last: map[string][]string{}}
+	d.sendWorkers = sent.record
+	for _, name := range pools {
+		d.owners[name] = pool.New(context.Background(), pool.Ownership{Pool: name, Token: 1}, pool.Settings{Log: d.log})
+	}
+	return d, sent
+}
+
+// waitSent waits until the owners have been told of all changes.
+func waitSent(t *testing.T, d *Daemon) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		n := len(d.outdated)
+		d.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+	t.Fatal("owners are still told of changes after 5 s")
+}
+
+func workerRow(id, name string) platform.Row {
+	value := fmt.Sprintf(`{"service":%q,"address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":2},"labels":[],"born":5}`, name)
+	return platform.Row{Table: platform.TableWorkers, Key: id, Value: []byte(value)}
+}
+
+// An owner that is slow to take in its workers ends up with the latest ones: each change was
+// sent by a goroutine of its own, so that an older one could come last.
+func TestSlowOwnerGetsTheLatestWorkers(t *testing.T) {
+	d, sent := ownerOf("p1")
+	sent.delay = 50 * time.Millisecond
+	d.applyWorkerRow(workerRow("w1", "p1"))
+	time.Sleep(10 * time.Millisecond) // the first call has begun
+	for i := range 9 {
+		d.applyWorkerRow(workerRow(fmt.Sprintf("w%d", i), "p1"))
+	}
+	waitSent(t, d)
+	if n := len(sent.last["p1"]); n != 9 || sent.calls["p1"] != 2 {
+		t.Errorf("%d workers after %d calls, want 9 after 2", n, sent.calls["p1"])
+	}
+}
