pool, platform: leases count from when the worker's clock was read

One of the ways to a short lease: the worker's clock was taken for the time at which the agent handled the answer, and a late reading replaced a better one. Each delay between shortened the next lease by as much.

The clock is taken to run on 3% slower than the owner's: with the old rate a lease that was granted 10 s after the last reading outlasted what a new owner assumes (maxLeaseTime) if the worker's clock is 2% slow.

Agents take an interface for the worker's client, so that tests run them in virtual time.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -33,17 +34,26 @@
 	pace  *place.PaceOrder
 }
 
+// workerClient is the part of [platform.Worker] that agents use.
+type workerClient interface {
+	Hold(ctx context.Context, r platform.HoldRequest) (platform.Listing, error)
+	Start(ctx context.Context, r platform.StartRequest) (time.Duration, error)
+	Stop(ctx context.Context, t jobs.Task, attempt int, token uint64) error
+	Pace(ctx context.Context, t jobs.Task, attempt, percent int, token uint64) error
+	Close()
+}
+
 // agent talks to one lifetime of a worker: it renews the leases of its tasks, reads
 // its lists of running and ended tasks, and sends it orders.
 type agent struct {
 	key    string
 	owner  *Owner
-	worker *platform.Worker
+	worker workerClient
 	cancel context.CancelFunc
 	orders chan order
 
 	mu             sync.Mutex
-	workerClock    time.Duration // the worker's clock at clockAt
+	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
 	leasesExpireAt time.Time     // all granted leases have expired by then
 	ackNumber      uint64        // ends up to this number may be acknowledged
@@ -62,10 +72,10 @@
 	lifetimeEnded bool
 }
 
-func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry) *agent {
+func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry, w workerClient) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
-		key: lifetimeKey(e), owner: o, worker: platform.NewWorker(e), cancel: cancel,
+		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
 		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
@@ -89,7 +99,7 @@
 	if a.clockAt.IsZero() {
 		return 0
 	}
-	until := a.workerClock + time.Since(a.clockAt) + a.owner.lease
+	until := a.clock(time.Now()) + a.owner.lease
 	remaining := time.Duration(float64(until-a.workerClock) * (1 + maxClockDrift))
 	if by := a.clockAt.Add(remaining + leaseMargin); by.After(a.leasesExpireAt) {
 		a.leasesExpireAt = by
@@ -104,10 +114,20 @@
 	return now.After(a.leasesExpireAt)
 }
 
-func (a *agent) setClock(clock time.Duration, at time.Time) {
+// clock returns a lower bound of the worker's clock at a time, even if that clock is
+// slow: a longer lease might outlast the time that a new owner waits for it. a.mu is held.
+func (a *agent) clock(at time.Time) time.Duration {
+	return a.workerClock + time.Duration(float64(at.Sub(a.clockAt))*(1-maxClockDrift))
+}
+
+// setClock records a reading of the worker's clock from an answer that was read at a
+// time. It ignores an answer that was read so late that an earlier reading tells more.
+func (a *agent) setClock(clock time.Duration, readAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.workerClock, a.clockAt = clock, at
+	if a.clockAt.IsZero() || clock >= a.clock(readAt) {
+		a.workerClock, a.clockAt = clock, readAt
+	}
 }
 
 func (a *agent) setAck(number uint64) {
@@ -178,7 +198,7 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		a.setClock(l.Clock, time.Now())
+		a.setClock(l.Clock, l.ReadAt)
 		a.setUnresponsive(false)
 		immediate = false
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
--- /dev/null
+++ b/internal/pool/lease_test.go
@@ -0,0 +1,141 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// fakeWorker is a client of a worker whose clock runs at a rate of the test's clock.
+type fakeWorker struct {
+	rate  float64
+	began time.Time
+	hold  func(ctx context.Context, r platform.HoldRequest) (platform.Listing, error)
+	start func(ctx context.Context, r platform.StartRequest) (time.Duration, error)
+}
+
+func (w *fakeWorker) clock() time.Duration {
+	return time.Duration(float64(time.Since(w.began)) * w.rate)
+}
+
+func (w *fakeWorker) Hold(ctx context.Context, r platform.HoldRequest) (platform.Listing, error) {
+	return w.hold(ctx, r)
+}
+
+func (w *fakeWorker) Start(ctx context.Context, r platform.StartRequest) (time.Duration, error) {
+	return w.start(ctx, r)
+}
+func (*fakeWorker) Stop(context.Context, jobs.Task, int, uint64) error      { return nil }
+func (*fakeWorker) Pace(context.Context, jobs.Task, int, int, uint64) error { return nil }
+func (*fakeWorker) Close()                                                  {}
+
+// idleOwner returns an owner of which the loop only runs posted functions. The returned
+// function ends it and waits for its agents.
+func idleOwner(t *testing.T) (o *Owner, end func()) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o = New(t.Context(), Ownership{Pool: "p1", Token: 1}, Settings{Log: logrus.NewEntry(log)})
+	go func() {
+		for {
+			select {
+			case f := <-o.posts:
+				f()
+			case <-o.ctx.Done():
+				return
+			}
+		}
+	}()
+	return o, func() {
+		o.cancel()
+		time.Sleep(time.Minute) // until calls in progress have returned
+		synctest.Wait()
+	}
+}
+
+// A worker's clock is stated, read and handled with delays between: no lease outlasts what
+// the owner and its successor assume, and only the delay of the quickest answer, not that
+// of a late one, shortens leases.
+func TestLeaseUnderDelays(t *testing.T) {
+	for _, rate := range []float64{0.98, 1, 1.02} { // of the worker's clock
+		for _, readDelay := range []time.Duration{0, 80 * time.Millisecond, 900 * time.Millisecond} { // from the worker's statement of its clock
+			for _, handleDelay := range []time.Duration{0, 500 * time.Millisecond} { // until the clock is set
+				for _, idle := range []time.Duration{0, time.Second, 10 * time.Second} { // until the lease is granted
+					t.Run(fmt.Sprint(rate, readDelay, handleDelay, idle), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { testLeaseUnderDelays(t, rate, readDelay, handleDelay, idle) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func testLeaseUnderDelays(t *testing.T, rate float64, readDelay, handleDelay, idle time.Duration) {
+	w := &fakeWorker{rate: rate, began: time.Now()}
+	a := &agent{owner: &Owner{lease: defaultLease}}
+	if a.nextLease() != 0 {
+		t.Error("a lease was granted before the worker's clock was known")
+	}
+	time.Sleep(time.Minute)
+	first := time.Now()
+	a.setClock(w.clock(), first) // a quick answer
+	time.Sleep(time.Second)
+	clock := w.clock()
+	time.Sleep(readDelay)
+	readAt := time.Now()
+	time.Sleep(handleDelay)
+	a.setClock(clock, readAt)
+	time.Sleep(idle)
+
+	granted := time.Now()
+	until := a.nextLease()
+	expires := w.began.Add(time.Duration(float64(until) / rate))
+	if by := a.leasesExpireAt; expires.After(by) {
+		t.Errorf("the lease expires %v after leasesExpireAt", expires.Sub(by))
+	}
+	if by := granted.Add(a.owner.maxLeaseTime()); expires.After(by) {
+		t.Errorf("the lease expires %v later than a new owner assumes", expires.Sub(by))
+	}
+	// A clock may run 2% fast, which the owner does not know.
+	shortest := time.Duration(float64(defaultLease)/rate) - time.Duration(0.05*float64(granted.Sub(first))) - time.Millisecond
+	if left := expires.Sub(granted); left < shortest {
+		t.Errorf("the lease lasts %v, want at least %v", left, shortest)
+	}
+}
+
+// An agent is held up between reading and handling a worker's answer: that time does not
+// shorten the leases.
+func TestLeaseCountsFromWhenTheClockWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		var leases []time.Duration
+		w.hold = func(ctx context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			if r.Until > 0 {
+				leases = append(leases, r.Until-w.clock())
+			}
+			l := platform.Listing{Clock: w.clock(), ReadAt: time.Now()}
+			time.Sleep(500 * time.Millisecond)
+			return l, nil
+		}
+		newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+		time.Sleep(5 * time.Second)
+		end()
+		if len(leases) < 5 {
+			t.Fatalf("%d renewals in 5 s", len(leases))
+		}
+		for _, l := range leases {
+			if l < defaultLease-100*time.Millisecond {
+				t.Errorf("a lease of %v was granted, want about %v", l, defaultLease)
+			}
+		}
+	})
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -61,7 +61,7 @@
 	}
 	a := o.agents[key]
 	if a == nil {
-		a = newAgent(o.ctx, o, e)
+		a = newAgent(o.ctx, o, e, platform.NewWorker(e))
 		o.agents[key] = a
 	}
 	a.entry = e
