--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	orderQueueSize    = 512                    // orders queued for one worker
 	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
+	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
 )
 
 // order is a start, stop or pace order for a worker; exactly one field is set.
@@ -168,6 +171,28 @@
 	a.busy = busy
 }
 
+// callContext returns the context of a call to the worker, which ends after timeout. A
+// process that was stopped or is busy handles timers before it reads the answers that have
+// arrived meanwhile. So the timeout waits for its turn among the goroutines with work to
+// do, and if that took long, the call gets lateGrace more.
+func callContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	deadline := time.Now().Add(timeout)
+	expire := func() { cancel(context.DeadlineExceeded) }
+	timer := time.AfterFunc(timeout, func() {
+		runtime.Gosched()
+		if time.Since(deadline) > lateTolerance {
+			time.AfterFunc(lateGrace, expire)
+			return
+		}
+		expire()
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
 // hold renews the worker's leases and reads its lists in a loop.
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
@@ -184,7 +209,7 @@
 			}
 		}
 		requestedAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, o.Wait+answerTimeout)
+		callCtx, cancel := callContext(ctx, o.Wait+answerTimeout)
 		l, err := a.worker.Hold(callCtx, o)
 		cancel()
 		if err != nil {
@@ -214,7 +239,7 @@
 	ack := a.ackNumber
 	a.mu.Unlock()
 	requestedAt := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := callContext(ctx, orderTimeout)
 	defer cancel()
 	l, err := a.worker.Hold(callCtx, platform.HoldRequest{Token: a.owner.token, Ack: ack})
 	if ctx.Err() != nil {
@@ -293,7 +318,7 @@
 }
 
 func (a *agent) execute(ctx context.Context, o order) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := callContext(ctx, orderTimeout)
 	defer cancel()
 	switch {
 	case o.start != nil:
