pool, place: an owner that was late reads a list before it stops a start

A list that shows the attempt confirms it, and Board.StartUnanswered leaves a confirmed attempt alone, as before; it now reports that, so that nothing is logged or counted.

--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -59,13 +59,17 @@
 }
 
 // StartUnanswered records that a start order got no answer. A stop order follows, after
-// which the worker's next listing shows that the attempt does not run.
-func (b *Board) StartUnanswered(key string, t jobs.Task, attempt int) {
+// which the worker's next listing shows that the attempt does not run. StartUnanswered
+// reports false, and has no effect, if a listing has confirmed the start already.
+func (b *Board) StartUnanswered(key string, t jobs.Task, attempt int) bool {
 	b.recordStep(Step{Kind: StepStartUnanswered, Key: key, Task: t, Attempt: attempt})
-	if a := b.findAttempt(key, t, attempt); a != nil && a.Phase == Starting {
-		a.Phase, a.reschedule = Unconfirmed, true
-		b.requestStop(a)
+	a := b.findAttempt(key, t, attempt)
+	if a == nil || a.Phase != Starting {
+		return false
 	}
+	a.Phase, a.reschedule = Unconfirmed, true
+	b.requestStop(a)
+	return true
 }
 
 // StopAnswered records that a worker has acknowledged a stop order, so that it
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// timedOutLate reports whether a call failed because its timeout was over, and returned
+// late after its deadline. This process was held up then, and the failure says nothing
+// about the worker.
+func timedOutLate(err error, late time.Duration) bool {
+	return late > lateTolerance && errors.Is(err, platform.ErrOutcomeUnknown)
+}
+
 // hold renews the worker's leases and reads its lists in a loop.
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
@@ -327,10 +334,16 @@
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 			return
 		}
+		sentAt := time.Now()
 		_, err := a.worker.Start(callCtx, platform.StartRequest{
 			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: a.nextLease(),
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
+		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
+			a.readLists(ctx) // the attempt may run
+			a.owner.post(func() { a.owner.startAnswered(a, s, err) })
+			return
+		}
 		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
 			a.readLists(ctx) // to find out whether the worker still answers
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -139,3 +140,50 @@
 		}
 	})
 }
+
+// A start times out late on a worker that carried it out: a list shows that it runs before
+// it counts as unanswered and is stopped.
+func TestLateStartThatRunsIsNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		var running []platform.RunningAttempt
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			listed := running
+			time.Sleep(r.Wait)
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now(), Running: listed}, nil
+		}
+		w.start = func(ctx context.Context, r platform.StartRequest) (time.Duration, error) {
+			running = []platform.RunningAttempt{{Task: r.Task, Attempt: r.Attempt}}
+			<-ctx.Done()
+			time.Sleep(200 * time.Millisecond)
+			return 0, platform.ErrOutcomeUnknown
+		}
+		a := newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1, Size: jobs.Resources{Millicores: 1000}}, w)
+		time.Sleep(10 * time.Second) // into the longest wait of a renewal
+		synctest.Wait()
+		job := jobs.Job{ID: "0000000000000001", Steps: []jobs.Step{{Count: 1, Size: jobs.Resources{Millicores: 1000}}}}
+		var starts []place.StartOrder
+		o.post(func() {
+			o.agents[a.key], a.registered = a, true
+			o.syncAgent(a)
+			o.board.Add(job, jobs.NewProgress(job), time.Now())
+			starts = o.board.Decide(time.Now()).Starts
+		})
+		synctest.Wait()
+		if len(starts) != 1 {
+			t.Fatalf("starts %v, want one", starts)
+		}
+		a.execute(o.ctx, order{start: &starts[0]})
+		var stops []place.StopOrder
+		o.post(func() { stops = o.board.Decide(time.Now()).Stops })
+		synctest.Wait()
+		if len(stops) > 0 {
+			t.Errorf("a running attempt is stopped: %+v", stops)
+		}
+		if all := o.board.Attempts(a.key); len(all) != 1 || all[0].Phase != place.Live {
+			t.Errorf("attempts %+v, want one that runs", all)
+		}
+		end()
+	})
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -188,9 +188,10 @@
 	case isLifetimeOver(err):
 		o.endLifetime(a, "another lifetime answers")
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		metricUnknown.Inc()
-		o.log.WithFields(fields).WithError(err).Info("no answer to a start; stopping the attempt to resolve its state")
-		o.board.StartUnanswered(a.key, s.Task, s.Attempt)
+		if o.board.StartUnanswered(a.key, s.Task, s.Attempt) {
+			metricUnknown.Inc()
+			o.log.WithFields(fields).WithError(err).Info("no answer to a start; stopping the attempt to resolve its state")
+		}
 	default:
 		metricRefused.Inc()
 		o.log.WithFields(fields).WithError(err).Info("start refused")
