--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	orderQueueSize    = 512                    // orders queued for one worker
 	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
+	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
 )
 
 // order is a start, stop or pace order for a worker; exactly one field is set.
@@ -40,17 +43,26 @@
 	job    jobs.ID // whose progress it changed
 }
 
+// workerClient is the part of [platform.Worker] that agents use.
+type workerClient interface {
+	Hold(ctx context.Context, r platform.HoldRequest) (platform.Listing, error)
+	Start(ctx context.Context, r platform.StartRequest) (time.Duration, error)
+	Stop(ctx context.Context, t jobs.Task, attempt int, token uint64) error
+	Pace(ctx context.Context, t jobs.Task, attempt, percent int, token uint64) error
+	Close()
+}
+
 // agent talks to one lifetime of a worker: it renews the leases of its tasks, reads
 // its lists of running and ended tasks, and sends it orders.
 type agent struct {
 	key    string
 	owner  *Owner
-	worker *platform.Worker
+	worker workerClient
 	cancel context.CancelFunc
 	orders chan order
 
 	mu             sync.Mutex
-	workerClock    time.Duration // the worker's clock at clockAt
+	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
 	leasesExpireAt time.Time     // all granted leases have expired by then
 	ackNumber      uint64        // ends up to this number may be acknowledged
@@ -72,10 +84,10 @@
 	lifetimeEnded bool
 }
 
-func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry) *agent {
+func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry, w workerClient) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
-		key: lifetimeKey(e), owner: o, worker: platform.NewWorker(e), cancel: cancel,
+		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
 		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
@@ -99,7 +111,7 @@
 	if a.clockAt.IsZero() {
 		return 0
 	}
-	until := a.workerClock + time.Since(a.clockAt) + a.owner.lease
+	until := a.clock(time.Now()) + a.owner.lease
 	remaining := time.Duration(float64(until-a.workerClock) * (1 + maxClockDrift))
 	if by := a.clockAt.Add(remaining + leaseMargin); by.After(a.leasesExpireAt) {
 		a.leasesExpireAt = by
@@ -114,10 +126,20 @@
 	return now.After(a.leasesExpireAt)
 }
 
-func (a *agent) setClock(clock time.Duration, at time.Time) {
+// clock returns a lower bound of the worker's clock at a time, even if that clock is
+// slow: a longer lease might outlast the time that a new owner waits for it. a.mu is held.
+func (a *agent) clock(at time.Time) time.Duration {
+	return a.workerClock + time.Duration(float64(at.Sub(a.clockAt))*(1-maxClockDrift))
+}
+
+// setClock records a reading of the worker's clock from an answer that was read at a
+// time. It ignores an answer that was read so late that an earlier reading tells more.
+func (a *agent) setClock(clock time.Duration, readAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.workerClock, a.clockAt = clock, at
+	if a.clockAt.IsZero() || clock >= a.clock(readAt) {
+		a.workerClock, a.clockAt = clock, readAt
+	}
 }
 
 func (a *agent) setAck(number uint64) {
@@ -158,6 +180,35 @@
 	a.busy = busy
 }
 
+// callContext returns the context of a call to the worker, which ends after timeout. A
+// process that was stopped or is busy handles timers before it reads the answers that have
+// arrived meanwhile. So the timeout waits for its turn among the goroutines with work to
+// do, and if that took long, the call gets lateGrace more.
+func callContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	deadline := time.Now().Add(timeout)
+	expire := func() { cancel(context.DeadlineExceeded) }
+	timer := time.AfterFunc(timeout, func() {
+		runtime.Gosched()
+		if time.Since(deadline) > lateTolerance {
+			time.AfterFunc(lateGrace, expire)
+			return
+		}
+		expire()
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// timedOutLate reports whether a call failed because its timeout was over, and returned
+// late after its deadline. This process was held up then, and the failure says nothing
+// about the worker.
+func timedOutLate(err error, late time.Duration) bool {
+	return late > lateTolerance && errors.Is(err, platform.ErrOutcomeUnknown)
+}
+
 // hold renews the worker's leases and reads its lists in a loop.
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
@@ -174,7 +225,7 @@
 			}
 		}
 		requestedAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, o.Wait+answerTimeout)
+		callCtx, cancel := callContext(ctx, o.Wait+answerTimeout)
 		l, err := a.worker.Hold(callCtx, o)
 		cancel()
 		if err != nil {
@@ -188,7 +239,7 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		a.setClock(l.Clock, time.Now())
+		a.setClock(l.Clock, l.ReadAt)
 		a.callAnswered(requestedAt)
 		immediate = a.isUnresponsive() // to find out at once whether it answers again
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
@@ -204,7 +255,7 @@
 	ack := a.ackNumber
 	a.mu.Unlock()
 	requestedAt := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := callContext(ctx, orderTimeout)
 	defer cancel()
 	l, err := a.worker.Hold(callCtx, platform.HoldRequest{Token: a.owner.token, Ack: ack})
 	if ctx.Err() != nil {
@@ -321,7 +372,7 @@
 }
 
 func (a *agent) execute(ctx context.Context, o order) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := callContext(ctx, orderTimeout)
 	defer cancel()
 	switch {
 	case o.start != nil:
@@ -330,10 +381,16 @@
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 			return
 		}
+		sentAt := time.Now()
 		_, err := a.worker.Start(callCtx, platform.StartRequest{
 			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: a.nextLease(),
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
+		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
+			a.readLists(ctx) // the attempt may run
+			a.owner.post(func() { a.owner.startAnswered(a, s, err) })
+			return
+		}
 		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
 			a.readLists(ctx) // to find out whether the worker still answers
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -65,7 +65,7 @@
 	}
 	a := o.agents[key]
 	if a == nil {
-		a = newAgent(o.ctx, o, e)
+		a = newAgent(o.ctx, o, e, platform.NewWorker(e))
 		o.agents[key] = a
 		o.lifetimes[e.ID] = append(o.lifetimes[e.ID], a)
 		o.registrationsStale = true
@@ -215,9 +215,10 @@
 	case isLifetimeOver(err):
 		o.endLifetime(a, "another lifetime answers")
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		metricUnknown.Inc()
-		o.log.WithFields(fields).WithError(err).Info("no answer to a start; stopping the attempt to resolve its state")
-		o.board.StartUnanswered(a.key, s.Task, s.Attempt)
+		if o.board.StartUnanswered(a.key, s.Task, s.Attempt) {
+			metricUnknown.Inc()
+			o.log.WithFields(fields).WithError(err).Info("no answer to a start; stopping the attempt to resolve its state")
+		}
 	default:
 		metricRefused.Inc()
 		o.log.WithFields(fields).WithError(err).Info("start refused")
