--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -24,6 +24,7 @@
 	startupDelay    = 300 * time.Millisecond // time to discover peers after a start
 	firstClaimDelay = time.Second            // for pools that never had an owner, since all processes may be starting
 	rankDelay       = 400 * time.Millisecond // each lower-ranked candidate waits this much longer
+	lateClaimDelay  = 2 * time.Second        // a process that runs late leaves pools to others for this long
 )
 
 // claimPools periodically claims the pools without an owner that fall to this process.
@@ -36,8 +37,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		now := time.Now()
-		due, unconfirmed := d.claimable(now)
+		due, unconfirmed := d.claimTick(time.Now())
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
 		}
@@ -51,6 +51,18 @@
 	}
 }
 
+// claimTick is called every claimPeriod. It returns what claimable returns.
+func (d *Daemon) claimTick(now time.Time) (due, unconfirmed []string) {
+	d.mu.Lock()
+	last := d.claimTickAt
+	d.claimTickAt = now
+	if !last.IsZero() {
+		d.recordLateness(now, now.Sub(last)-claimPeriod)
+	}
+	d.mu.Unlock()
+	return d.claimable(now)
+}
+
 // candidate is a process that can own pools.
 type candidate struct {
 	node      string
@@ -61,11 +73,36 @@
 // heartbeat is the last version that this process read of the row that a pool's
 // owner keeps updating in the store.
 type heartbeat struct {
-	version   uint64
-	changedAt time.Time // when this version was first read
-	readAt    time.Time // last time that the store was asked
+	requestedAt time.Time // when the last read began, whatever came of it
+	version     uint64
+	foundAt     time.Time // when the first read that found this version had ended; zero before any read
+	confirmedAt time.Time // when the last read that found it began
+}
+
+// request reports whether a read is due at now, and records that it begins.
+func (b *heartbeat) request(now time.Time) bool {
+	if now.Sub(b.requestedAt) < heartbeatReadPeriod {
+		return false
+	}
+	b.requestedAt = now
+	return true
+}
+
+// record records a read that found the given version.
+func (b *heartbeat) record(version uint64, began, ended time.Time) {
+	switch {
+	case began.Before(b.confirmedAt): // a later read has already been recorded
+	case b.foundAt.IsZero() || b.version != version:
+		b.version, b.foundAt, b.confirmedAt = version, ended, began
+	default:
+		b.confirmedAt = began
+	}
 }
 
+// unchangedFor returns for how long the row has certainly kept its version: from the end
+// of one read to the beginning of another. Reads in flight and failed ones show nothing.
+func (b *heartbeat) unchangedFor() time.Duration { return max(0, b.confirmedAt.Sub(b.foundAt)) }
+
 const (
 	heartbeatReadPeriod = 300 * time.Millisecond  // between reads for an unreachable owner
 	heartbeatTimeout    = 1500 * time.Millisecond // an owner whose row stays unchanged for this long has failed
@@ -77,13 +114,15 @@
 	now := time.Now()
 	d.mu.Lock()
 	b := d.heartbeats[name]
-	if now.Sub(b.readAt) < heartbeatReadPeriod {
-		d.mu.Unlock()
-		return
+	if b == nil {
+		b = &heartbeat{}
+		d.heartbeats[name] = b
 	}
-	b.readAt = now
-	d.heartbeats[name] = b
+	due := b.request(now)
 	d.mu.Unlock()
+	if !due {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	readVersion := pool.HeartbeatVersion
@@ -97,11 +136,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b = d.heartbeats[name]
-	if b.changedAt.IsZero() || b.version != version {
-		b.version, b.changedAt = version, now
-	}
-	d.heartbeats[name] = b
+	b.record(version, now, time.Now())
 }
 
 // claimable returns the pools that this process should claim now. In unconfirmed it
@@ -122,7 +157,10 @@
 	if !d.ownersRead || !d.workersRead {
 		return nil, nil
 	}
-	majority := d.majority(now)
+	majority, delay := d.majority(now), time.Duration(0)
+	if d.late(now) {
+		delay = lateClaimDelay
+	}
 	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
@@ -146,9 +184,8 @@
 	}
 	for _, name := range ownerless {
 		if own := d.ownerships[name]; !majority && own.Token > 0 && !d.ownerDead(own, now) {
-			b := d.heartbeats[name]
 			unconfirmed = append(unconfirmed, name)
-			if b.changedAt.IsZero() || b.readAt.Sub(b.changedAt) < heartbeatTimeout {
+			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < heartbeatTimeout {
 				continue // the owner may be alive and unreachable only from here
 			}
 		}
@@ -163,7 +200,7 @@
 		rank := rankCandidates(name, candidates)
 		candidates[rank[0]].owned++
 		for i, at := range rank {
-			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay && !d.claiming[name] {
+			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay+delay && !d.claiming[name] {
 				due = append(due, name)
 			}
 		}
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -56,7 +56,8 @@
 	ackNumber      uint64        // ends up to this number may be acknowledged
 	ackRaised      chan struct{} // closed when ackNumber rises
 	busy           bool          // it has tasks
-	unresponsive   bool          // its last hold call failed; starts are refused until one succeeds
+	answeredCallAt time.Time     // when the latest hold call that was answered was sent
+	failedCallAt   time.Time     // when the latest hold call that failed should have been answered
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
@@ -180,7 +181,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			a.setUnresponsive(true)
+			a.callFailed(requestedAt.Add(o.Wait))
 			late := time.Since(requestedAt) - o.Wait - answerTimeout
 			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 			immediate = true
@@ -188,8 +189,8 @@
 			continue
 		}
 		a.setClock(l.Clock, time.Now())
-		a.setUnresponsive(false)
-		immediate = false
+		a.callAnswered(requestedAt)
+		immediate = a.isUnresponsive() // to find out at once whether it answers again
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 		if n := len(l.Ended); n > 0 {
 			a.awaitAck(ctx, l.Ended[n-1].Number)
@@ -209,34 +210,72 @@
 	if ctx.Err() != nil {
 		return
 	}
-	a.setUnresponsive(err != nil)
 	if err != nil {
+		a.callFailed(requestedAt)
 		late := time.Since(requestedAt) - orderTimeout
 		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
 	}
+	a.callAnswered(requestedAt)
 	a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 }
 
-// errUnresponsive means that an order was not sent because the worker does not
-// answer.
-var errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+// Reasons why an order was not sent.
+var (
+	errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+	errQueueFull    = errors.Wrap(platform.ErrNotDone, "the worker's order queue is full")
+)
 
+// isUnresponsive reports whether the worker has left a hold call unanswered and has
+// not answered one that was sent later. The answer to an earlier call, such as a
+// renewal that waited at the worker, does not show that it answers new calls. Starts
+// are refused while the worker is unresponsive.
 func (a *agent) isUnresponsive() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.unresponsive
+	return a.failedCallAt.After(a.answeredCallAt)
+}
+
+// callAnswered records that a hold call sent at sentAt was answered.
+func (a *agent) callAnswered(sentAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if sentAt.After(a.answeredCallAt) {
+		a.answeredCallAt = sentAt
+	}
 }
 
-func (a *agent) setUnresponsive(unresponsive bool) {
+// callFailed records that a hold call failed that should have been answered by dueAt.
+func (a *agent) callFailed(dueAt time.Time) {
+	if now := time.Now(); now.Before(dueAt) {
+		dueAt = now
+	}
 	a.mu.Lock()
-	a.unresponsive = unresponsive
+	if dueAt.After(a.failedCallAt) {
+		a.failedCallAt = dueAt
+	}
 	a.mu.Unlock()
-	if unresponsive {
+	if a.isUnresponsive() {
 		a.rejectQueuedStarts()
 	}
 }
 
+// enqueue queues an order. It does not accept a start for an unresponsive worker, which
+// would wait behind orders that get no answer.
+func (a *agent) enqueue(o order) error {
+	a.mu.Lock() // a start queued before callFailed takes effect is rejected by it
+	defer a.mu.Unlock()
+	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
+		return errUnresponsive
+	}
+	select {
+	case a.orders <- o:
+		return nil
+	default:
+		return errQueueFull
+	}
+}
+
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
 // elsewhere at once. Otherwise they would wait until every stop before them has
 // timed out.
