--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -28,8 +29,11 @@
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
+	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
 )
 
+var metricLateCalls = metrics.NewCounter("papayarudder_worker_late_timeouts_total")
+
 // order is a start, stop or pace order for a worker; exactly one field is set.
 type order struct {
 	start *place.StartOrder
@@ -203,13 +207,16 @@
 // hold renews the worker's leases and reads its lists in a loop.
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
+	lateCalls := 0    // calls in a row that timed out late
 	for ctx.Err() == nil {
 		a.mu.Lock()
-		ack, busy := a.ackNumber, a.busy
+		ack, busy, unresponsive := a.ackNumber, a.busy, a.unresponsive
 		a.mu.Unlock()
 		o := platform.HoldRequest{Token: a.owner.token, Ack: ack}
-		if !immediate {
+		if !unresponsive {
 			o.Until = a.nextLease() // not after a failure: the leases of a lost worker must expire
+		}
+		if !immediate {
 			o.Wait = idleHoldWait
 			if busy {
 				o.Wait = busyHoldWait
@@ -223,16 +230,21 @@
 			if ctx.Err() != nil {
 				return
 			}
-			a.setUnresponsive(true)
+			immediate = true
 			late := time.Since(requestedAt) - o.Wait - answerTimeout
+			if timedOutLate(err, late) && lateCalls < maxLateCalls {
+				lateCalls++
+				metricLateCalls.Inc()
+				continue
+			}
+			a.setUnresponsive(true)
 			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
-			immediate = true
 			sleep(ctx, retryDelay)
 			continue
 		}
 		a.setClock(l.Clock, l.ReadAt)
 		a.setUnresponsive(false)
-		immediate = false
+		immediate, lateCalls = false, 0
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 		if n := len(l.Ended); n > 0 {
 			a.awaitAck(ctx, l.Ended[n-1].Number)
@@ -252,9 +264,13 @@
 	if ctx.Err() != nil {
 		return
 	}
+	late := time.Since(requestedAt) - orderTimeout
+	if timedOutLate(err, late) {
+		metricLateCalls.Inc()
+		return // the next renewal shows whether the worker answers
+	}
 	a.setUnresponsive(err != nil)
 	if err != nil {
-		late := time.Since(requestedAt) - orderTimeout
 		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
 	}
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -141,6 +141,121 @@
 	})
 }
 
+// call is a call for a worker's lists that a test saw.
+type call struct {
+	at           time.Duration // since the start of the test
+	until        time.Duration // of the requested lease, after the worker's clock; 0 for none
+	wait         time.Duration
+	unresponsive bool // as the agent saw the worker when it called
+}
+
+// holdCalls runs an agent for a time with a worker that answers calls unless fail returns
+// how long after its deadline a call without an answer returns. It returns the calls, and
+// the agent.
+func holdCalls(t *testing.T, run time.Duration, fail func(n int) (late time.Duration, fails bool)) ([]call, *agent) {
+	t.Helper()
+	o, end := idleOwner(t)
+	began := time.Now()
+	w := &fakeWorker{rate: 1, began: began.Add(-time.Minute)}
+	var calls []call
+	var a *agent
+	ready := make(chan struct{})
+	w.hold = func(ctx context.Context, r platform.HoldRequest) (platform.Listing, error) {
+		<-ready
+		c := call{at: time.Since(began), wait: r.Wait, unresponsive: a.isUnresponsive()}
+		if r.Until > 0 {
+			c.until = r.Until - w.clock()
+		}
+		n := len(calls)
+		calls = append(calls, c)
+		if late, fails := fail(n); fails {
+			<-ctx.Done()
+			time.Sleep(late)
+			return platform.Listing{}, platform.ErrOutcomeUnknown
+		}
+		time.Sleep(r.Wait)
+		return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+	}
+	a = newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+	close(ready)
+	time.Sleep(run)
+	end()
+	return calls, a
+}
+
+// The owner's process is held up while calls to a worker time out: the worker does not
+// count as silent, and its leases are renewed at once.
+func TestLateTimeoutsAreNotTheWorkersSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, _ := holdCalls(t, 12*time.Second, func(n int) (time.Duration, bool) {
+			return 200 * time.Millisecond, n%3 != 0 // two of three calls time out late
+		})
+		if len(calls) < 6 {
+			t.Fatalf("%d calls in 12 s", len(calls))
+		}
+		for i, c := range calls[1:] {
+			if c.unresponsive {
+				t.Errorf("call %d at %v: the worker counts as silent", i+1, c.at)
+			}
+			if c.until < defaultLease*9/10 {
+				t.Errorf("call %d at %v: renews until %v after the worker's clock, want about %v", i+1, c.at, c.until, defaultLease)
+			}
+		}
+		if calls[2].wait != 0 {
+			t.Errorf("the call after a late timeout may wait %v, want none", calls[2].wait)
+		}
+	})
+}
+
+// A worker is silent: its leases are renewed no longer and expire, even if the owner's
+// process is held up at each timeout. The first answer ends that.
+func TestSilentWorkersLeasesExpire(t *testing.T) {
+	for _, late := range []time.Duration{0, 200 * time.Millisecond} {
+		t.Run(fmt.Sprintf("timeouts %v late", late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silentUntil = 12
+				calls, _ := holdCalls(t, 15*time.Second, func(n int) (time.Duration, bool) {
+					return late, n > 0 && n < silentUntil
+				})
+				renewals := 0
+				for _, c := range calls[1 : silentUntil+1] {
+					if c.until > 0 {
+						renewals++
+					}
+				}
+				want := 1 // the first call of which the answer is missing
+				if late > 0 {
+					want += maxLateCalls
+				}
+				if renewals != want {
+					t.Errorf("%d renewals of a silent worker's leases, want %d", renewals, want)
+				}
+				if next := calls[silentUntil+1]; next.until < defaultLease*9/10 || next.unresponsive {
+					t.Errorf("after the first answer: %+v, want a renewal", next)
+				}
+			})
+		})
+	}
+}
+
+// The answer to a renewal is missing: the lease may have been granted and counts until it
+// would expire.
+func TestUnansweredRenewalCountsAsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		calls, a := holdCalls(t, 10*time.Second, func(n int) (time.Duration, bool) { return 200 * time.Millisecond, n > 0 })
+		var last time.Time // the end of the last requested lease
+		for _, c := range calls {
+			if c.until > 0 {
+				last = began.Add(c.at + c.until)
+			}
+		}
+		if a.leasesExpired(last) || !a.leasesExpired(last.Add(time.Second)) {
+			t.Errorf("the leases count as expired at %v, want soon after %v", a.leasesExpireAt, last)
+		}
+	})
+}
+
 // A start times out late on a worker that carried it out: a list shows that it runs before
 // it counts as unanswered and is stopped.
 func TestLateStartThatRunsIsNotStopped(t *testing.T) {
