--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -24,6 +24,7 @@
 	startupDelay    = 300 * time.Millisecond // time to discover peers after a start
 	firstClaimDelay = time.Second            // for pools that never had an owner, since all processes may be starting
 	rankDelay       = 400 * time.Millisecond // each lower-ranked candidate waits this much longer
+	lateClaimDelay  = 2 * time.Second        // a process that runs late leaves pools to others for this long
 )
 
 // claimPools periodically claims the pools without an owner that fall to this process.
@@ -36,8 +37,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		now := time.Now()
-		due, unconfirmed := d.claimable(now)
+		due, unconfirmed := d.claimTick(time.Now())
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
 		}
@@ -51,20 +51,58 @@
 	}
 }
 
-// candidate is a process that can own pools, and how many it owns.
+// claimTick is called every claimPeriod. It returns what claimable returns.
+func (d *Daemon) claimTick(now time.Time) (due, unconfirmed []string) {
+	d.mu.Lock()
+	last := d.claimTickAt
+	d.claimTickAt = now
+	if !last.IsZero() {
+		d.recordLateness(now, now.Sub(last)-claimPeriod)
+	}
+	d.mu.Unlock()
+	return d.claimable(now)
+}
+
+// candidate is a process that can own pools.
 type candidate struct {
-	node  string
-	owned int
+	node      string
+	owned     int     // pools that it owns
+	processor float64 // as in Status
 }
 
 // heartbeat is the last version that this process read of the row that a pool's
 // owner keeps updating in the store.
 type heartbeat struct {
-	version   uint64
-	changedAt time.Time // when this version was first read
-	readAt    time.Time // last time that the store was asked
+	requestedAt time.Time // when the last read began, whatever came of it
+	version     uint64
+	foundAt     time.Time // when the first read that found this version had ended; zero before any read
+	confirmedAt time.Time // when the last read that found it began
+}
+
+// request reports whether a read is due at now, and records that it begins.
+func (b *heartbeat) request(now time.Time) bool {
+	if now.Sub(b.requestedAt) < heartbeatReadPeriod {
+		return false
+	}
+	b.requestedAt = now
+	return true
+}
+
+// record records a read that found the given version.
+func (b *heartbeat) record(version uint64, began, ended time.Time) {
+	switch {
+	case began.Before(b.confirmedAt): // a later read has already been recorded
+	case b.foundAt.IsZero() || b.version != version:
+		b.version, b.foundAt, b.confirmedAt = version, ended, began
+	default:
+		b.confirmedAt = began
+	}
 }
 
+// unchangedFor returns for how long the row has certainly kept its version: from the end
+// of one read to the beginning of another. Reads in flight and failed ones show nothing.
+func (b *heartbeat) unchangedFor() time.Duration { return max(0, b.confirmedAt.Sub(b.foundAt)) }
+
 const (
 	heartbeatReadPeriod = 300 * time.Millisecond  // between reads for an unreachable owner
 	heartbeatTimeout    = 1500 * time.Millisecond // an owner whose row stays unchanged for this long has failed
@@ -76,13 +114,15 @@
 	now := time.Now()
 	d.mu.Lock()
 	b := d.heartbeats[name]
-	if now.Sub(b.readAt) < heartbeatReadPeriod {
-		d.mu.Unlock()
-		return
+	if b == nil {
+		b = &heartbeat{}
+		d.heartbeats[name] = b
 	}
-	b.readAt = now
-	d.heartbeats[name] = b
+	due := b.request(now)
 	d.mu.Unlock()
+	if !due {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	readVersion := pool.HeartbeatVersion
@@ -96,11 +136,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b = d.heartbeats[name]
-	if b.changedAt.IsZero() || b.version != version {
-		b.version, b.changedAt = version, now
-	}
-	d.heartbeats[name] = b
+	b.record(version, now, time.Now())
 }
 
 // claimable returns the pools that this process should claim now. In unconfirmed it
@@ -121,11 +157,14 @@
 	if !d.ownersRead || !d.workersRead {
 		return nil, nil
 	}
-	majority := d.majority(now)
-	candidates := []candidate{{d.self.Node, 0}}
+	majority, delay := d.majority(now), time.Duration(0)
+	if d.late(now) {
+		delay = lateClaimDelay
+	}
+	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
-			candidates = append(candidates, candidate{p.node, 0})
+			candidates = append(candidates, candidate{node: p.node, processor: p.processor})
 		}
 	}
 	var ownerless []string
@@ -145,9 +184,8 @@
 	}
 	for _, name := range ownerless {
 		if own := d.ownerships[name]; !majority && own.Token > 0 && !d.ownerDead(own, now) {
-			b := d.heartbeats[name]
 			unconfirmed = append(unconfirmed, name)
-			if b.changedAt.IsZero() || b.readAt.Sub(b.changedAt) < heartbeatTimeout {
+			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < heartbeatTimeout {
 				continue // the owner may be alive and unreachable only from here
 			}
 		}
@@ -162,7 +200,7 @@
 		rank := rankCandidates(name, candidates)
 		candidates[rank[0]].owned++
 		for i, at := range rank {
-			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay && !d.claiming[name] {
+			if candidates[at].node == d.self.Node && now.Sub(since) >= time.Duration(i)*rankDelay+delay && !d.claiming[name] {
 				due = append(due, name)
 			}
 		}
@@ -171,22 +209,41 @@
 }
 
 // rankCandidates returns the indexes of the candidates for a pool, best first. The
-// candidate with the fewest pools comes first. A hash of pool and node breaks ties,
-// so that the order differs from pool to pool.
+// candidate comes first whose pools, with this one, would have the most processor time
+// each. A hash of pool and node breaks ties, so that the order differs from pool to pool.
 func rankCandidates(name string, candidates []candidate) []int {
+	least := leastProcessor(candidates)
+	load := func(c candidate) float64 {
+		if c.processor > 0 {
+			return float64(c.owned+1) / c.processor
+		}
+		return float64(c.owned+1) / least
+	}
 	index := make([]int, len(candidates))
 	for i := range index {
 		index[i] = i
 	}
 	slices.SortFunc(index, func(x, y int) int {
 		return cmp.Or(
-			cmp.Compare(candidates[x].owned, candidates[y].owned),
+			cmp.Compare(load(candidates[x]), load(candidates[y])),
 			cmp.Compare(xxh3.HashString(name+"/"+candidates[x].node), xxh3.HashString(name+"/"+candidates[y].node)),
 		)
 	})
 	return index
 }
 
+// leastProcessor returns the smallest known processor time of the candidates, which
+// stands for the unknown ones, or 1 if none is known.
+func leastProcessor(candidates []candidate) float64 {
+	least := 0.0
+	for _, c := range candidates {
+		if c.processor > 0 && (least == 0 || c.processor < least) {
+			least = c.processor
+		}
+	}
+	return cmp.Or(least, 1)
+}
+
 // ownerAlive reports whether the process that owns a pool is known to run. The caller
 // holds d.mu.
 func (d *Daemon) ownerAlive(own pool.Ownership, now time.Time) bool {
@@ -275,7 +332,7 @@
 		d.startKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log, HandOver: d.handOverPool, Recording: d.Recording}
+	s := pool.Settings{Self: d.self, Store: d.store, Log: d.log, HandOver: d.handOverPool, Recording: d.Recording, Retention: d.bounds().StateRetention}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -59,8 +59,10 @@
 }
 
 // StartUnanswered records that a start order got no answer. A stop order follows, after
-// which the worker's next listing shows that the attempt does not run. StartUnanswered
-// reports false, and has no effect, if a listing has confirmed the start already.
+// which the worker's next listing shows that the attempt does not run. For a long-running
+// task it follows only after a listing without the attempt: stopping one that runs would
+// make it unavailable. StartUnanswered reports false, and has no effect, if a listing has
+// confirmed the start already.
 func (b *Board) StartUnanswered(key string, t jobs.Task, attempt int) bool {
 	b.recordStep(Step{Kind: StepStartUnanswered, Key: key, Task: t, Attempt: attempt})
 	a := b.findAttempt(key, t, attempt)
@@ -68,6 +70,10 @@
 		return false
 	}
 	a.Phase, a.reschedule = Unconfirmed, true
+	if a.step.LongRunning {
+		a.awaitsListing = true
+		return true
+	}
 	b.requestStop(a)
 	return true
 }
@@ -134,6 +140,10 @@
 		if number, ok := listed[a.Task]; ok && number == a.Number {
 			continue
 		}
+		if a.awaitsListing {
+			a.awaitsListing = false
+			b.requestStop(a)
+		}
 		if b.hasEnded(a, asked) {
 			gone = append(gone, a)
 		}
@@ -170,6 +180,7 @@
 	}
 	if a.Phase == Starting || a.Phase == Unconfirmed && !a.stopRequested {
 		a.Phase = Live
+		a.awaitsListing = false
 		a.PercentChangedAt = now
 		b.markBegun(r.Task)
 	}
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -50,6 +50,12 @@
 	Close()
 }
 
+// pendingEnd is the end of an attempt that has been handled.
+type pendingEnd struct {
+	number uint64
+	job    jobs.ID // whose progress it changed
+}
+
 // agent talks to one lifetime of a worker: it renews the leases of its tasks, reads
 // its lists of running and ended tasks, and sends it orders.
 type agent struct {
@@ -71,11 +77,13 @@
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
 	handledEnd    uint64               // highest number of an end that has been handled
+	unstored      []pendingEnd         // handled ends whose effect is not known to be durable, by number
 	durableEnd    uint64               // highest number of an end whose effect is durable
 	answered      bool                 // it has answered this owner
 	registered    bool                 // it is registered durably
 	leaseEnd      time.Duration        // when its leases end, on the store's clock; 0 while they are renewed
 	silent        bool                 // it does not answer
+	knownBusy     bool                 // the value of busy that was set last
 	lifetimeEnded bool
 }
 
@@ -357,8 +365,6 @@
 		})
 		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
 			a.readLists(ctx) // the attempt may run
-			a.owner.post(func() { a.owner.startAnswered(a, s, err) })
-			return
 		}
 		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -161,7 +162,7 @@
 		o.dirtySince = now
 	}
 	heartbeatDue := now.Sub(o.committedAt) > heartbeatPeriod // other processes read it as the owner's heartbeat
-	due := heartbeatDue || len(o.queue) > 0 || o.hasUnregistered() || o.registrationsChanged() || final || o.flushing ||
+	due := heartbeatDue || len(o.queue) > 0 || o.registrationsDue() || final || o.flushing ||
 		len(ids) > 0 && now.Sub(o.dirtySince) > maxProgressDelay || len(o.expired) > 0
 	if !due {
 		return
@@ -183,7 +184,7 @@
 func (o *Owner) buildCommit(ids []jobs.ID) *commit {
 	c := &commit{seq: o.seq + 1, states: map[jobs.ID]jobs.State{}, ends: map[*agent]uint64{}}
 	size := 0
-	if o.hasUnregistered() || o.registrationsChanged() {
+	if o.registrationsDue() {
 		o.addRegistrations(c)
 	}
 	for len(o.queue) > 0 && len(c.rows) < maxCommitRows/2 && size < maxCommitBytes/2 {
@@ -193,10 +194,10 @@
 		c.rows = append(c.rows, platform.Row{Table: tableJob, Part: o.name, Key: string(s.job.ID), Value: s.row})
 		size += len(s.row)
 	}
-	allFit := true
+	o.dirtySince = time.Time{}
 	for _, id := range ids {
 		if len(c.rows) >= maxCommitRows || size > maxCommitBytes {
-			allFit = false
+			o.dirtySince = time.Now() // the next transaction takes the rest
 			break
 		}
 		data, state, err := o.board.EncodeProgress(id)
@@ -208,10 +209,9 @@
 		c.rows = append(c.rows, platform.Row{Table: tableProgress, Part: o.name, Key: string(id), Value: data})
 		size += len(data)
 	}
-	if allFit {
-		o.dirtySince = time.Time{}
-		for _, a := range o.agents {
-			c.ends[a] = a.handledEnd
+	for a := range o.newEnds {
+		if number := o.storedWith(a); number > 0 {
+			c.ends[a] = number
 		}
 	}
 	for len(o.expired) > 0 && len(c.rows)+len(c.remove) < maxCommitRows {
@@ -222,6 +222,19 @@
 	return c
 }
 
+// storedWith returns the number up to which the effects of a worker's ends are durable
+// once the transaction that was just built is.
+func (o *Owner) storedWith(a *agent) uint64 {
+	number := uint64(0)
+	for _, e := range a.unstored {
+		if o.board.IsDirty(e.job) {
+			break
+		}
+		number = e.number
+	}
+	return number
+}
+
 // handleCommitResult applies the result of a transaction.
 func (o *Owner) handleCommitResult(c *commit, version uint64, err error) {
 	now := time.Now()
@@ -277,5 +290,9 @@
 	for a, number := range c.ends {
 		a.durableEnd = max(a.durableEnd, number)
 		a.setAck(a.durableEnd)
+		a.unstored = slices.DeleteFunc(a.unstored, func(e pendingEnd) bool { return e.number <= number })
+		if len(a.unstored) == 0 {
+			delete(o.newEnds, a)
+		}
 	}
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -54,6 +54,8 @@
 	summaryPeriod    = time.Second             // between log lines with the pool's state
 	attemptsPerOwner = 1000                    // attempt numbers reserved for each owner
 	postQueueSize    = 4096                    // functions queued for the loop
+	drainTimeout     = 20 * time.Millisecond   // for queued functions between two scheduling steps
+	decisionPause    = 4                       // after a decision, as a multiple of its duration: the rest of the owner's work comes first
 	retiredEntryTime = 6 * time.Second         // the platform removes the entry of an ended worker after three heartbeats, 4.5 s
 )
 
@@ -125,7 +127,9 @@
 
 	// The fields below are used only in the loop.
 	board          *place.Board
-	agents         map[string]*agent
+	agents         map[string]*agent    // by lifetime
+	lifetimes      map[string][]*agent  // by worker id
+	newEnds        map[*agent]bool      // agents with handled ends that are not acknowledged yet
 	vacateUntil    map[string]time.Time // workers to vacate, by id, and until when
 	queue          []*submission
 	pending        map[jobs.ID]*submission
@@ -137,24 +141,29 @@
 	commitAfter    time.Time // no transaction is sent before
 	committedAt    time.Time // when the last transaction took effect
 	storeDownSince time.Time // zero while the store answers
+	decideAfter    time.Time // no decision is made before
+	decideTimer    *time.Timer
 	offering       bool      // an offer to hand the pool over is under way
 	offerFailedAt  time.Time // when the last offer failed, zero if none did since the store went down
 	handOver       func(name string) bool
 	lease          time.Duration
-	expired        []jobs.ID            // jobs whose rows are to be removed
-	registrations  []registration       // as stored
-	retiredAt      map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil    map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	jobsLoaded     bool                 // the stored jobs are on the board
-	started        bool                 // scheduling has started
-	summarizedAt   time.Time
-	loop           loopStats
-	flushing       bool
-	closed         bool
-	deposed        bool
-	queues         map[string]platform.Queue
-	advise         func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries        map[string]platform.WorkerEntry // of this pool, by id
+	retention      time.Duration
+	expired        []jobs.ID      // jobs whose rows are to be removed
+	registrations  []registration // as stored
+	// registrationsStale means that something changed on which registrationsDue depends.
+	registrationsStale, registrationsDiffer bool
+	retiredAt                               map[string]time.Time // lifetimes ended by an order for their host, and when
+	unseenUntil                             map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	jobsLoaded                              bool                 // the stored jobs are on the board
+	started                                 bool                 // scheduling has started
+	summarizedAt                            time.Time
+	loop                                    loopStats
+	flushing                                bool
+	closed                                  bool
+	deposed                                 bool
+	queues                                  map[string]platform.Queue
+	advise                                  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries                                 map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
@@ -163,6 +172,9 @@
 	Store *platform.Store
 	Log   *logrus.Entry
 	Lease time.Duration // of tasks on workers, 0 for the default
+	// Retention is how long ended jobs are kept, so that their callers can ask for
+	// their states; 0 keeps them for ever.
+	Retention time.Duration
 	// Recording records every scheduling step, nil for none.
 	Recording *event.Log
 	// HandOver offers the pool to other processes after this one has lost the
@@ -211,12 +223,13 @@
 	}
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
-		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease,
+		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		board:  board,
-		agents: map[string]*agent{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
+		decideTimer: time.NewTimer(tickPeriod),
 	}
 }
 
@@ -254,24 +267,25 @@
 			f()
 		case <-ticker.C:
 			o.tick(time.Now())
+		case <-o.decideTimer.C:
 		}
-		o.drainPosts()
-		if o.deposed {
+		o.drainPosts(time.Now())
+		if o.deposed || o.ctx.Err() != nil {
 			return
 		}
 		o.dispatch(time.Now())
 	}
 }
 
-// drainPosts runs all queued functions, so that one scheduling step covers them.
-func (o *Owner) drainPosts() {
-	for range postQueueSize {
-		select {
-		case f := <-o.posts:
-			f()
-		default:
+// drainPosts runs the functions that are queued now, so that one scheduling step covers
+// them. It stops after drainTimeout: what is handled must become durable and be
+// acknowledged, or workers report it again and keep the queue full.
+func (o *Owner) drainPosts(now time.Time) {
+	for range len(o.posts) {
+		if time.Since(now) > drainTimeout {
 			return
 		}
+		(<-o.posts)()
 	}
 }
 
@@ -300,15 +314,18 @@
 // dispatch runs a scheduling step, hands its orders to the agents and commits
 // changes.
 func (o *Owner) dispatch(now time.Time) {
-	if o.started && !o.flushing {
+	if o.started && !o.flushing && !now.Before(o.decideAfter) {
 		orders := o.board.Decide(now)
-		o.loop.recordDecision(time.Since(now))
+		took := time.Since(now)
+		o.loop.recordDecision(took)
+		o.decideAfter = now.Add(took + min(decisionPause*took, tickPeriod))
 		for _, s := range orders.Stops {
 			o.sendOrder(s.Worker, order{stop: &s})
 		}
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
 			o.sendOrder(s.Worker, order{start: &s})
+			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
 			o.sendOrder(p.Worker, order{pace: &p})
@@ -316,15 +333,25 @@
 		for _, q := range orders.Advice {
 			o.askAdvice(q)
 		}
-		for _, a := range o.agents {
-			a.setBusy(!o.board.Idle(a.key))
-		}
+	} else if now.Before(o.decideAfter) {
+		o.decideTimer.Reset(o.decideAfter.Sub(now))
 	}
 	if o.started {
 		o.maybeCommit(now)
 	}
 }
 
+// updateBusy tells an agent whether its worker has tasks.
+func (o *Owner) updateBusy(a *agent) {
+	if a == nil {
+		return
+	}
+	if busy := !o.board.Idle(a.key); busy != a.knownBusy {
+		a.knownBusy = busy
+		a.setBusy(busy)
+	}
+}
+
 // sendOrder hands an order to a worker's agent. If the agent's queue is full, a
 // start counts as refused, a stop as failed, and a pace is dropped.
 func (o *Owner) sendOrder(key string, ord order) {
@@ -354,6 +381,9 @@
 			o.log.WithFields(o.loop.fields()).WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
 		o.loop.reset()
+		if o.retention > 0 {
+			o.expired = append(o.expired, o.board.Expire(o.retention, now)...)
+		}
 	}
 	if o.started {
 		o.updateUnseen(now)
@@ -377,6 +407,7 @@
 // whose lifetimes have ended, and removes workers that are gone.
 func (o *Owner) removeLostWorkers(now time.Time) {
 	for _, a := range o.agents {
+		o.updateBusy(a)
 		gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
 		if a.silent && a.leasesExpired(now) || a.lifetimeEnded {
 			if !o.board.Idle(a.key) {
@@ -387,8 +418,7 @@
 		}
 		if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
 			o.board.RemoveWorker(a.key, now)
-			a.close()
-			delete(o.agents, a.key)
+			o.removeAgent(a)
 		} else if gone {
 			o.syncAgent(a)
 		}
