--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -21,6 +21,7 @@
 	tableMember      = "member" // table of processes, by node name
 	pingPeriod       = 250 * time.Millisecond
 	pingTimeout      = 450 * time.Millisecond // for the answer to a ping
+	suspicionTime    = pingTimeout            // a peer without an answer for this long may have failed
 	peerTimeout      = 900 * time.Millisecond // a peer without an answer for this long counts as failed
 	recentPeerWindow = 15 * time.Second       // peers that answered within this time count towards a majority
 	maxLateness      = 200 * time.Millisecond // a process that runs later than this does not judge the silence of its peers
@@ -91,15 +92,23 @@
 	pinging            bool
 	excusedAt          time.Time // silence before this time does not count
 	firstExcusedAt     time.Time // first excuse since the last answer, zero if there was none
+	lastError          error     // of the last ping, nil if it was answered
+	loggedAlive        bool      // as in the last log line about it
+	silentSince        time.Time // last answer before that line, if it said that the peer is not alive
 }
 
 // alive reports whether the peer counts as alive.
 func (p *peer) alive(now time.Time) bool {
-	silentSince := p.answeredAt
-	if p.excusedAt.After(silentSince) {
-		silentSince = p.excusedAt
-	}
-	return p.life != "" && p.refusedConnections < 2 && now.Sub(silentSince) < peerTimeout
+	return p.life != "" && !p.refuses() && !p.silentFor(now, peerTimeout)
+}
+
+// refuses reports whether the peer refuses connections. A nil peer doesn't.
+func (p *peer) refuses() bool { return p != nil && p.refusedConnections >= 2 }
+
+// silentFor reports whether the peer has given no answer for a time that is not excused. A
+// nil peer is silent.
+func (p *peer) silentFor(now time.Time, t time.Duration) bool {
+	return p == nil || now.Sub(p.answeredAt) >= t && now.Sub(p.excusedAt) >= t
 }
 
 // excuse gives a peer that was alive at a time before now a new peerTimeout.
@@ -126,6 +135,36 @@
 	}
 }
 
+// recentLateness returns by how much this process ran late within the last peerTimeout, 0 if
+// it did not. The caller holds d.mu.
+func (d *Daemon) recentLateness(now time.Time) time.Duration {
+	if !d.late(now) {
+		return 0
+	}
+	return d.lateness
+}
+
+// logLiveness logs which peers began or ceased to count as alive since the last call. The
+// caller holds d.mu.
+func (d *Daemon) logLiveness(now time.Time) {
+	for _, p := range d.peers {
+		alive := p.alive(now)
+		if alive == p.loggedAlive {
+			continue
+		}
+		p.loggedAlive = alive
+		fields := logrus.Fields{"peer": p.node, "alive": alive, "late-ms": d.recentLateness(now).Milliseconds()}
+		switch {
+		case !alive:
+			p.silentSince = p.answeredAt
+			fields["silent-ms"], fields["refused"] = now.Sub(p.answeredAt).Milliseconds(), p.refusedConnections
+		case !p.silentSince.IsZero():
+			fields["silent-ms"] = p.answeredAt.Sub(p.silentSince).Milliseconds()
+		}
+		d.log.WithFields(fields).WithError(p.lastError).Info("peer's liveness changed")
+	}
+}
+
 // late reports whether this process ran late within the last peerTimeout. The caller
 // holds d.mu.
 func (d *Daemon) late(now time.Time) bool { return now.Sub(d.lateAt) < peerTimeout }
@@ -197,8 +236,7 @@
 	if ctx.Err() != nil {
 		d.recordLateness(now, now.Sub(began)-pingTimeout)
 	}
-	wasAlive := p.alive(now)
-	p.pinging = false
+	p.pinging, p.lastError = false, err
 	switch {
 	case err == nil:
 		p.life, p.answeredAt, p.refusedConnections, p.ready = reply.Life, now, 0, reply.Ready && !reply.Stopped
@@ -206,13 +244,7 @@
 	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
 		p.refusedConnections++
 	}
-	isAlive := p.alive(now)
 	d.mu.Unlock()
-	if wasAlive != isAlive {
-		d.log.WithFields(logrus.Fields{
-			"peer": p.node, "alive": isAlive, "late-ms": max(0, now.Sub(began)-pingTimeout).Milliseconds(),
-		}).WithError(err).Info("peer's liveness changed")
-	}
 	if err == nil {
 		d.fetchNewer(ctx, p, reply, status)
 	}
@@ -221,11 +253,8 @@
 // fetchNewer fetches the configuration and the owners from a peer whose status shows
 // newer ones.
 func (d *Daemon) fetchNewer(ctx context.Context, p *peer, theirs, ours Status) {
-	if theirs.Config > ours.Config {
-		var raw []byte
-		if err := p.link.Call(ctx, "Peer.Config", Empty{}, &raw); err == nil && len(raw) > 0 {
-			d.applyConfig(raw, p.node)
-		}
+	if c := d.config.Load(); c == nil || theirs.Config > c.Version {
+		d.fetchConfig(p, theirs.Config)
 	}
 	if theirs.Owned > ours.Owned {
 		var owned []pool.Ownership
@@ -237,6 +266,54 @@
 	}
 }
 
+const (
+	configFetchDelay   = 500 * time.Millisecond // for the store to deliver a configuration that a peer already has
+	configFetchTimeout = 2 * time.Second
+)
+
+// configFetch limits how often a process fetches a configuration from its peers. All of
+// them have a new one at about the same time; fetched from each, a large one would fill
+// the link of the host for seconds.
+type configFetch struct {
+	version uint64 // the newest one known of
+	seenAt  time.Time
+	running bool
+}
+
+// begin reports whether to fetch a version now: it is known of for configFetchDelay, and no
+// fetch is under way.
+func (f *configFetch) begin(version uint64, now time.Time) bool {
+	if version > f.version {
+		f.version, f.seenAt = version, now
+	}
+	if f.running || now.Sub(f.seenAt) < configFetchDelay {
+		return false
+	}
+	f.running = true
+	return true
+}
+
+// fetchConfig fetches a peer's configuration if the store has not delivered it in time.
+func (d *Daemon) fetchConfig(p *peer, version uint64) {
+	d.mu.Lock()
+	due := d.configFetch.begin(version, time.Now())
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
+	defer cancel()
+	var raw []byte
+	if err := p.link.Call(ctx, "Peer.Config", Empty{}, &raw); err != nil {
+		d.log.WithFields(logrus.Fields{"peer": p.node, "version": version}).WithError(err).Info("fetching the configuration from a peer failed")
+	} else if len(raw) > 0 {
+		d.applyConfig(raw, p.node)
+	}
+	d.mu.Lock()
+	d.configFetch.running = false
+	d.mu.Unlock()
+}
+
 // Empty is the argument of RPCs that take none.
 type Empty struct{}
 
@@ -297,7 +374,7 @@
 func (s *peerService) Take(name string, reply *bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	*reply = s.d.claim(ctx, name) == nil
+	*reply = s.d.claim(ctx, name, causeHandedOver) == nil
 	return nil
 }
 
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -70,11 +70,9 @@
 		return false
 	}
 	a.Phase, a.reschedule = Unconfirmed, true
-	if a.step.LongRunning {
-		a.awaitsListing = true
-		return true
+	if a.awaitsListing = a.step.LongRunning; !a.awaitsListing {
+		b.requestStop(a)
 	}
-	b.requestStop(a)
 	return true
 }
 
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -41,6 +41,12 @@
 	pace  *place.PaceOrder
 }
 
+// pendingEnd is the end of an attempt that has been handled.
+type pendingEnd struct {
+	number uint64
+	job    jobs.ID // whose progress it changed
+}
+
 // workerClient is the part of [platform.Worker] that agents use.
 type workerClient interface {
 	Hold(ctx context.Context, r platform.HoldRequest) (platform.Listing, error)
@@ -50,12 +56,6 @@
 	Close()
 }
 
-// pendingEnd is the end of an attempt that has been handled.
-type pendingEnd struct {
-	number uint64
-	job    jobs.ID // whose progress it changed
-}
-
 // agent talks to one lifetime of a worker: it renews the leases of its tasks, reads
 // its lists of running and ended tasks, and sends it orders.
 type agent struct {
@@ -72,7 +72,8 @@
 	ackNumber      uint64        // ends up to this number may be acknowledged
 	ackRaised      chan struct{} // closed when ackNumber rises
 	busy           bool          // it has tasks
-	unresponsive   bool          // its last hold call failed; starts are refused until one succeeds
+	answeredCallAt time.Time     // when the latest hold call that was answered was sent
+	failedCallAt   time.Time     // when the latest hold call that failed should have been answered
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
@@ -218,10 +219,10 @@
 	lateCalls := 0    // calls in a row that timed out late
 	for ctx.Err() == nil {
 		a.mu.Lock()
-		ack, busy, unresponsive := a.ackNumber, a.busy, a.unresponsive
+		ack, busy := a.ackNumber, a.busy
 		a.mu.Unlock()
 		o := platform.HoldRequest{Token: a.owner.token, Ack: ack}
-		if !unresponsive {
+		if !a.isUnresponsive() {
 			o.Until = a.nextLease() // not after a failure: the leases of a lost worker must expire
 		}
 		if !immediate {
@@ -245,14 +246,15 @@
 				metricLateCalls.Inc()
 				continue
 			}
-			a.setUnresponsive(true)
+			a.callFailed(requestedAt.Add(o.Wait))
 			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 			sleep(ctx, retryDelay)
 			continue
 		}
 		a.setClock(l.Clock, l.ReadAt)
-		a.setUnresponsive(false)
-		immediate, lateCalls = false, 0
+		a.callAnswered(requestedAt)
+		lateCalls = 0
+		immediate = a.isUnresponsive() // to find out at once whether it answers again
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 		if n := len(l.Ended); n > 0 {
 			a.awaitAck(ctx, l.Ended[n-1].Number)
@@ -277,33 +279,71 @@
 		metricLateCalls.Inc()
 		return // the next renewal shows whether the worker answers
 	}
-	a.setUnresponsive(err != nil)
 	if err != nil {
+		a.callFailed(requestedAt)
 		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
 	}
+	a.callAnswered(requestedAt)
 	a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
 }
 
-// errUnresponsive means that an order was not sent because the worker does not
-// answer.
-var errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+// Reasons why an order was not sent.
+var (
+	errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
+	errQueueFull    = errors.Wrap(platform.ErrNotDone, "the worker's order queue is full")
+)
 
+// isUnresponsive reports whether the worker has left a hold call unanswered and has
+// not answered one that was sent later. The answer to an earlier call, such as a
+// renewal that waited at the worker, does not show that it answers new calls. Starts
+// are refused while the worker is unresponsive.
 func (a *agent) isUnresponsive() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.unresponsive
+	return a.failedCallAt.After(a.answeredCallAt)
+}
+
+// callAnswered records that a hold call sent at sentAt was answered.
+func (a *agent) callAnswered(sentAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if sentAt.After(a.answeredCallAt) {
+		a.answeredCallAt = sentAt
+	}
 }
 
-func (a *agent) setUnresponsive(unresponsive bool) {
+// callFailed records that a hold call failed that should have been answered by dueAt.
+func (a *agent) callFailed(dueAt time.Time) {
+	if now := time.Now(); now.Before(dueAt) {
+		dueAt = now
+	}
 	a.mu.Lock()
-	a.unresponsive = unresponsive
+	if dueAt.After(a.failedCallAt) {
+		a.failedCallAt = dueAt
+	}
 	a.mu.Unlock()
-	if unresponsive {
+	if a.isUnresponsive() {
 		a.rejectQueuedStarts()
 	}
 }
 
+// enqueue queues an order. It does not accept a start for an unresponsive worker, which
+// would wait behind orders that get no answer.
+func (a *agent) enqueue(o order) error {
+	a.mu.Lock() // a start queued before callFailed takes effect is rejected by it
+	defer a.mu.Unlock()
+	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
+		return errUnresponsive
+	}
+	select {
+	case a.orders <- o:
+		return nil
+	default:
+		return errQueueFull
+	}
+}
+
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
 // elsewhere at once. Otherwise they would wait until every stop before them has
 // timed out.
