pool: a start queued before a worker's leases expired is not sent

What it would cost callers: a task that runs twice at the same time.

A lease is counted when a start is sent, not when it is queued at the agent. When a worker is silent until all leases have expired, the loop drops its attempts and places their tasks elsewhere. A start that still waits in the agent's queue, or that a goroutine has just taken from it, is refused only while the worker counts as unresponsive: if the worker answers a list between, the start is sent with a new lease. The longer the process is held up, the longer is that window.

The agent now counts how often the loop found all leases expired, under the lock under which it grants leases. A start that was queued before the last time is refused.

Evidence: TestQueuedStartIsVoidOnceLeasesExpired without the comparison: "a start was sent after the leases had expired", "2 starts sent, want the one that was queued later".

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -34,11 +34,13 @@
 
 var metricLateCalls = metrics.NewCounter("papayarudder_worker_late_timeouts_total")
 
-// order is a start, stop or pace order for a worker; exactly one field is set.
+// order is a start, stop or pace order for a worker; exactly one of these fields is set.
 type order struct {
 	start *place.StartOrder
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
+
+	lapses int // the agent's count when the order was queued
 }
 
 // pendingEnd is the end of an attempt that has been handled.
@@ -69,6 +71,7 @@
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
 	leasesExpireAt time.Time     // all granted leases have expired by then
+	lapses         int           // how often all leases were found expired; starts queued before are void
 	ackNumber      uint64        // ends up to this number may be acknowledged
 	ackRaised      chan struct{} // closed when ackNumber rises
 	busy           bool          // it has tasks
@@ -112,6 +115,11 @@
 func (a *agent) nextLease() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.grantLease()
+}
+
+// grantLease is [agent.nextLease] with a.mu held.
+func (a *agent) grantLease() time.Duration {
 	if a.clockAt.IsZero() {
 		return 0
 	}
@@ -123,11 +131,27 @@
 	return until
 }
 
-// leasesExpired reports whether every granted lease has expired.
-func (a *agent) leasesExpired(now time.Time) bool {
+// expireLeases reports whether every granted lease has expired. If so, the starts that
+// were queued until now are void: their tasks are about to be placed elsewhere.
+func (a *agent) expireLeases(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now.After(a.leasesExpireAt)
+	if !now.After(a.leasesExpireAt) {
+		return false
+	}
+	a.lapses++
+	return true
+}
+
+// leaseForStart is [agent.nextLease] for a queued start. It reports false if the start
+// must not be sent, because the worker does not answer or the start is void.
+func (a *agent) leaseForStart(lapses int) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failedCallAt.After(a.answeredCallAt) || a.lapses != lapses {
+		return 0, false
+	}
+	return a.grantLease(), true
 }
 
 // clock returns a lower bound of the worker's clock at a time, even if that clock is
@@ -336,6 +360,7 @@
 	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
 		return errUnresponsive
 	}
+	o.lapses = a.lapses
 	select {
 	case a.orders <- o:
 		return nil
@@ -394,13 +419,14 @@
 	switch {
 	case o.start != nil:
 		s := *o.start
-		if a.isUnresponsive() {
+		until, ok := a.leaseForStart(o.lapses)
+		if !ok {
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 			return
 		}
 		sentAt := time.Now()
 		_, err := a.worker.Start(callCtx, platform.StartRequest{
-			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: a.nextLease(),
+			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: until,
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
 		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -250,7 +250,7 @@
 				last = began.Add(c.at + c.until)
 			}
 		}
-		if a.leasesExpired(last) || !a.leasesExpired(last.Add(time.Second)) {
+		if a.expireLeases(last) || !a.expireLeases(last.Add(time.Second)) {
 			t.Errorf("the leases count as expired at %v, want soon after %v", a.leasesExpireAt, last)
 		}
 	})
@@ -302,3 +302,45 @@
 		end()
 	})
 }
+
+// A start waits in an agent's queue until all leases at the worker have expired and its task
+// is placed elsewhere: it is not sent when the worker answers again, or the task would run
+// twice.
+func TestQueuedStartIsVoidOnceLeasesExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		defer end()
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		sent := 0
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) {
+			sent++
+			return 0, nil
+		}
+		a := &agent{key: "i-1@1", owner: o, worker: w, orders: make(chan order, 2)}
+		a.setClock(w.clock(), time.Now())
+		a.nextLease()
+		start := place.StartOrder{Worker: a.key, Task: jobs.Task{Job: "0000000000000001"}, Attempt: 1}
+		queue := func() {
+			if err := a.enqueue(order{start: &start}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		queue()
+		if a.expireLeases(time.Now().Add(defaultLease)) {
+			t.Fatal("the leases count as expired too early")
+		}
+		time.Sleep(2 * defaultLease)
+		if !a.expireLeases(time.Now()) {
+			t.Fatal("the leases do not count as expired")
+		}
+		queue()
+		a.execute(o.ctx, <-a.orders)
+		if sent != 0 {
+			t.Error("a start was sent after the leases had expired")
+		}
+		a.execute(o.ctx, <-a.orders)
+		if sent != 1 {
+			t.Errorf("%d starts sent, want the one that was queued later", sent)
+		}
+	})
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -409,7 +409,7 @@
 	for _, a := range o.agents {
 		o.updateBusy(a)
 		gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
-		if a.silent && a.leasesExpired(now) || a.lifetimeEnded {
+		if a.silent && a.expireLeases(now) || a.lifetimeEnded {
 			if !o.board.Idle(a.key) {
 				metricLapses.Inc()
 				o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
