pool: ends that wait for a slow transaction are read less and less often

While an owner or its store was slow, each worker was asked eight times a second for what was known already. Change: the wait doubles up to the one second of a renewal while no other end comes. TestUnacknowledgedEndsAreReadLessAndLessOften failed before: "84 lists with the same end in 10s, want at most 15". The last end's number is taken before the list is handed to the loop, which sorts it.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -25,7 +25,7 @@
 	maxClockDrift     = 0.03                   // fraction; a worker's clock may be 2% slow
 	leaseMargin       = 150 * time.Millisecond // for answers in transit
 	orderQueueSize    = 512                    // orders queued for one worker
-	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
+	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
@@ -180,10 +180,9 @@
 	}
 }
 
-// awaitAck waits until ends up to number may be acknowledged, for at most
-// ackTimeout.
-func (a *agent) awaitAck(ctx context.Context, number uint64) {
-	timer := time.NewTimer(ackTimeout)
+// awaitAck waits until ends up to number may be acknowledged, for at most timeout.
+func (a *agent) awaitAck(ctx context.Context, number uint64, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		a.mu.Lock()
@@ -241,6 +240,7 @@
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
 	lateCalls := 0    // calls in a row that timed out late
+	lastEnd, ackWait := uint64(0), ackTimeout
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		ack, busy := a.ackNumber, a.busy
@@ -279,13 +279,26 @@
 		a.callAnswered(requestedAt)
 		lateCalls = 0
 		immediate = a.isUnresponsive() // to find out at once whether it answers again
+		last := l.LastEnd()
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
-		if n := len(l.Ended); n > 0 {
-			a.awaitAck(ctx, l.Ended[n-1].Number)
+		if last > 0 {
+			ackWait = nextAckWait(ackWait, last > lastEnd)
+			lastEnd = last
+			a.awaitAck(ctx, last, ackWait)
 		}
 	}
 }
 
+// nextAckWait returns how long to wait until a worker's ends may be acknowledged. A worker
+// with unacknowledged ends answers holds at once, with all of them: without longer waits a
+// slow store or a busy owner would be asked to handle the same ends again and again.
+func nextAckWait(last time.Duration, newEnds bool) time.Duration {
+	if newEnds {
+		return ackTimeout
+	}
+	return min(2*last, busyHoldWait)
+}
+
 // readLists reads the worker's lists at once, even while a hold call is waiting.
 func (a *agent) readLists(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -344,3 +345,24 @@
 		}
 	})
 }
+
+// Guards against an owner that is asked to handle the same ends eight times a second and
+// worker while it is too slow to store them.
+func TestUnacknowledgedEndsAreReadLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		var holds atomic.Int64
+		w.hold = func(context.Context, platform.HoldRequest) (platform.Listing, error) {
+			holds.Add(1)
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now(), Ended: []platform.EndedAttempt{{Number: 1}}}, nil
+		}
+		newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+		const span = 10 * time.Second
+		time.Sleep(span)
+		if have, most := holds.Load(), int64(span/busyHoldWait)+5; have > most {
+			t.Errorf("%d lists with the same end in %v, want at most %d", have, span, most)
+		}
+		end()
+	})
+}
