pool: starts in flight are limited, and a lasting task's start does not wait for them

What callers saw (TestOwnerShortOfProcessorTime, 680 hosts, a fifth of a core, a backlog of 6,400 tasks that fit at once): long-running tasks ran again after 2.4 to 2.7 s and once not within 3 s, and up to 32 of 97 requests for a state had no answer, beside other work on the machine. Cause: a decision hands out all starts that fit, and each worker's agent sent two at a time, so that a process with little processor time had over a thousand calls to finish before it came to anything else. Change: 128 starts of batch tasks are in flight at most; a start of a long-running task is sent at once. TestStartsInFlightAreLimited is new with the limit.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -146,6 +146,12 @@
 // Known reports whether a job is on the board.
 func (b *Board) Known(id jobs.ID) bool { return b.jobs[id] != nil }
 
+// IsLongRunning reports whether a task of a job on the board is long-running.
+func (b *Board) IsLongRunning(t jobs.Task) bool {
+	e := b.jobs[t.Job]
+	return e != nil && e.job.Steps[t.Step].LongRunning
+}
+
 // State returns a job's stored state, or Active as soon as a task has started.
 func (b *Board) State(id jobs.ID) (jobs.State, bool) {
 	e := b.jobs[id]
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -27,6 +27,7 @@
 	orderQueueSize    = 512                    // orders queued for one worker
 	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	maxStartsInFlight = 128                    // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
 	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
@@ -40,7 +41,8 @@
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
 
-	lapses int // the agent's count when the order was queued
+	urgent bool // a start that does not wait for others
+	lapses int  // the agent's count when the order was queued
 }
 
 // pendingEnd is the end of an attempt that has been handled.
@@ -64,6 +66,7 @@
 	key    string
 	owner  *Owner
 	worker workerClient
+	ctx    context.Context
 	cancel context.CancelFunc
 	orders chan order
 
@@ -94,7 +97,7 @@
 func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry, w workerClient) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
-		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
+		key: lifetimeKey(e), owner: o, worker: w, ctx: ctx, cancel: cancel,
 		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
@@ -374,6 +377,10 @@
 		return errUnresponsive
 	}
 	o.lapses = a.lapses
+	if o.urgent {
+		go a.execute(a.ctx, o)
+		return nil
+	}
 	select {
 	case a.orders <- o:
 		return nil
@@ -421,7 +428,17 @@
 		case <-ctx.Done():
 			return
 		case o := <-a.orders:
+			if o.start == nil {
+				a.execute(ctx, o)
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case a.owner.startSlots <- struct{}{}:
+			}
 			a.execute(ctx, o)
+			<-a.owner.startSlots
 		}
 	}
 }
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -366,3 +366,52 @@
 		end()
 	})
 }
+
+// Guards against an owner that answers nothing while it sends the starts of a large backlog,
+// and against a long-running task whose start waits behind them.
+func TestStartsInFlightAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		var inFlight, most, urgent atomic.Int64
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(_ context.Context, r platform.StartRequest) (time.Duration, error) {
+			if r.Task.Job == "urgent" {
+				urgent.Add(1)
+				return 0, nil
+			}
+			most.Store(max(most.Load(), inFlight.Add(1)))
+			time.Sleep(200 * time.Millisecond)
+			inFlight.Add(-1)
+			return 0, nil
+		}
+		var agents []*agent
+		for i := range 2 * maxStartsInFlight {
+			agents = append(agents, newAgent(o.ctx, o, platform.WorkerEntry{ID: fmt.Sprint(i), Born: 1}, w))
+		}
+		time.Sleep(time.Second)
+		for _, a := range agents {
+			for n := range maxParallelOrders {
+				if err := a.enqueue(order{start: &place.StartOrder{Task: jobs.Task{Index: n}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		if err := agents[0].enqueue(order{start: &place.StartOrder{Task: jobs.Task{Job: "urgent"}}, urgent: true}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if urgent.Load() != 1 {
+			t.Error("an urgent start waits behind others")
+		}
+		time.Sleep(10 * time.Second)
+		if most.Load() > maxStartsInFlight {
+			t.Errorf("%d starts in flight, want at most %d", most.Load(), maxStartsInFlight)
+		}
+		end()
+	})
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -123,7 +123,8 @@
 	cancel           context.CancelFunc
 	posts            chan func()
 	ended            chan struct{}
-	storeDownSinceMs atomic.Int64 // Unix time in ms, 0 while the store answers
+	startSlots       chan struct{} // one item for each start of a batch task in flight
+	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 
 	// The fields below are used only in the loop.
 	board          *place.Board
@@ -225,8 +226,9 @@
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
-		board:  board,
-		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		startSlots: make(chan struct{}, maxStartsInFlight),
+		board:      board,
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod),
@@ -324,7 +326,7 @@
 		}
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
-			o.sendOrder(s.Worker, order{start: &s})
+			o.sendOrder(s.Worker, order{start: &s, urgent: o.board.IsLongRunning(s.Task)})
 			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
