daemon: pools move to hosts with much more processor time

Cause: a process that has just started ranks only the peers that have answered it, and nothing moves a pool that was left at a small host by a restart or an outage. Change: within 1 s of its start a process claims only once all peers have answered. Each second an owner's process looks for one that would have more than twice the processor time for a pool, and hands one over, 3 s after it got it at the earliest.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -22,7 +22,7 @@
 const (
 	claimPeriod     = 50 * time.Millisecond
 	startupDelay    = 300 * time.Millisecond // time to discover peers after a start
-	firstClaimDelay = time.Second            // for pools that never had an owner, since all processes may be starting
+	firstClaimDelay = time.Second            // for pools that never had an owner, and until all peers are known, since all processes may be starting
 	rankDelay       = 400 * time.Millisecond // each lower-ranked candidate waits this much longer
 	lateClaimDelay  = 2 * time.Second        // a process that runs late leaves pools to others for this long
 )
@@ -220,7 +220,7 @@
 	}
 	for _, name := range ownerless {
 		own := d.ownerships[name]
-		if own.Token == 0 && now.Sub(d.startedAt) < firstClaimDelay {
+		if now.Sub(d.startedAt) < firstClaimDelay && (own.Token == 0 || !d.knowsAllPeers()) {
 			continue
 		}
 		since, known := d.vacantSince[name]
@@ -248,6 +248,16 @@
 	return due, unconfirmed
 }
 
+// knowsAllPeers reports whether each peer has answered. The caller holds d.mu.
+func (d *Daemon) knowsAllPeers() bool {
+	for _, p := range d.peers {
+		if p.life == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // requiredStandstill returns for how long the heartbeat of a pool's owner must have stood
 // still before this process may claim the pool, 0 if the heartbeat does not matter, and
 // the cause of such a claim. The caller holds d.mu.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,6 +123,7 @@
 	add(d.watch(tableMember, d.readMembers, d.applyMemberRow))
 	add(d.pingPeers)
 	add(d.claimPools)
+	add(d.rebalancePools)
 	done := tree.ServeBackground(work)
 
 	<-ctx.Done()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+// A pool moves to a host with much more processor time while its jobs run: callers get their
+// states meanwhile, and no task runs twice.
+func TestPoolMovesToALargerHost(t *testing.T) {
+	s := newSystem(t, 1, mimic.Options{})
+	small := s.processes[0]
+	s.submit(small, "/labels/"+id(1), `{"spec":"700ms","steps":[{"count":12,"cpu":1000,"estimate_ms":700},{"count":12,"cpu":1000,"estimate_ms":700,"after":[0]},{"count":12,"cpu":1000,"estimate_ms":700,"after":[1]}]}`)
+	large := s.newProcessOfSize(1, "3.2")
+	s.waitReady(large)
+	for _, name := range []string{"p1", "p2"} {
+		s.waitFor(name+" to move", 10*time.Second, func() bool {
+			return strings.Contains(string(s.platform.Store.Get("own", name, "owner")), `"`+large.node+`"`)
+		})
+		if body, status := s.call(http.MethodGet, small, "/labels/"+id(1), ""); status != http.StatusOK {
+			t.Errorf("state of a job after %s moved: %d %s", name, status, body)
+		}
+	}
+	s.waitState(small, "/labels/"+id(1), "complete", 10*time.Second)
+	if n := len(s.platform.Runs()); n != 36 {
+		t.Errorf("%d runs of 36 tasks", n)
+	}
+	s.check()
+}
+
 // During an outage of the store, running jobs continue, and new jobs are soon refused
 // and never run. Jobs are accepted again within two seconds of the store's return.
 func TestStoreLost(t *testing.T) {
--- /dev/null
+++ b/internal/daemon/rebalance.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+)
+
+const (
+	rebalancePeriod = time.Second
+	rebalanceFactor = 2               // a pool moves only to a process with more than this times the processor time for it
+	minOwnership    = 3 * time.Second // before a pool moves again, and after the start of a process
+)
+
+// rebalancePools periodically hands a pool over to a process that has much more processor
+// time for it. After an outage or a restart of all processes, pools may be left at hosts
+// that are too small for them.
+func (d *Daemon) rebalancePools(ctx context.Context) error {
+	ticker := time.NewTicker(rebalancePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if o, node := d.misplacedPool(time.Now()); o != nil {
+			d.movePool(ctx, o, node)
+		}
+	}
+}
+
+// misplacedPool returns a pool of this process that another process should own, and that
+// process's node, or nil.
+func (d *Daemon) misplacedPool(now time.Time) (*pool.Owner, string) {
+	if !d.canOwn() {
+		return nil, ""
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.startedAt) < minOwnership {
+		return nil, ""
+	}
+	owned := map[string]int{}
+	for _, own := range d.ownerships {
+		owned[own.Owner.Node]++
+	}
+	self := candidate{node: d.self.Node, owned: owned[d.self.Node], processor: d.settings.Limits.Processor}
+	var others []candidate
+	for _, p := range d.peers {
+		if p.alive(now) && p.ready && !p.silentFor(now, suspicionTime) {
+			others = append(others, candidate{node: p.node, owned: owned[p.node], processor: p.processor})
+		}
+	}
+	node, found := betterOwner(self, others)
+	if !found {
+		return nil, ""
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.owners)) {
+		if o := d.owners[name]; now.Sub(o.ClaimedAt()) >= minOwnership {
+			return o, node
+		}
+	}
+	return nil, ""
+}
+
+// betterOwner returns the process that a pool of self should move to: the one that would
+// have the most processor time for each of its pools, if that is more than
+// rebalanceFactor times what self has.
+func betterOwner(self candidate, others []candidate) (node string, found bool) {
+	if self.processor <= 0 {
+		return "", false
+	}
+	least := float64(self.owned) / self.processor / rebalanceFactor // pools for each core
+	for _, c := range others {
+		if c.processor <= 0 {
+			continue
+		}
+		load := float64(c.owned+1) / c.processor
+		if load < least || found && load == least && c.node < node {
+			node, found, least = c.node, true, load
+		}
+	}
+	return node, found
+}
+
+// movePool hands a pool of this process over to another one.
+func (d *Daemon) movePool(ctx context.Context, o *pool.Owner, node string) {
+	d.mu.Lock()
+	p := d.peers[node]
+	d.mu.Unlock()
+	if p == nil {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	var taken bool
+	err := p.link.Call(callCtx, "Peer.Take", o.Name(), &taken)
+	d.log.WithFields(logrus.Fields{"pool": o.Name(), "to": node, "taken": taken}).WithError(err).Info("pool moved to a process with more processor time")
+	if taken {
+		o.Close()
+		d.refreshOwnership(ctx, o.Name())
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -152,19 +152,21 @@
 	expired        []jobs.ID      // jobs whose rows are to be removed
 	registrations  []registration // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
-	registrationsStale, registrationsDiffer bool
-	retiredAt                               map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil                             map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	jobsLoaded                              bool                 // the stored jobs are on the board
-	started                                 bool                 // scheduling has started
-	summarizedAt                            time.Time
-	loop                                    loopStats
-	flushing                                bool
-	closed                                  bool
-	deposed                                 bool
-	queues                                  map[string]platform.Queue
-	advise                                  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries                                 map[string]platform.WorkerEntry // of this pool, by id
+	registrationsStale  bool
+	registrationsDiffer bool
+	retiredAt           map[string]time.Time // lifetimes ended by an order for their host, and when
+	unseenUntil         map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	jobsLoaded          bool                 // the stored jobs are on the board
+	started             bool                 // scheduling has started
+	claimedAt           time.Time
+	summarizedAt        time.Time
+	loop                loopStats
+	flushing            bool
+	closed              bool
+	deposed             bool
+	queues              map[string]platform.Queue
+	advise              func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries             map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
@@ -231,13 +233,16 @@
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
-		decideTimer: time.NewTimer(tickPeriod),
+		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
 }
 
 // Name returns the pool's name.
 func (o *Owner) Name() string { return o.name }
 
+// ClaimedAt returns when this process became the owner.
+func (o *Owner) ClaimedAt() time.Time { return o.claimedAt }
+
 // Token returns the fencing token of this ownership.
 func (o *Owner) Token() uint64 { return o.token }
 
