--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -29,14 +29,7 @@
 
 // claimPools periodically claims the pools without an owner that fall to this process.
 func (d *Daemon) claimPools(ctx context.Context) error {
-	ticker := time.NewTicker(claimPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return every(ctx, claimPeriod, func() {
 		due, unconfirmed := d.claimTick(time.Now())
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
@@ -48,7 +41,7 @@
 				}
 			}()
 		}
-	}
+	})
 }
 
 // claimCause tells in the log why a pool is claimed.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -200,6 +200,20 @@
 	}
 }
 
+// every calls f once a period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		f()
+	}
+}
+
 // sleep waits for t or until ctx ends.
 func sleep(ctx context.Context, t time.Duration) {
 	timer := time.NewTimer(t)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -205,24 +205,17 @@
 
 // pingPeers periodically asks every peer for its status.
 func (d *Daemon) pingPeers(ctx context.Context) error {
-	ticker := time.NewTicker(pingPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return every(ctx, pingPeriod, func() {
 		status := d.status()
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		for _, p := range d.peers {
 			if !p.pinging {
 				p.pinging = true
 				go d.ping(ctx, p, status)
 			}
 		}
-		d.mu.Unlock()
-	}
+	})
 }
 
 func (d *Daemon) ping(ctx context.Context, p *peer, status Status) {
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -21,18 +21,11 @@
 // time for it. After an outage or a restart of all processes, pools may be left at hosts
 // that are too small for them.
 func (d *Daemon) rebalancePools(ctx context.Context) error {
-	ticker := time.NewTicker(rebalancePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return every(ctx, rebalancePeriod, func() {
 		if o, node := d.misplacedPool(time.Now()); o != nil {
 			d.movePool(ctx, o, node)
 		}
-	}
+	})
 }
 
 // misplacedPool returns a pool of this process that another process should own, and that
