--- a/internal/daemon/slow_owner_test.go
+++ b/internal/daemon/slow_owner_test.go
@@ -45,18 +45,21 @@
 	}
 }
 
-// A pool's owner has a fifth of a core, and a backlog waits: long-running tasks that fail
-// run again within 3 s, no lease expires on a worker that answers, and callers get the
-// states of their jobs.
+// A pool's owner has a fraction of a core, and a backlog waits: long-running tasks that
+// fail run again within 3 s, no lease expires on a worker that answers, and callers get
+// the states of their jobs.
 func TestOwnerShortOfProcessorTime(t *testing.T) {
-	for _, hosts := range []int{85, 8 * 85} {
-		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
-			testOwnerShortOfProcessorTime(t, hosts)
+	for _, tt := range []struct {
+		hosts int
+		share float64 // of a core
+	}{{85, 0.2}, {85, 0.1}, {8 * 85, 0.2}} {
+		t.Run(fmt.Sprintf("%d hosts, %g of a core", tt.hosts, tt.share), func(t *testing.T) {
+			testOwnerShortOfProcessorTime(t, tt.hosts, tt.share)
 		})
 	}
 }
 
-func testOwnerShortOfProcessorTime(t *testing.T, hosts int) {
+func testOwnerShortOfProcessorTime(t *testing.T, hosts int, share float64) {
 	const (
 		lasting  = 24
 		batch    = 400 // jobs
@@ -84,7 +87,7 @@
 	}
 	submitUntil(func(n int) bool { return n > batch })
 	wait.Wait()
-	release := s.throttle(owner, 0.2)
+	release := s.throttle(owner, share*slowdown)
 	defer release()
 
 	var states, unanswered atomic.Int64
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -379,6 +379,12 @@
 	return w == nil || len(w.attempts) == 0
 }
 
+// LongRunning reports whether a task is a long-running one.
+func (b *Board) LongRunning(t jobs.Task) bool {
+	e := b.jobs[t.Job]
+	return e != nil && e.job.Steps[t.Step].LongRunning
+}
+
 // Attempts returns the attempts at a worker, sorted by task.
 func (b *Board) Attempts(key string) []*Attempt {
 	w := b.workers[key]
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -26,7 +26,8 @@
 	leaseMargin       = 150 * time.Millisecond // for answers in transit
 	orderQueueSize    = 512                    // orders queued for one worker
 	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
-	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	maxParallelOrders = 2                      // orders of each queue sent to one worker at the same time
+	maxParallelStarts = 64                     // starts of batch tasks that an owner sends at the same time; more would only wait for its own processor
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
 	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
@@ -40,7 +41,8 @@
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
 
-	lapses int // the agent's count when the order was queued
+	longRunning bool // the order starts a long-running task
+	lapses      int  // the agent's count when the order was queued
 }
 
 // pendingEnd is the end of an attempt that has been handled.
@@ -65,7 +67,8 @@
 	owner  *Owner
 	worker workerClient
 	cancel context.CancelFunc
-	orders chan order
+	orders chan order // starts of batch tasks
+	urgent chan order // all other orders
 
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
@@ -95,11 +98,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
 		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
-		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
+		orders: make(chan order, orderQueueSize), urgent: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
 	for range maxParallelOrders {
-		go a.runOrders(ctx)
+		go a.runOrders(ctx, a.orders, o.startSlots)
+		go a.runOrders(ctx, a.urgent, nil)
 	}
 	return a
 }
@@ -362,20 +366,34 @@
 	}
 	o.lapses = a.lapses
 	select {
-	case a.orders <- o:
+	case a.queueOf(o) <- o:
 		return nil
 	default:
 		return errQueueFull
 	}
 }
 
+// queueOf returns the queue for an order. Starts of batch tasks may have to wait, and
+// nothing else must wait behind them.
+func (a *agent) queueOf(o order) chan order {
+	if o.start != nil && !o.longRunning {
+		return a.orders
+	}
+	return a.urgent
+}
+
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
-// elsewhere at once. Otherwise they would wait until every stop before them has
+// elsewhere at once. Otherwise they would wait until every order before them has
 // timed out.
 func (a *agent) rejectQueuedStarts() {
-	for range len(a.orders) {
+	a.rejectStartsIn(a.orders)
+	a.rejectStartsIn(a.urgent)
+}
+
+func (a *agent) rejectStartsIn(queue chan order) {
+	for range len(queue) {
 		select {
-		case o := <-a.orders:
+		case o := <-queue:
 			if o.start != nil {
 				s := *o.start
 				a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
@@ -392,7 +410,7 @@
 // a pace is dropped.
 func (a *agent) requeue(o order) {
 	select {
-	case a.orders <- o:
+	case a.queueOf(o) <- o:
 	default:
 		if o.stop != nil {
 			s := *o.stop
@@ -401,14 +419,25 @@
 	}
 }
 
-// runOrders sends queued orders until ctx ends.
-func (a *agent) runOrders(ctx context.Context) {
+// runOrders sends the orders of a queue until ctx ends, each once it has a slot if slots is
+// not nil.
+func (a *agent) runOrders(ctx context.Context, queue <-chan order, slots chan struct{}) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case o := <-a.orders:
+		case o := <-queue:
+			if slots == nil {
+				a.execute(ctx, o)
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case slots <- struct{}{}:
+			}
 			a.execute(ctx, o)
+			<-slots
 		}
 	}
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -121,6 +121,7 @@
 	log              *logrus.Entry
 	ctx              context.Context
 	cancel           context.CancelFunc
+	startSlots       chan struct{} // taken while the start of a batch task is under way
 	posts            chan func()
 	ended            chan struct{}
 	storeDownSinceMs atomic.Int64 // Unix time in ms, 0 while the store answers
@@ -224,7 +225,7 @@
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
-		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
+		ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		board:  board,
 		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
@@ -324,7 +325,7 @@
 		}
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
-			o.sendOrder(s.Worker, order{start: &s})
+			o.sendOrder(s.Worker, order{start: &s, longRunning: o.board.LongRunning(s.Task)})
 			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
