--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -25,9 +25,9 @@
 	maxClockDrift     = 0.03                   // fraction; a worker's clock may be 2% slow
 	leaseMargin       = 150 * time.Millisecond // for answers in transit
 	orderQueueSize    = 512                    // orders queued for one worker
-	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
-	maxParallelOrders = 2                      // orders of each queue sent to one worker at the same time
-	maxParallelStarts = 64                     // starts of batch tasks that an owner sends at the same time; more would only wait for its own processor
+	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
+	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	maxStartsInFlight = 128                    // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
 	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
@@ -41,8 +41,8 @@
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
 
-	longRunning bool // the order starts a long-running task
-	lapses      int  // the agent's count when the order was queued
+	urgent bool // a start that does not wait for others
+	lapses int  // the agent's count when the order was queued
 }
 
 // pendingEnd is the end of an attempt that has been handled.
@@ -66,9 +66,9 @@
 	key    string
 	owner  *Owner
 	worker workerClient
+	ctx    context.Context
 	cancel context.CancelFunc
-	orders chan order // starts of batch tasks
-	urgent chan order // all other orders
+	orders chan order
 
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
@@ -97,13 +97,12 @@
 func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry, w workerClient) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
-		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
-		orders: make(chan order, orderQueueSize), urgent: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
+		key: lifetimeKey(e), owner: o, worker: w, ctx: ctx, cancel: cancel,
+		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
 	for range maxParallelOrders {
-		go a.runOrders(ctx, a.orders, o.startSlots)
-		go a.runOrders(ctx, a.urgent, nil)
+		go a.runOrders(ctx)
 	}
 	return a
 }
@@ -184,10 +183,9 @@
 	}
 }
 
-// awaitAck waits until ends up to number may be acknowledged, for at most
-// ackTimeout.
-func (a *agent) awaitAck(ctx context.Context, number uint64) {
-	timer := time.NewTimer(ackTimeout)
+// awaitAck waits until ends up to number may be acknowledged, for at most timeout.
+func (a *agent) awaitAck(ctx context.Context, number uint64, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		a.mu.Lock()
@@ -245,6 +243,7 @@
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
 	lateCalls := 0    // calls in a row that timed out late
+	lastEnd, ackWait := uint64(0), ackTimeout
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		ack, busy := a.ackNumber, a.busy
@@ -283,13 +282,26 @@
 		a.callAnswered(requestedAt)
 		lateCalls = 0
 		immediate = a.isUnresponsive() // to find out at once whether it answers again
+		last := l.LastEnd()
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
-		if n := len(l.Ended); n > 0 {
-			a.awaitAck(ctx, l.Ended[n-1].Number)
+		if last > 0 {
+			ackWait = nextAckWait(ackWait, last > lastEnd)
+			lastEnd = last
+			a.awaitAck(ctx, last, ackWait)
 		}
 	}
 }
 
+// nextAckWait returns how long to wait until a worker's ends may be acknowledged. A worker
+// with unacknowledged ends answers holds at once, with all of them: without longer waits a
+// slow store or a busy owner would be asked to handle the same ends again and again.
+func nextAckWait(last time.Duration, newEnds bool) time.Duration {
+	if newEnds {
+		return ackTimeout
+	}
+	return min(2*last, busyHoldWait)
+}
+
 // readLists reads the worker's lists at once, even while a hold call is waiting.
 func (a *agent) readLists(ctx context.Context) {
 	a.mu.Lock()
@@ -365,35 +377,25 @@
 		return errUnresponsive
 	}
 	o.lapses = a.lapses
+	if o.urgent {
+		go a.execute(a.ctx, o)
+		return nil
+	}
 	select {
-	case a.queueOf(o) <- o:
+	case a.orders <- o:
 		return nil
 	default:
 		return errQueueFull
 	}
 }
 
-// queueOf returns the queue for an order. Starts of batch tasks may have to wait, and
-// nothing else must wait behind them.
-func (a *agent) queueOf(o order) chan order {
-	if o.start != nil && !o.longRunning {
-		return a.orders
-	}
-	return a.urgent
-}
-
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
-// elsewhere at once. Otherwise they would wait until every order before them has
+// elsewhere at once. Otherwise they would wait until every stop before them has
 // timed out.
 func (a *agent) rejectQueuedStarts() {
-	a.rejectStartsIn(a.orders)
-	a.rejectStartsIn(a.urgent)
-}
-
-func (a *agent) rejectStartsIn(queue chan order) {
-	for range len(queue) {
+	for range len(a.orders) {
 		select {
-		case o := <-queue:
+		case o := <-a.orders:
 			if o.start != nil {
 				s := *o.start
 				a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
@@ -410,7 +412,7 @@
 // a pace is dropped.
 func (a *agent) requeue(o order) {
 	select {
-	case a.queueOf(o) <- o:
+	case a.orders <- o:
 	default:
 		if o.stop != nil {
 			s := *o.stop
@@ -419,25 +421,24 @@
 	}
 }
 
-// runOrders sends the orders of a queue until ctx ends, each once it has a slot if slots is
-// not nil.
-func (a *agent) runOrders(ctx context.Context, queue <-chan order, slots chan struct{}) {
+// runOrders sends queued orders until ctx ends.
+func (a *agent) runOrders(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case o := <-queue:
-			if slots == nil {
+		case o := <-a.orders:
+			if o.start == nil {
 				a.execute(ctx, o)
 				continue
 			}
 			select {
 			case <-ctx.Done():
 				return
-			case slots <- struct{}{}:
+			case a.owner.startSlots <- struct{}{}:
 			}
 			a.execute(ctx, o)
-			<-slots
+			<-a.owner.startSlots
 		}
 	}
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -121,10 +121,10 @@
 	log              *logrus.Entry
 	ctx              context.Context
 	cancel           context.CancelFunc
-	startSlots       chan struct{} // taken while the start of a batch task is under way
 	posts            chan func()
 	ended            chan struct{}
-	storeDownSinceMs atomic.Int64 // Unix time in ms, 0 while the store answers
+	startSlots       chan struct{} // one item for each start of a batch task in flight
+	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 
 	// The fields below are used only in the loop.
 	board          *place.Board
@@ -225,9 +225,10 @@
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
-		ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxParallelStarts), posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
-		board:  board,
-		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
+		startSlots: make(chan struct{}, maxStartsInFlight),
+		board:      board,
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod),
@@ -325,7 +326,7 @@
 		}
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
-			o.sendOrder(s.Worker, order{start: &s, longRunning: o.board.LongRunning(s.Task)})
+			o.sendOrder(s.Worker, order{start: &s, urgent: o.board.IsLongRunning(s.Task)})
 			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
