pool: stops and paces do not wait behind starts that wait for a slot

What callers would see: with all 128 slots for starts taken, which happens while an owner is short of processor time, a cancelled job's tasks run on, and an attempt whose start got no answer is resolved late, because both goroutines that send a worker's orders may hold a start that waits for a slot.

Stops and paces have a queue and senders of their own. A stop that overtakes the start of its attempt is safe: the worker refuses that start from then on. rejectQueuedStarts no longer meets stops, so it needs not queue them again.

Evidence: TestStopsDoNotWaitBehindStarts with one queue: "a stop waits behind starts that wait for a slot".

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -26,7 +26,7 @@
 	leaseMargin       = 150 * time.Millisecond // for answers in transit
 	orderQueueSize    = 512                    // orders queued for one worker
 	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
-	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	maxParallelOrders = 2                      // orders of each queue sent to one worker at the same time
 	maxStartsInFlight = 128                    // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
@@ -68,7 +68,8 @@
 	worker workerClient
 	ctx    context.Context
 	cancel context.CancelFunc
-	orders chan order
+	starts chan order // they may have to wait for a slot
+	stops  chan order // stops and paces, which must not wait behind starts
 
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
@@ -98,11 +99,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
 		key: lifetimeKey(e), owner: o, worker: w, ctx: ctx, cancel: cancel,
-		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
+		starts: make(chan order, orderQueueSize), stops: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
 	for range maxParallelOrders {
-		go a.runOrders(ctx)
+		go a.runOrders(ctx, a.starts)
+		go a.runOrders(ctx, a.stops)
 	}
 	return a
 }
@@ -381,8 +383,12 @@
 		go a.execute(a.ctx, o)
 		return nil
 	}
+	queue := a.starts
+	if o.start == nil {
+		queue = a.stops
+	}
 	select {
-	case a.orders <- o:
+	case queue <- o:
 		return nil
 	default:
 		return errQueueFull
@@ -390,44 +396,27 @@
 }
 
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
-// elsewhere at once. Otherwise they would wait until every stop before them has
+// elsewhere at once. Otherwise they would wait until every start before them has
 // timed out.
 func (a *agent) rejectQueuedStarts() {
-	for range len(a.orders) {
+	for range len(a.starts) {
 		select {
-		case o := <-a.orders:
-			if o.start != nil {
-				s := *o.start
-				a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
-				continue
-			}
-			a.requeue(o)
+		case o := <-a.starts:
+			s := *o.start
+			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 		default:
 			return
 		}
 	}
 }
 
-// requeue queues an order again. If the queue is full, a stop counts as failed and
-// a pace is dropped.
-func (a *agent) requeue(o order) {
-	select {
-	case a.orders <- o:
-	default:
-		if o.stop != nil {
-			s := *o.stop
-			a.owner.post(func() { a.owner.stopAnswered(a, s, time.Now(), errUnresponsive) })
-		}
-	}
-}
-
-// runOrders sends queued orders until ctx ends.
-func (a *agent) runOrders(ctx context.Context) {
+// runOrders sends the orders of a queue until ctx ends.
+func (a *agent) runOrders(ctx context.Context, queue <-chan order) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case o := <-a.orders:
+		case o := <-queue:
 			if o.start == nil {
 				a.execute(ctx, o)
 				continue
--- a/internal/pool/agent_test.go
+++ b/internal/pool/agent_test.go
@@ -96,7 +96,7 @@
 	t.Parallel()
 	w, a := newStubAgent(t)
 	w.silent.Store(true)
-	a.orders <- startOrder(1)
+	a.starts <- startOrder(1)
 	a.runPosts(t, "the worker to be silent", func() bool { return a.silent })
 	calls := w.calls.Load()
 	w.answer <- struct{}{}
@@ -157,7 +157,7 @@
 	a.readLists(t.Context())
 	calls := w.calls.Load()
 	for n := range maxParallelOrders {
-		a.orders <- order{stop: &place.StopOrder{Task: startOrder(n).start.Task, Attempt: 1}}
+		a.stops <- order{stop: &place.StopOrder{Task: startOrder(n).start.Task, Attempt: 1}}
 	}
 	for w.calls.Load() < calls+maxParallelOrders {
 		time.Sleep(time.Millisecond)
--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -54,7 +54,7 @@
 		e := benchEntry(i)
 		entries[i] = e
 		a := &agent{
-			key: lifetimeKey(e), owner: o, cancel: func() {}, orders: make(chan order, 1), ackRaised: make(chan struct{}),
+			key: lifetimeKey(e), owner: o, cancel: func() {}, starts: make(chan order, 1), ackRaised: make(chan struct{}),
 			entry: e, answered: true, registered: true, leasesExpireAt: now.Add(time.Hour),
 		}
 		o.agents[a.key], o.lifetimes[e.ID], o.entries[e.ID] = a, []*agent{a}, e
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -22,6 +22,7 @@
 	began time.Time
 	hold  func(ctx context.Context, r platform.HoldRequest) (platform.Listing, error)
 	start func(ctx context.Context, r platform.StartRequest) (time.Duration, error)
+	stop  func() // may be nil
 }
 
 func (w *fakeWorker) clock() time.Duration {
@@ -35,7 +36,13 @@
 func (w *fakeWorker) Start(ctx context.Context, r platform.StartRequest) (time.Duration, error) {
 	return w.start(ctx, r)
 }
-func (*fakeWorker) Stop(context.Context, jobs.Task, int, uint64) error      { return nil }
+
+func (w *fakeWorker) Stop(context.Context, jobs.Task, int, uint64) error {
+	if w.stop != nil {
+		w.stop()
+	}
+	return nil
+}
 func (*fakeWorker) Pace(context.Context, jobs.Task, int, int, uint64) error { return nil }
 func (*fakeWorker) Close()                                                  {}
 
@@ -317,7 +324,7 @@
 			sent++
 			return 0, nil
 		}
-		a := &agent{key: "i-1@1", owner: o, worker: w, orders: make(chan order, 2)}
+		a := &agent{key: "i-1@1", owner: o, worker: w, starts: make(chan order, 2)}
 		a.setClock(w.clock(), time.Now())
 		a.nextLease()
 		start := place.StartOrder{Worker: a.key, Task: jobs.Task{Job: "0000000000000001"}, Attempt: 1}
@@ -335,11 +342,11 @@
 			t.Fatal("the leases do not count as expired")
 		}
 		queue()
-		a.execute(o.ctx, <-a.orders)
+		a.execute(o.ctx, <-a.starts)
 		if sent != 0 {
 			t.Error("a start was sent after the leases had expired")
 		}
-		a.execute(o.ctx, <-a.orders)
+		a.execute(o.ctx, <-a.starts)
 		if sent != 1 {
 			t.Errorf("%d starts sent, want the one that was queued later", sent)
 		}
@@ -415,3 +422,37 @@
 		end()
 	})
 }
+
+// All slots for starts are taken, and starts wait for them at a worker: a stop there, such as
+// that of a cancelled job, is sent at once.
+func TestStopsDoNotWaitBehindStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		var stopped atomic.Bool
+		w := &fakeWorker{rate: 1, began: time.Now(), stop: func() { stopped.Store(true) }}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { return 0, nil }
+		a := newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+		for range maxStartsInFlight {
+			o.startSlots <- struct{}{}
+		}
+		time.Sleep(time.Second)
+		for n := range 2 * maxParallelOrders {
+			if err := a.enqueue(order{start: &place.StartOrder{Task: jobs.Task{Index: n}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		synctest.Wait()
+		if err := a.enqueue(order{stop: &place.StopOrder{Task: jobs.Task{Index: 9}}}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if !stopped.Load() {
+			t.Error("a stop waits behind starts that wait for a slot")
+		}
+		end()
+	})
+}
