place: a reservation does not depend on the order of a map

Callers see nothing of it; a replay may differ from its recording. Of two workers with the same free millicores and different free memory, reserveWorker took whichever the map of workers gave first.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -278,7 +278,7 @@
 		if w.reserved || !step.Claim().Fits(w.Size) || !b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
 			continue
 		}
-		if best == nil || w.free().Millicores > best.free().Millicores || w.free() == best.free() && w.Key < best.Key {
+		if best == nil || w.free().Millicores > best.free().Millicores || w.free().Millicores == best.free().Millicores && w.Key < best.Key {
 			best = w
 		}
 	}
--- /dev/null
+++ b/internal/place/reference_test.go
@@ -0,0 +1,108 @@
+package place
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+)
+
+// Reference repeats the steps of a board on one whose pending work is collected by a scan
+// of everything before each decision.
+type Reference struct {
+	board  *Board
+	copied map[*Attempt]bool // attempts of which a copy was queued
+}
+
+// NewReference returns a reference for a new board with the same arguments.
+func NewReference(policy Policy, base int) *Reference {
+	return &Reference{board: NewBoard(policy, base), copied: map[*Attempt]bool{}}
+}
+
+// Repeat repeats a recorded step. It returns an error if the orders differ from the
+// recorded ones.
+func (r *Reference) Repeat(s Step) error {
+	if s.Kind == StepDecide {
+		r.scan()
+	}
+	before := maps.Clone(r.board.pending.copyable)
+	orders, unexpected, err := r.board.Replay(s)
+	if err != nil {
+		return err
+	}
+	if s.Kind == StepDecide {
+		r.markCopied(before)
+	}
+	if !reflect.DeepEqual(orders, s.Orders) || !reflect.DeepEqual(unexpected, s.UnexpectedStops) {
+		return fmt.Errorf("%s: orders %+v %+v, those after a scan %+v %+v", s.Kind, s.Orders, s.UnexpectedStops, orders, unexpected)
+	}
+	return nil
+}
+
+// scan collects the pending work from jobs, workers and attempts.
+func (r *Reference) scan() {
+	b := r.board
+	p := newPendingWork()
+	for id, e := range b.jobs {
+		if e.progress.Final != "" {
+			continue
+		}
+		p.unfinished[id], p.changedJobs[id] = e, e
+		for key, tasks := range e.waiting {
+			if len(tasks) == 0 {
+				delete(e.waiting, key)
+				continue
+			}
+			p.steps = append(p.steps, candidate{entry: e, key: key})
+		}
+	}
+	for key, w := range b.workers {
+		p.stops[key], p.listed[key], p.silent[key], p.paced[key], p.failing[key] = w, w, w, w, w
+		if w.Draining || w.Vacate {
+			p.leaving[key] = w
+		}
+		if w.acceptsTasks() {
+			p.room.insert(w)
+		}
+		for _, a := range w.attempts {
+			if a.step.Speculative && !a.step.LongRunning && !a.step.Gang && !r.copied[a] {
+				p.copyable[a] = struct{}{}
+			}
+		}
+	}
+	b.pending = p
+}
+
+// markCopied records the attempts that a decision took from the copyable ones.
+func (r *Reference) markCopied(before map[*Attempt]struct{}) {
+	for a := range before {
+		if _, left := r.board.pending.copyable[a]; !left {
+			r.copied[a] = true
+		}
+	}
+}
+
+// CheckQueued returns an error if a task whose turn has come has no attempt, does not wait
+// and has no backoff.
+func (b *Board) CheckQueued() error {
+	for id, e := range b.jobs {
+		if e.progress.Final != "" {
+			continue
+		}
+		for step := range e.enqueuedSteps {
+			s := &e.job.Steps[step.step]
+			for index := range s.Count {
+				t := jobs.Task{Job: id, Occurrence: step.occurrence, Step: step.step, Index: index}
+				waits := false
+				for _, o := range e.waiting[step] {
+					waits = waits || o == t
+				}
+				if !waits && !e.progress.Done(t) && len(e.attempts[t]) == 0 && e.backoffs[t].delay == 0 && !(s.Gang && b.gangHasAttempts(e, step)) {
+					return fmt.Errorf("%s is not queued", t)
+				}
+			}
+		}
+	}
+	return nil
+}
