place: test of how long an ended job is kept, failing

Callers may ask for a state for status_s (120 s). Board.Expire, which calls, counts from when the owner decided the end (finalAt, board.go finish), not from when the state was stored, before which callers are shown the job as active. After an outage of the store of 120 s or more a job is removed within the second in which its end can first be seen, and its callers get 410.

Evidence: step_test.go:112: a job is forgotten 1 s after its end was stored, want after 2m0s

--- a/internal/place/step_test.go
+++ b/internal/place/step_test.go
@@ -96,3 +96,19 @@
 		t.Errorf("%d starts after 10 s, want 1", len(starts))
 	}
 }
+
+// Guards against a job that is forgotten as soon as its callers can see that it has ended:
+// its state is shown only once it is stored, which an outage of the store delays.
+func TestEndedJobIsKeptFromWhenItsEndIsStored(t *testing.T) {
+	const kept, outage = 2 * time.Minute, 3 * time.Minute
+	f := newTestBoard(0, 1)
+	j := newJob(1, batch(1, 1000))
+	f.add(j)
+	f.Cancel(j.ID, f.now)
+	f.now = f.now.Add(outage)
+	f.expectState(t, j, jobs.Cancelled) // stores the progress
+	f.now = f.now.Add(time.Second)
+	if gone := f.Expire(kept, f.now); len(gone) > 0 {
+		t.Errorf("a job is forgotten 1 s after its end was stored, want after %v", kept)
+	}
+}
