pool: test of a job submitted again as its rows expire, failing

Since an owner removes the rows of expired jobs in transactions after it has forgotten the job (o.expired, commit.go). Until then Submit does not know the id and accepts it: the row is written and removed in one transaction, or removed by a later one. The job is accepted and not durable, and a next owner does not know it. The window is one transaction, and longer while the store is down or its transactions are full.

Evidence: owner_test.go:192: the job is accepted, and its row is removed

--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -159,3 +159,36 @@
 		t.Errorf("5 s after its retention of 100 ms an ended job is kept: verdict %d, %d rows", v, rows)
 	}
 }
+
+// Guards against an accepted job without rows: a job with the id of one that expired is
+// submitted before the rows of the latter are removed.
+func TestJobSubmittedAgainAfterItExpiredKeepsItsRows(t *testing.T) {
+	o, _ := benchOwner(1, 1)
+	now := time.Now()
+	j := benchJob(1<<20, 8, now)
+	o.expired = o.board.Expire(time.Millisecond, now.Add(time.Second))
+	if len(o.expired) != 1 || o.expired[0] != j.ID {
+		t.Fatalf("%v expired, want the final job", o.expired)
+	}
+	j.Repetitions = 1 // which no backlog refuses
+	verdict := make(chan Verdict, 1)
+	go func() {
+		v, _ := o.Submit(t.Context(), j)
+		verdict <- v
+	}()
+	(<-o.posts)()
+	rows := map[string]bool{}
+	for n := uint64(1); n <= 2; n++ {
+		c := o.buildCommit(nil)
+		for _, r := range c.rows {
+			rows[r.Table+"/"+r.Key] = true
+		}
+		for _, r := range c.remove {
+			delete(rows, r.Table+"/"+r.Key)
+		}
+		o.handleCommitResult(c, n, nil)
+	}
+	if v := <-verdict; v == Accepted && !rows[tableJob+"/"+string(j.ID)] {
+		t.Error("the job is accepted, and its row is removed")
+	}
+}
