daemon: test of configurations in quick succession, failing

Each newer one begins the wait anew, so that while they come more often than every 0.5 s it fetches none; before, it fetched with the next ping.

Evidence: peers_test.go:44: versions in quick succession: at 800 ms fetches version 9: false, want true

--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -31,6 +31,7 @@
 		{"the store does not deliver", []step{{0, 7, false, false}, {500, 7, false, true}, {501, 7, false, false}}},
 		{"the first peer fails", []step{{0, 7, false, false}, {500, 7, false, true}, {900, 7, true, true}}},
 		{"a newer one is on its way", []step{{0, 7, false, false}, {400, 8, false, false}, {600, 8, false, false}, {900, 8, false, true}}},
+		{"versions in quick succession", []step{{0, 7, false, false}, {400, 8, false, false}, {800, 9, false, true}}},
 		{"peers are of different age", []step{{0, 8, false, false}, {400, 7, false, false}, {500, 7, false, true}}},
 	} {
 		var f configFetch
