daemon: a new owner is not judged by the heartbeat of the last one

A process that read the row of a silent owner for a second, and was overtaken in the claim, held its reads against the next owner too: if it could not reach that one either, it claimed the pool back at once, although the row had just changed. Inferred from the code, not seen in a play.

Evidence: TestNextOwnerIsNotJudgedByTheLastHeartbeat failed before: claim_test.go:291: claimed from its new owner at once, cause "silent and heartbeat stood still". The reads are dropped when an ownership with a higher token is applied.

--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -269,3 +269,26 @@
 		})
 	}
 }
+
+// Guards against a pool that is claimed from a new owner because the heartbeat of the one
+// before stood still.
+func TestNextOwnerIsNotJudgedByTheLastHeartbeat(t *testing.T) {
+	start := time.Now()
+	d := claimer(start)
+	now := start.Add(time.Second)
+	for _, node := range []string{"p2", "p3"} {
+		d.peers[node].answeredAt = now
+	}
+	read := func(at time.Time) {
+		d.recordHeartbeat("p0", func() (uint64, error) { return 1, nil }, func() time.Time { return at })
+	}
+	read(start)
+	read(now)
+	d.applyOwnership(pool.Ownership{Pool: "p0", Token: 2, Owner: pool.Identity{Node: "p1", Life: "p1"}})
+	due, _ := d.claimTick(now)
+	for _, v := range due {
+		if v.pool == "p0" {
+			t.Errorf("claimed from its new owner at once, cause %q", v.cause)
+		}
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -273,6 +273,7 @@
 	}
 	d.ownerships[own.Pool] = own
 	delete(d.vacantSince, own.Pool)
+	delete(d.heartbeats, own.Pool) // of the owner before
 	if o := d.owners[own.Pool]; o != nil && o.Token() < own.Token {
 		go o.Close()
 	}
