place: test of what a decision costs for labels and lasting tasks, failing

Two kinds still cost the product of waiting steps and workers at each decision: steps with a label that no free worker has (candidates.go rejectsAll leaves them out, so that each scans all workers with room; submissions that can never be done look like this), and waiting lasting steps (decide.go reserveWorker scans all workers for each).

Evidence: cost_test.go: a label that no worker has, half of the workers free: looked at 13288 for one end, want at most 1540; lasting tasks, and full workers: looked at 25891. Bound as in TestDecisionCostAfterOneEnd.

--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -70,6 +70,47 @@
 	}
 }
 
+// Guards against decisions that still cost the product of waiting steps and workers, or
+// look at all that runs, for other kinds of steps and workers than those above.
+func TestDecisionCostOfOtherSteps(t *testing.T) {
+	const looks, workers, waiting = 4, 85, 300
+	labelled, spread, lasting, copied := batch(2, 1000), batch(2, 1000), batch(2, 1000), batch(8, 500)
+	labelled.Label, spread.MaxPerWorker, lasting.LongRunning, copied.Speculative = "none has it", 1, true, true
+	for _, tt := range []struct {
+		name    string
+		running jobs.Step // one job for each worker
+		waits   jobs.Step
+	}{
+		{"a label that no worker has, half of the workers free", batch(2, 1000), labelled},
+		{"at most one task a worker, and full workers", batch(4, 1000), spread},
+		{"lasting tasks, and full workers", batch(4, 1000), lasting},
+		{"copies allowed of all that runs", copied, batch(2, 1000)},
+	} {
+		f := newTestBoard(0, workers)
+		number := 0
+		add := func(step jobs.Step) {
+			number++
+			j := newJob(0, step)
+			j.ID = jobs.ID(fmt.Sprintf("%016x", number))
+			f.add(j)
+		}
+		for range workers {
+			add(tt.running)
+		}
+		running := f.decide()
+		for range waiting {
+			add(tt.waits)
+		}
+		f.decide()
+		f.endAttempt(running[len(running)-1], jobs.Done)
+		before := f.Examined()
+		f.decide()
+		if have, want := f.Examined()-before, uint64(looks*(workers+waiting)); have > want {
+			t.Errorf("%s: looked at %d for one end, want at most %d", tt.name, have, want)
+		}
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []struct{ workers, waiting, ended int }{{85, 300, 3000}, {350, 300, 3000}, {680, 2400, 24000}} {
 		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
