--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -261,6 +261,7 @@
 
 const (
 	configFetchDelay   = 500 * time.Millisecond // for the store to deliver a configuration that a peer already has
+	maxConfigDelay     = 750 * time.Millisecond // for the store to deliver any, while newer ones come in quick succession
 	configFetchTimeout = 2 * time.Second
 )
 
@@ -268,18 +269,29 @@
 // them have a new one at about the same time; fetched from each, a large one would fill
 // the link of the host for seconds.
 type configFetch struct {
-	version uint64 // the newest one known of
-	seenAt  time.Time
-	running bool
+	version     uint64 // the newest one known of
+	seenAt      time.Time
+	behindSince time.Time // since when a newer one than the active one is known of, zero if none is
+	running     bool
 }
 
-// begin reports whether to fetch a version now: it is known of for configFetchDelay, and no
-// fetch is under way.
+// applied records the version of the active configuration.
+func (f *configFetch) applied(version uint64) {
+	if version >= f.version {
+		f.behindSince = time.Time{}
+	}
+}
+
+// begin reports whether to fetch a version now: it is known of for configFetchDelay, or
+// some newer one for maxConfigDelay, and no fetch is under way.
 func (f *configFetch) begin(version uint64, now time.Time) bool {
 	if version > f.version {
 		f.version, f.seenAt = version, now
 	}
-	if f.running || now.Sub(f.seenAt) < configFetchDelay {
+	if f.behindSince.IsZero() {
+		f.behindSince = now
+	}
+	if f.running || now.Sub(f.seenAt) < configFetchDelay && now.Sub(f.behindSince) < maxConfigDelay {
 		return false
 	}
 	f.running = true
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -161,6 +161,7 @@
 		return
 	}
 	d.config.Store(&configuration{c, slices.Clone(raw)})
+	d.configFetch.applied(c.Version)
 	owners := make([]*pool.Owner, 0, len(d.owners))
 	for _, o := range d.owners {
 		owners = append(owners, o)
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -21,9 +21,9 @@
 	longestPath   time.Duration // the longest of criticalPaths
 	storedState   jobs.State    // last state written to storage
 	dirty         bool
-	dirtyOrder    uint64 // orders the dirty jobs by how long they have been
-	inherited     bool   // its attempts may have been started by an earlier owner
-	finalAt       time.Time
+	dirtyOrder    uint64    // orders the dirty jobs by how long they have been
+	inherited     bool      // its attempts may have been started by an earlier owner
+	finalSince    time.Time // when Expire first found its final state stored
 
 	attempts      map[jobs.Task][]*Attempt
 	lastAttempt   map[jobs.Task]int       // highest attempt number of a task
@@ -99,7 +99,6 @@
 	}
 	b.jobs[j.ID] = e
 	if p.Final != "" {
-		e.finalAt = now
 		return
 	}
 	b.pending.unfinished[j.ID] = e
@@ -198,7 +197,6 @@
 // finish sets a job's final state and requests a stop of all its attempts.
 func (b *Board) finish(e *jobEntry, s jobs.State, now time.Time) {
 	e.progress.Final = s
-	e.finalAt = now
 	for key := range e.waiting {
 		e.emptyWaiting(key)
 	}
@@ -284,12 +282,19 @@
 	}
 }
 
-// Expire removes jobs that have been final for longer than kept and returns their ids.
+// Expire removes jobs whose final state has been stored for longer than kept, counted from
+// the first call that finds it so, and returns their ids.
 func (b *Board) Expire(kept time.Duration, now time.Time) []jobs.ID {
 	b.recordStep(Step{Kind: StepExpire, Kept: kept, At: now})
 	var ids []jobs.ID
 	for id, e := range b.jobs {
-		if e.storedState.Final() && !e.dirty && len(e.attempts) == 0 && now.Sub(e.finalAt) > kept {
+		if !e.storedState.Final() || e.dirty || len(e.attempts) > 0 {
+			continue
+		}
+		if e.finalSince.IsZero() {
+			e.finalSince = now
+		}
+		if now.Sub(e.finalSince) > kept {
 			ids = append(ids, id)
 			delete(b.jobs, id)
 		}
@@ -322,20 +327,22 @@
 
 // changeWorker changes what is known of a worker.
 func (b *Board) changeWorker(w *worker, change func()) {
-	b.pending.room.remove(w)
+	b.pending.roomOf(w).remove(w)
+	b.pending.countLabels(w, -1)
 	change()
+	b.pending.countLabels(w, 1)
 	if w.acceptsTasks() {
-		b.pending.room.insert(w)
+		b.pending.roomOf(w).insert(w)
 	}
 	b.pending.workerChanged(w)
 }
 
 // setUsed changes the resources that the attempts at a worker claim.
 func (b *Board) setUsed(w *worker, used jobs.Resources) {
-	b.pending.room.remove(w)
+	b.pending.roomOf(w).remove(w)
 	w.used = used
 	if w.acceptsTasks() {
-		b.pending.room.insert(w)
+		b.pending.roomOf(w).insert(w)
 	}
 }
 
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -124,23 +124,29 @@
 // none fits.
 func (b *Board) chooseWorker(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
 	claim := step.Claim()
-	if !step.LongRunning && b.rejected.covers(claim) {
+	if !step.LongRunning && b.rejected.covers(claim) || !b.hasLabel(step.Label) {
 		return nil
 	}
 	tightest := !step.LongRunning && step.Rack == "" && !step.RackLocal // the first that fits costs least
+	rooms := []*roomIndex{&b.pending.room}
+	if step.LongRunning && !step.BestEffort {
+		rooms = append(rooms, &b.pending.reserved)
+	}
 	var best *worker
 	var bestCost int64
-	for _, w := range b.pending.room.atLeast(claim.Millicores) {
-		b.examined++
-		if !claim.Fits(w.free()) || !b.accepts(e, step, t, w, now) {
-			continue
-		}
-		if tightest {
-			return w
-		}
-		cost := b.placementCost(e, step, t, w)
-		if best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
-			best, bestCost = w, cost
+	for _, room := range rooms {
+		for _, w := range room.atLeast(claim.Millicores) {
+			b.examined++
+			if !claim.Fits(w.free()) || !b.accepts(e, step, t, w, now) {
+				continue
+			}
+			if tightest {
+				return w
+			}
+			cost := b.placementCost(e, step, t, w)
+			if best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
+				best, bestCost = w, cost
+			}
 		}
 	}
 	if best == nil && b.rejectsAll(e, step, t) {
@@ -152,7 +158,7 @@
 // accepts reports whether a worker may run a task of a step now, regardless of its free
 // capacity.
 func (b *Board) accepts(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
-	if w.reserved && !(step.LongRunning && !step.BestEffort) || !b.eligible(e, step, t, w, now) {
+	if !b.eligible(e, step, t, w, now) {
 		return false
 	}
 	if step.LongRunning || !w.health.onProbation(b.policy, now) {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -208,10 +208,12 @@
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
 	e := b.jobs[a.Task.Job]
 	claim := a.step.Claim()
-	for _, w := range b.pending.room.atLeast(claim.Millicores) {
-		b.examined++
-		if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
-			return true
+	for _, room := range []*roomIndex{&b.pending.room, &b.pending.reserved} {
+		for _, w := range room.atLeast(claim.Millicores) {
+			b.examined++
+			if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
+				return true
+			}
 		}
 	}
 	return false
@@ -229,7 +231,9 @@
 // placeTasks starts waiting tasks on workers with free capacity.
 func (b *Board) placeTasks(o *Orders, now time.Time) {
 	for _, w := range b.reserved {
-		w.reserved = false
+		if b.workers[w.Key] == w {
+			b.pending.setReserved(w, false)
+		}
 	}
 	b.reserved, b.rejected = nil, rejections{}
 	candidates := b.candidates(now)
@@ -272,22 +276,28 @@
 // reserveWorker reserves the worker with the most free millicores for a step that
 // does not fit anywhere yet.
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
-	var best *worker
-	for _, w := range b.workers {
-		b.examined++
-		if w.reserved || !step.Claim().Fits(w.Size) || !b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
-			continue
-		}
-		if best == nil || w.free().Millicores > best.free().Millicores || w.free().Millicores == best.free().Millicores && w.Key < best.Key {
-			best = w
-		}
+	if !b.hasLabel(step.Label) {
+		return
 	}
-	if best != nil {
-		best.reserved = true
-		b.reserved = append(b.reserved, best)
+	workers := b.pending.room.workers
+	for len(workers) > 0 {
+		most := workers[len(workers)-1].free().Millicores
+		roomiest := b.pending.room.atLeast(most)[:len(workers)-b.pending.room.below(most)]
+		for _, w := range roomiest {
+			b.examined++
+			if step.Claim().Fits(w.Size) && b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
+				b.pending.setReserved(w, true)
+				b.reserved = append(b.reserved, w)
+				return
+			}
+		}
+		workers = workers[:len(workers)-len(roomiest)]
 	}
 }
 
+// hasLabel reports whether any worker has a label. All have the empty one.
+func (b *Board) hasLabel(label string) bool { return label == "" || b.pending.labels[label] > 0 }
+
 // placeStep starts as many tasks of a step as fit and returns how many still wait.
 func (b *Board) placeStep(o *Orders, c candidate, now time.Time) int {
 	e := c.entry
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -25,7 +25,7 @@
 		if lasting != w.lasting || filling != w.filling {
 			return fmt.Errorf("%s counts %d lasting and %d filling tasks, has %d and %d", key, w.lasting, w.filling, lasting, filling)
 		}
-		if slices.Contains(p.room.workers, w) != w.acceptsTasks() {
+		if slices.Contains(p.roomOf(w).workers, w) != w.acceptsTasks() {
 			return fmt.Errorf("%s accepts tasks: %v, which the index of room contradicts", key, w.acceptsTasks())
 		}
 		if (w.Draining || w.Vacate) && p.leaving[key] != w || w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -178,7 +178,9 @@
 	}
 	if a.Phase == Starting || a.Phase == Unconfirmed && !a.stopRequested {
 		a.Phase = Live
-		a.awaitsListing = false
+		if a.awaitsListing {
+			a.awaitsListing, a.reschedule = false, false
+		}
 		a.PercentChangedAt = now
 		b.markBegun(r.Task)
 	}
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -16,7 +16,9 @@
 	paced       map[string]*worker    // workers with best-effort tasks whose pace may change
 	failing     map[string]*worker    // workers with failures
 	copyable    map[*Attempt]struct{} // attempts of which a copy may be started
-	room        roomIndex
+	room        roomIndex             // workers that accept tasks and are not reserved
+	reserved    roomIndex             // those that are
+	labels      map[string]int        // how many workers have a label
 }
 
 func newPendingWork() pendingWork {
@@ -24,6 +26,7 @@
 		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
 		stops: map[string]*worker{}, listed: map[string]*worker{}, leaving: map[string]*worker{}, silent: map[string]*worker{},
 		paced: map[string]*worker{}, failing: map[string]*worker{}, copyable: map[*Attempt]struct{}{},
+		labels: map[string]int{},
 	}
 }
 
@@ -56,8 +59,33 @@
 	p.paceable(a.worker)
 }
 
+// roomOf returns the index that holds a worker while it accepts tasks.
+func (p *pendingWork) roomOf(w *worker) *roomIndex {
+	if w.reserved {
+		return &p.reserved
+	}
+	return &p.room
+}
+
+// setReserved changes whether a worker is reserved.
+func (p *pendingWork) setReserved(w *worker, reserved bool) {
+	p.roomOf(w).remove(w)
+	w.reserved = reserved
+	if w.acceptsTasks() {
+		p.roomOf(w).insert(w)
+	}
+}
+
+// countLabels adds n to the counts of a worker's labels.
+func (p *pendingWork) countLabels(w *worker, n int) {
+	for _, label := range w.Labels {
+		p.labels[label] += n
+	}
+}
+
 func (p *pendingWork) removeWorker(w *worker) {
-	p.room.remove(w)
+	p.roomOf(w).remove(w)
+	p.countLabels(w, -1)
 	for _, workers := range []map[string]*worker{p.stops, p.listed, p.leaving, p.silent, p.paced, p.failing} {
 		delete(workers, w.Key)
 	}
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -62,8 +62,9 @@
 		if w.Draining || w.Vacate {
 			p.leaving[key] = w
 		}
+		p.countLabels(w, 1)
 		if w.acceptsTasks() {
-			p.room.insert(w)
+			p.roomOf(w).insert(w)
 		}
 		for _, a := range w.attempts {
 			if a.step.Speculative && !a.step.LongRunning && !a.step.Gang && !r.copied[a] {
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -33,10 +33,15 @@
 
 // atLeast returns the workers with that many free millicores, the fullest first.
 func (r *roomIndex) atLeast(millicores int) []*worker {
+	return r.workers[r.below(millicores):]
+}
+
+// below returns how many workers have fewer free millicores.
+func (r *roomIndex) below(millicores int) int {
 	i, _ := slices.BinarySearchFunc(r.workers, millicores, func(w *worker, target int) int {
 		return cmp.Compare(w.free().Millicores, target)
 	})
-	return r.workers[i:]
+	return i
 }
 
 // maxRejected limits the sizes that a rejections remembers.
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -287,6 +287,11 @@
 		o.board.Written(id, state)
 		o.stateStored(id, state)
 	}
+	for _, r := range c.remove {
+		if r.Table == tableJob {
+			delete(o.removing, jobs.ID(r.Key))
+		}
+	}
 	for a, number := range c.ends {
 		a.durableEnd = max(a.durableEnd, number)
 		a.setAck(a.durableEnd)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -149,8 +149,9 @@
 	handOver       func(name string) bool
 	lease          time.Duration
 	retention      time.Duration
-	expired        []jobs.ID      // jobs whose rows are to be removed
-	registrations  []registration // as stored
+	expired        []jobs.ID        // jobs whose rows are to be removed
+	removing       map[jobs.ID]bool // those, and jobs whose rows are being removed
+	registrations  []registration   // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
 	registrationsStale  bool
 	registrationsDiffer bool
@@ -231,7 +232,7 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
@@ -389,7 +390,7 @@
 		}
 		o.loop.reset()
 		if o.retention > 0 {
-			o.expired = append(o.expired, o.board.Expire(o.retention, now)...)
+			o.expireJobs(now)
 		}
 	}
 	if o.started {
@@ -410,6 +411,14 @@
 	o.removeLostWorkers(now)
 }
 
+// expireJobs removes the jobs that ended longer ago than the retention time.
+func (o *Owner) expireJobs(now time.Time) {
+	for _, id := range o.board.Expire(o.retention, now) {
+		o.expired = append(o.expired, id)
+		o.removing[id] = true
+	}
+}
+
 // removeLostWorkers reschedules the tasks of workers whose leases have expired or
 // whose lifetimes have ended, and removes workers that are gone.
 func (o *Owner) removeLostWorkers(now time.Time) {
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -166,7 +166,9 @@
 	o, _ := benchOwner(1, 1)
 	now := time.Now()
 	j := benchJob(1<<20, 8, now)
-	o.expired = o.board.Expire(time.Millisecond, now.Add(time.Second))
+	o.retention = time.Millisecond
+	o.expireJobs(now)
+	o.expireJobs(now.Add(time.Second))
 	if len(o.expired) != 1 || o.expired[0] != j.ID {
 		t.Fatalf("%v expired, want the final job", o.expired)
 	}
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -77,6 +77,8 @@
 			reply <- Accepted
 		case s != nil:
 			s.waiters = append(s.waiters, reply)
+		case o.removing[j.ID]:
+			reply <- Unknown // the rows of an earlier job with this id are removed first
 		case !o.storeDownSince.IsZero() && !o.storeUnreachable() || o.flushing:
 			reply <- Unknown // the next owner decides
 		case o.storeUnreachable():
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -22,11 +22,14 @@
 func (o *Owner) SetWorkers(entries []platform.WorkerEntry) {
 	o.post(func() {
 		now := time.Now()
+		previous := o.entries
 		next := make(map[string]platform.WorkerEntry, len(entries))
-		for _, e := range entries {
-			next[e.ID] = e
+		for i, e := range entries {
+			if old := previous[e.ID]; old.Version > e.Version {
+				entries[i] = old // lists may arrive out of order
+			}
+			next[e.ID] = entries[i]
 		}
-		previous := o.entries
 		for id, e := range previous {
 			if _, ok := next[id]; !ok {
 				if a := o.agents[lifetimeKey(e)]; a != nil && a.missingSince.IsZero() {
