--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -31,9 +31,9 @@
 }
 
 // watch returns a service that follows a table. It calls read for the whole table, then
-// apply for each changed row. After any failure it reads the whole table again, since
-// changes may have been missed.
-func (d *Daemon) watch(table string, read func(ctx context.Context) (uint64, error), apply func(platform.Row)) serviceFunc {
+// apply for the rows that changed together. After any failure it reads the whole table
+// again, since changes may have been missed.
+func (d *Daemon) watch(table string, read func(ctx context.Context) (uint64, error), apply func([]platform.Row)) serviceFunc {
 	return func(ctx context.Context) error {
 		o := outage{log: d.log.WithField("table", table)}
 		for ctx.Err() == nil {
@@ -57,6 +57,15 @@
 	}
 }
 
+// eachRow adapts a function for one row to watch.
+func eachRow(apply func(platform.Row)) func([]platform.Row) {
+	return func(rows []platform.Row) {
+		for _, r := range rows {
+			apply(r)
+		}
+	}
+}
+
 // outage tracks the time in which a table can't be read. It logs the start and the end
 // of an outage instead of every failed try.
 type outage struct {
@@ -85,7 +94,7 @@
 
 // pollFeed waits for one answer of a table's feed, applies its rows and returns the
 // version up to which the table is now known.
-func (d *Daemon) pollFeed(ctx context.Context, table string, after uint64, apply func(platform.Row)) (uint64, error) {
+func (d *Daemon) pollFeed(ctx context.Context, table string, after uint64, apply func([]platform.Row)) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedAnswerMargin)
 	defer cancel()
 	page, err := d.store.Feed(ctx, table, after, feedWait)
@@ -93,9 +102,7 @@
 		return after, err
 	}
 	d.recordStoreAnswer()
-	for _, r := range page.Rows {
-		apply(r)
-	}
+	apply(page.Rows)
 	return max(after, page.Version), nil
 }
 
@@ -177,36 +184,42 @@
 		}
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.workers = workers
 	d.workersRead = true
-	d.mu.Unlock()
-	d.updateOwnerWorkers()
+	for _, o := range d.owners {
+		d.updateWorkers(o)
+	}
 	return version, nil
 }
 
-// applyWorkerRow applies a change of a worker's entry. A malformed entry removes the
-// worker that it replaced.
-func (d *Daemon) applyWorkerRow(r platform.Row) {
-	e, err := platform.DecodeWorker(r)
+// applyWorkerRows applies changes of workers' entries, then tells the owners of the pools
+// that the workers left or joined, each once. A malformed entry removes the worker that it
+// replaced.
+func (d *Daemon) applyWorkerRows(rows []platform.Row) {
 	d.mu.Lock()
-	if r.Deleted || err != nil {
+	defer d.mu.Unlock()
+	changed := map[string]bool{}
+	for _, r := range rows {
+		if old, ok := d.workers[r.Key]; ok {
+			changed[old.Pool] = true
+		}
 		delete(d.workers, r.Key)
-	} else {
+		if r.Deleted {
+			continue
+		}
+		e, err := platform.DecodeWorker(r)
+		if err != nil {
+			d.log.WithError(err).Info("decoding a worker entry failed")
+			continue
+		}
 		d.workers[r.Key] = e
+		changed[e.Pool] = true
 	}
-	d.mu.Unlock()
-	if err != nil && !r.Deleted {
-		d.log.WithError(err).Info("decoding a worker entry failed")
-	}
-	d.updateOwnerWorkers()
-}
-
-// updateOwnerWorkers passes their pools' workers to the owners in this process.
-func (d *Daemon) updateOwnerWorkers() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, o := range d.owners {
-		d.updateWorkers(o)
+	for name, o := range d.owners {
+		if changed[name] {
+			d.updateWorkers(o)
+		}
 	}
 }
 
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -71,15 +72,47 @@
 	return platform.Row{Table: platform.TableWorkers, Key: id, Value: []byte(value)}
 }
 
+// An answer of the workers' feed is told to the owners of the pools that it changes, once each:
+// every row made the process copy all workers of all its pools (inc-57a4).
+func TestOwnersAreToldOncePerAnswer(t *testing.T) {
+	gone := platform.Row{Table: platform.TableWorkers, Key: "w1", Deleted: true}
+	malformed := platform.Row{Table: platform.TableWorkers, Key: "w2", Value: []byte("{")}
+	for _, tt := range []struct {
+		name  string
+		in    []platform.Row // while w1 and w2 are in p1 and w3 in p2
+		calls map[string]int
+		want  map[string][]string // of the owners that are told
+	}{
+		{"many join", []platform.Row{workerRow("w4", "p1"), workerRow("w5", "p1"), workerRow("w6", "p1")}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w1", "w2", "w4", "w5", "w6"}}},
+		{"one moves", []platform.Row{workerRow("w1", "p2")}, map[string]int{"p1": 1, "p2": 1}, map[string][]string{"p1": {"w2"}, "p2": {"w1", "w3"}}},
+		{"one leaves", []platform.Row{gone}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w2"}}},
+		{"an entry becomes malformed", []platform.Row{malformed}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w1"}}},
+		{"joins a pool owned elsewhere", []platform.Row{workerRow("w4", "p3")}, map[string]int{}, map[string][]string{}},
+		{"no rows", nil, map[string]int{}, map[string][]string{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d, sent := ownerOf("p1", "p2")
+			d.applyWorkerRows([]platform.Row{workerRow("w1", "p1"), workerRow("w2", "p1"), workerRow("w3", "p2")})
+			waitSent(t, d)
+			sent.calls, sent.last = map[string]int{}, map[string][]string{}
+			d.applyWorkerRows(tt.in)
+			waitSent(t, d)
+			if !maps.Equal(sent.calls, tt.calls) || !maps.EqualFunc(sent.last, tt.want, slices.Equal) {
+				t.Errorf("calls %v, last %v, want %v, %v", sent.calls, sent.last, tt.calls, tt.want)
+			}
+		})
+	}
+}
+
 // An owner that is slow to take in its workers ends up with the latest ones: each change was
 // sent by a goroutine of its own, so that an older one could come last.
 func TestSlowOwnerGetsTheLatestWorkers(t *testing.T) {
 	d, sent := ownerOf("p1")
 	sent.delay = 50 * time.Millisecond
-	d.applyWorkerRow(workerRow("w1", "p1"))
+	d.applyWorkerRows([]platform.Row{workerRow("w1", "p1")})
 	time.Sleep(10 * time.Millisecond) // the first call has begun
 	for i := range 9 {
-		d.applyWorkerRow(workerRow(fmt.Sprintf("w%d", i), "p1"))
+		d.applyWorkerRows([]platform.Row{workerRow(fmt.Sprintf("w%d", i), "p1")})
 	}
 	waitSent(t, d)
 	if n := len(sent.last["p1"]); n != 9 || sent.calls["p1"] != 2 {
