--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -69,7 +69,7 @@
 	}{{"the store answers", false}, {"the store turns this process away", true}, {"the store answers again", false}} {
 		refuses = tt.refuses
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-		_ = d.watch(tableMember, d.readMembers, func(platform.Row) {})(ctx)
+		_ = d.watch(tableMember, d.readMembers, func([]platform.Row) {})(ctx)
 		cancel()
 		if have := d.status().Ready; have == tt.refuses {
 			t.Errorf("%s: ready is %v", tt.name, have)
