pool: callers are answered before events

Change: calls have a queue of their own, which comes first, between any two events too. TestCallersComeBeforeEvents is on the new queue.

--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -122,6 +122,7 @@
 	ctx              context.Context
 	cancel           context.CancelFunc
 	posts            chan func()
+	calls            chan func() // of callers, which come before posts
 	ended            chan struct{}
 	startSlots       chan struct{} // one item for each start of a batch task in flight
 	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
@@ -228,7 +229,7 @@
 	return &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
-		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
+		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), calls: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
@@ -271,6 +272,8 @@
 		select {
 		case <-o.ctx.Done():
 			return
+		case f := <-o.calls:
+			f()
 		case f := <-o.posts:
 			f()
 		case <-ticker.C:
@@ -286,14 +289,22 @@
 }
 
 // drainPosts runs the functions that are queued now, so that one scheduling step covers
-// them. It stops after drainTimeout: what is handled must become durable and be
-// acknowledged, or workers report it again and keep the queue full.
+// them, calls first. It stops after drainTimeout: what is handled must become durable and
+// be acknowledged, or workers report it again and keep the queue full.
 func (o *Owner) drainPosts(now time.Time) {
+	o.drainCalls()
 	for range len(o.posts) {
 		if time.Since(now) > drainTimeout {
 			return
 		}
 		(<-o.posts)()
+		o.drainCalls()
+	}
+}
+
+func (o *Owner) drainCalls() {
+	for range len(o.calls) {
+		(<-o.calls)()
 	}
 }
 
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -178,7 +178,7 @@
 		v, _ := o.Submit(t.Context(), j)
 		verdict <- v
 	}()
-	(<-o.posts)()
+	(<-o.calls)()
 	rows := map[string]bool{}
 	for n := uint64(1); n <= 2; n++ {
 		c := o.buildCommit(nil)
@@ -194,3 +194,27 @@
 		t.Error("the job is accepted, and its row is removed")
 	}
 }
+
+// Guards against callers who wait until a busy owner has handled all lists of its workers.
+func TestCallersComeBeforeEvents(t *testing.T) {
+	o, _ := benchOwner(1, 0)
+	handled := 0
+	for range 10 {
+		o.post(func() { handled++ })
+	}
+	answered := make(chan struct{})
+	before := -1
+	go func() {
+		defer close(answered)
+		_, _ = o.State(t.Context(), benchJob(0, 1, time.Now()).ID)
+	}()
+	for len(o.calls) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	o.calls <- func() { before = handled }
+	o.drainPosts(time.Now())
+	<-answered
+	if before != 0 || handled != 10 {
+		t.Errorf("callers were answered after %d of %d events, want before any of 10", before, handled)
+	}
+}
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -45,7 +45,13 @@
 // callLoop runs f in the loop and waits for the verdict that f sends.
 func (o *Owner) callLoop(ctx context.Context, f func(reply chan Verdict)) Verdict {
 	reply := make(chan Verdict, 1)
-	o.post(func() { f(reply) })
+	select {
+	case o.calls <- func() { f(reply) }:
+	case <-ctx.Done():
+		return Unknown
+	case <-o.ctx.Done():
+		return Unknown
+	}
 	select {
 	case v := <-reply:
 		return v
