--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -149,22 +149,25 @@
 	handOver       func(name string) bool
 	lease          time.Duration
 	retention      time.Duration
-	expired        []jobs.ID      // jobs whose rows are to be removed
-	registrations  []registration // as stored
+	expired        []jobs.ID        // jobs whose rows are to be removed
+	removing       map[jobs.ID]bool // those, and jobs whose rows are being removed
+	registrations  []registration   // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
-	registrationsStale, registrationsDiffer bool
-	retiredAt                               map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil                             map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	jobsLoaded                              bool                 // the stored jobs are on the board
-	started                                 bool                 // scheduling has started
-	summarizedAt                            time.Time
-	loop                                    loopStats
-	flushing                                bool
-	closed                                  bool
-	deposed                                 bool
-	queues                                  map[string]platform.Queue
-	advise                                  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries                                 map[string]platform.WorkerEntry // of this pool, by id
+	registrationsStale  bool
+	registrationsDiffer bool
+	retiredAt           map[string]time.Time // lifetimes ended by an order for their host, and when
+	unseenUntil         map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	jobsLoaded          bool                 // the stored jobs are on the board
+	started             bool                 // scheduling has started
+	claimedAt           time.Time
+	summarizedAt        time.Time
+	loop                loopStats
+	flushing            bool
+	closed              bool
+	deposed             bool
+	queues              map[string]platform.Queue
+	advise              func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries             map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
@@ -229,15 +232,18 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
-		decideTimer: time.NewTimer(tickPeriod),
+		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
 }
 
 // Name returns the pool's name.
 func (o *Owner) Name() string { return o.name }
 
+// ClaimedAt returns when this process became the owner.
+func (o *Owner) ClaimedAt() time.Time { return o.claimedAt }
+
 // Token returns the fencing token of this ownership.
 func (o *Owner) Token() uint64 { return o.token }
 
@@ -384,7 +390,7 @@
 		}
 		o.loop.reset()
 		if o.retention > 0 {
-			o.expired = append(o.expired, o.board.Expire(o.retention, now)...)
+			o.expireJobs(now)
 		}
 	}
 	if o.started {
@@ -405,6 +411,14 @@
 	o.removeLostWorkers(now)
 }
 
+// expireJobs removes the jobs that ended longer ago than the retention time.
+func (o *Owner) expireJobs(now time.Time) {
+	for _, id := range o.board.Expire(o.retention, now) {
+		o.expired = append(o.expired, id)
+		o.removing[id] = true
+	}
+}
+
 // removeLostWorkers reschedules the tasks of workers whose leases have expired or
 // whose lifetimes have ended, and removes workers that are gone.
 func (o *Owner) removeLostWorkers(now time.Time) {
