--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -131,11 +131,18 @@
 var systemCount atomic.Int32
 
 func (s *system) newProcess(number int) *process {
+	s.t.Helper()
+	return s.newProcessOfSize(number, "0.4")
+}
+
+// newProcessOfSize starts a process on a host with the given share of a core.
+func (s *system) newProcessOfSize(number int, share string) *process {
 	s.t.Helper()
 	addr := netip.AddrFrom4([4]byte{127, byte(20 + os.Getpid()%200), byte(s.number), byte(1 + number)})
 	p := &process{node: fmt.Sprintf("entry-%d", number), addr: addr, log: &lockedBuffer{}}
 	p.settings = filepath.Join(s.t.TempDir(), p.node+".toml")
-	if err := os.WriteFile(p.settings, s.platform.Settings(p.node, addr), 0o600); err != nil {
+	settings := strings.Replace(string(s.platform.Settings(p.node, addr)), "cpu_share = 0.4\n", "cpu_share = "+share+"\n", 1)
+	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	s.start(p)
