--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -16,7 +16,7 @@
 )
 
 // A pool goes to the process with the most processor time for each pool that it would own:
-// owners on the smallest hosts fell behind while larger ones were idle (inc-57a4).
+// owners on the smallest hosts fell behind while larger ones were idle.
 func TestPoolsGoToTheMostProcessorTime(t *testing.T) {
 	for _, tt := range []struct {
 		name string
@@ -46,7 +46,7 @@
 }
 
 // The processor time of a host's settings reaches the other processes with the answers to
-// their pings and decides there who claims a pool first (inc-57a4).
+// their pings and decides there who claims a pool first.
 func TestPingsTellTheProcessorTime(t *testing.T) {
 	for _, tt := range []struct {
 		name       string
@@ -197,7 +197,7 @@
 }
 
 // A process that was held up claims nothing for the silence that it saw meanwhile: saturated
-// processes took pools from owners that were running (inc-57a4). It does claim pools of
+// processes took pools from owners that were running. It does claim pools of
 // owners that stay silent once it runs on time, and at last those that nobody else claims.
 func TestLateObserverDoesNotJudge(t *testing.T) {
 	onTime := []span{{0, 9000, 50}}
@@ -252,7 +252,7 @@
 }
 
 // An owner that leaves pings unanswered, but still writes to the store, keeps its pool for a
-// while: owners short of processor time lost theirs while they ran (inc-57a4).
+// while: owners short of processor time lost theirs while they ran.
 func TestBusyOwnerKeepsItsPool(t *testing.T) {
 	onTime := []span{{0, 9000, 50}}
 	answers := span{200, 9000, 200}
@@ -280,7 +280,7 @@
 }
 
 // The log tells when a peer goes silent and when it answers again: only changes between the
-// beginning and the end of one ping were logged, so that silence never was (inc-57a4).
+// beginning and the end of one ping were logged, so that silence never was.
 func TestSilenceOfAPeerIsLogged(t *testing.T) {
 	d := claimer(time.Now())
 	logger, lines := test.NewNullLogger()
@@ -303,7 +303,7 @@
 }
 
 // A heartbeat counts as unchanged only between reads that were answered: an owner whose row
-// was read once, while further reads failed or were under way, lost its pool (inc-57a4).
+// was read once, while further reads failed or were under way, lost its pool.
 func TestHeartbeatStandsStillBetweenAnsweredReads(t *testing.T) {
 	type read struct {
 		began, ended int // ms; 0 for no answer
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -73,7 +73,7 @@
 }
 
 // An answer of the workers' feed is told to the owners of the pools that it changes, once each:
-// every row made the process copy all workers of all its pools (inc-57a4).
+// every row made the process copy all workers of all its pools.
 func TestOwnersAreToldOncePerAnswer(t *testing.T) {
 	gone := platform.Row{Table: platform.TableWorkers, Key: "w1", Deleted: true}
 	malformed := platform.Row{Table: platform.TableWorkers, Key: "w2", Value: []byte("{")}
