--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -52,7 +52,7 @@
 	dirty            map[jobs.ID]*jobEntry
 	dirtied          uint64 // how often a job became dirty
 	pending          pendingWork
-	reserved         []*worker  // by the last decision
+	reservations     []*worker  // by the last decision
 	rejected         rejections // by the present decision
 	trying           bool       // starts may be undone, so that a rejection does not hold
 	unconfirmedUntil time.Time  // attempts of an earlier owner may be running undetected until then
@@ -233,10 +233,14 @@
 // saved at once, each has its turn.
 func (b *Board) Dirty() (ids []jobs.ID, final bool) {
 	entries := slices.SortedFunc(maps.Values(b.dirty), func(x, y *jobEntry) int {
-		if xFinal, yFinal := x.progress.Final != "", y.progress.Final != ""; xFinal != yFinal {
-			return cmp.Compare(btoi(yFinal), btoi(xFinal))
+		xFinal, yFinal := x.progress.Final != "", y.progress.Final != ""
+		switch {
+		case xFinal == yFinal:
+			return cmp.Compare(x.dirtyOrder, y.dirtyOrder)
+		case xFinal:
+			return -1
 		}
-		return cmp.Compare(x.dirtyOrder, y.dirtyOrder)
+		return 1
 	})
 	ids = make([]jobs.ID, len(entries))
 	for i, e := range entries {
@@ -245,13 +249,6 @@
 	return ids, len(entries) > 0 && entries[0].progress.Final != ""
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // IsDirty reports whether a job has unsaved progress.
 func (b *Board) IsDirty(id jobs.ID) bool { return b.dirty[id] != nil }
 
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -230,12 +230,12 @@
 
 // placeTasks starts waiting tasks on workers with free capacity.
 func (b *Board) placeTasks(o *Orders, now time.Time) {
-	for _, w := range b.reserved {
+	for _, w := range b.reservations {
 		if b.workers[w.Key] == w {
 			b.pending.setReserved(w, false)
 		}
 	}
-	b.reserved, b.rejected = nil, rejections{}
+	b.reservations, b.rejected = nil, rejections{}
 	candidates := b.candidates(now)
 	if len(candidates) == 0 {
 		return
@@ -287,7 +287,7 @@
 			b.examined++
 			if step.Claim().Fits(w.Size) && b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
 				b.pending.setReserved(w, true)
-				b.reserved = append(b.reserved, w)
+				b.reservations = append(b.reservations, w)
 				return
 			}
 		}
