--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -24,17 +25,24 @@
 	maxClockDrift     = 0.03                   // fraction; a worker's clock may be 2% slow
 	leaseMargin       = 150 * time.Millisecond // for answers in transit
 	orderQueueSize    = 512                    // orders queued for one worker
-	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; a worker with unacknowledged ends answers holds at once
+	ackTimeout        = 120 * time.Millisecond // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
 	maxParallelOrders = 2                      // orders sent to one worker at the same time
+	maxStartsInFlight = 128                    // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
+	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
 )
 
-// order is a start, stop or pace order for a worker; exactly one field is set.
+var metricLateCalls = metrics.NewCounter("papayarudder_worker_late_timeouts_total")
+
+// order is a start, stop or pace order for a worker; exactly one of these fields is set.
 type order struct {
 	start *place.StartOrder
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
+
+	urgent bool // a start that does not wait for others
+	lapses int  // the agent's count when the order was queued
 }
 
 // pendingEnd is the end of an attempt that has been handled.
@@ -58,6 +66,7 @@
 	key    string
 	owner  *Owner
 	worker workerClient
+	ctx    context.Context
 	cancel context.CancelFunc
 	orders chan order
 
@@ -65,6 +74,7 @@
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
 	leasesExpireAt time.Time     // all granted leases have expired by then
+	lapses         int           // how often all leases were found expired; starts queued before are void
 	ackNumber      uint64        // ends up to this number may be acknowledged
 	ackRaised      chan struct{} // closed when ackNumber rises
 	busy           bool          // it has tasks
@@ -87,7 +97,7 @@
 func newAgent(ctx context.Context, o *Owner, e platform.WorkerEntry, w workerClient) *agent {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &agent{
-		key: lifetimeKey(e), owner: o, worker: w, cancel: cancel,
+		key: lifetimeKey(e), owner: o, worker: w, ctx: ctx, cancel: cancel,
 		orders: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
 	}
 	go a.hold(ctx)
@@ -108,6 +118,11 @@
 func (a *agent) nextLease() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.grantLease()
+}
+
+// grantLease is [agent.nextLease] with a.mu held.
+func (a *agent) grantLease() time.Duration {
 	if a.clockAt.IsZero() {
 		return 0
 	}
@@ -119,11 +134,27 @@
 	return until
 }
 
-// leasesExpired reports whether every granted lease has expired.
-func (a *agent) leasesExpired(now time.Time) bool {
+// expireLeases reports whether every granted lease has expired. If so, the starts that
+// were queued until now are void: their tasks are about to be placed elsewhere.
+func (a *agent) expireLeases(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now.After(a.leasesExpireAt)
+	if !now.After(a.leasesExpireAt) {
+		return false
+	}
+	a.lapses++
+	return true
+}
+
+// leaseForStart is [agent.nextLease] for a queued start. It reports false if the start
+// must not be sent, because the worker does not answer or the start is void.
+func (a *agent) leaseForStart(lapses int) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failedCallAt.After(a.answeredCallAt) || a.lapses != lapses {
+		return 0, false
+	}
+	return a.grantLease(), true
 }
 
 // clock returns a lower bound of the worker's clock at a time, even if that clock is
@@ -152,10 +183,9 @@
 	}
 }
 
-// awaitAck waits until ends up to number may be acknowledged, for at most
-// ackTimeout.
-func (a *agent) awaitAck(ctx context.Context, number uint64) {
-	timer := time.NewTimer(ackTimeout)
+// awaitAck waits until ends up to number may be acknowledged, for at most timeout.
+func (a *agent) awaitAck(ctx context.Context, number uint64, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		a.mu.Lock()
@@ -212,13 +242,17 @@
 // hold renews the worker's leases and reads its lists in a loop.
 func (a *agent) hold(ctx context.Context) {
 	immediate := true // the first call and retries after a failure do not wait
+	lateCalls := 0    // calls in a row that timed out late
+	lastEnd, ackWait := uint64(0), ackTimeout
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		ack, busy := a.ackNumber, a.busy
 		a.mu.Unlock()
 		o := platform.HoldRequest{Token: a.owner.token, Ack: ack}
-		if !immediate {
+		if !a.isUnresponsive() {
 			o.Until = a.nextLease() // not after a failure: the leases of a lost worker must expire
+		}
+		if !immediate {
 			o.Wait = idleHoldWait
 			if busy {
 				o.Wait = busyHoldWait
@@ -232,23 +266,42 @@
 			if ctx.Err() != nil {
 				return
 			}
-			a.callFailed(requestedAt.Add(o.Wait))
+			immediate = true
 			late := time.Since(requestedAt) - o.Wait - answerTimeout
+			if timedOutLate(err, late) && lateCalls < maxLateCalls {
+				lateCalls++
+				metricLateCalls.Inc()
+				continue
+			}
+			a.callFailed(requestedAt.Add(o.Wait))
 			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
-			immediate = true
 			sleep(ctx, retryDelay)
 			continue
 		}
 		a.setClock(l.Clock, l.ReadAt)
 		a.callAnswered(requestedAt)
+		lateCalls = 0
 		immediate = a.isUnresponsive() // to find out at once whether it answers again
+		last := l.LastEnd()
 		a.owner.post(func() { a.owner.handleListing(a, l, requestedAt) })
-		if n := len(l.Ended); n > 0 {
-			a.awaitAck(ctx, l.Ended[n-1].Number)
+		if last > 0 {
+			ackWait = nextAckWait(ackWait, last > lastEnd)
+			lastEnd = last
+			a.awaitAck(ctx, last, ackWait)
 		}
 	}
 }
 
+// nextAckWait returns how long to wait until a worker's ends may be acknowledged. A worker
+// with unacknowledged ends answers holds at once, with all of them: without longer waits a
+// slow store or a busy owner would be asked to handle the same ends again and again.
+func nextAckWait(last time.Duration, newEnds bool) time.Duration {
+	if newEnds {
+		return ackTimeout
+	}
+	return min(2*last, busyHoldWait)
+}
+
 // readLists reads the worker's lists at once, even while a hold call is waiting.
 func (a *agent) readLists(ctx context.Context) {
 	a.mu.Lock()
@@ -261,9 +314,13 @@
 	if ctx.Err() != nil {
 		return
 	}
+	late := time.Since(requestedAt) - orderTimeout
+	if timedOutLate(err, late) {
+		metricLateCalls.Inc()
+		return // the next renewal shows whether the worker answers
+	}
 	if err != nil {
 		a.callFailed(requestedAt)
-		late := time.Since(requestedAt) - orderTimeout
 		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
 	}
@@ -319,6 +376,11 @@
 	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
 		return errUnresponsive
 	}
+	o.lapses = a.lapses
+	if o.urgent {
+		go a.execute(a.ctx, o)
+		return nil
+	}
 	select {
 	case a.orders <- o:
 		return nil
@@ -366,7 +428,17 @@
 		case <-ctx.Done():
 			return
 		case o := <-a.orders:
+			if o.start == nil {
+				a.execute(ctx, o)
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case a.owner.startSlots <- struct{}{}:
+			}
 			a.execute(ctx, o)
+			<-a.owner.startSlots
 		}
 	}
 }
@@ -377,19 +449,18 @@
 	switch {
 	case o.start != nil:
 		s := *o.start
-		if a.isUnresponsive() {
+		until, ok := a.leaseForStart(o.lapses)
+		if !ok {
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 			return
 		}
 		sentAt := time.Now()
 		_, err := a.worker.Start(callCtx, platform.StartRequest{
-			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: a.nextLease(),
+			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: until,
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
 		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
 			a.readLists(ctx) // the attempt may run
-			a.owner.post(func() { a.owner.startAnswered(a, s, err) })
-			return
 		}
 		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,6 +142,121 @@
 	})
 }
 
+// call is a call for a worker's lists that a test saw.
+type call struct {
+	at           time.Duration // since the start of the test
+	until        time.Duration // of the requested lease, after the worker's clock; 0 for none
+	wait         time.Duration
+	unresponsive bool // as the agent saw the worker when it called
+}
+
+// holdCalls runs an agent for a time with a worker that answers calls unless fail returns
+// how long after its deadline a call without an answer returns. It returns the calls, and
+// the agent.
+func holdCalls(t *testing.T, run time.Duration, fail func(n int) (late time.Duration, fails bool)) ([]call, *agent) {
+	t.Helper()
+	o, end := idleOwner(t)
+	began := time.Now()
+	w := &fakeWorker{rate: 1, began: began.Add(-time.Minute)}
+	var calls []call
+	var a *agent
+	ready := make(chan struct{})
+	w.hold = func(ctx context.Context, r platform.HoldRequest) (platform.Listing, error) {
+		<-ready
+		c := call{at: time.Since(began), wait: r.Wait, unresponsive: a.isUnresponsive()}
+		if r.Until > 0 {
+			c.until = r.Until - w.clock()
+		}
+		n := len(calls)
+		calls = append(calls, c)
+		if late, fails := fail(n); fails {
+			<-ctx.Done()
+			time.Sleep(late)
+			return platform.Listing{}, platform.ErrOutcomeUnknown
+		}
+		time.Sleep(r.Wait)
+		return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+	}
+	a = newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+	close(ready)
+	time.Sleep(run)
+	end()
+	return calls, a
+}
+
+// The owner's process is held up while calls to a worker time out: the worker does not
+// count as silent, and its leases are renewed at once.
+func TestLateTimeoutsAreNotTheWorkersSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, _ := holdCalls(t, 12*time.Second, func(n int) (time.Duration, bool) {
+			return 200 * time.Millisecond, n%3 != 0 // two of three calls time out late
+		})
+		if len(calls) < 6 {
+			t.Fatalf("%d calls in 12 s", len(calls))
+		}
+		for i, c := range calls[1:] {
+			if c.unresponsive {
+				t.Errorf("call %d at %v: the worker counts as silent", i+1, c.at)
+			}
+			if c.until < defaultLease*9/10 {
+				t.Errorf("call %d at %v: renews until %v after the worker's clock, want about %v", i+1, c.at, c.until, defaultLease)
+			}
+		}
+		if calls[2].wait != 0 {
+			t.Errorf("the call after a late timeout may wait %v, want none", calls[2].wait)
+		}
+	})
+}
+
+// A worker is silent: its leases are renewed no longer and expire, even if the owner's
+// process is held up at each timeout. The first answer ends that.
+func TestSilentWorkersLeasesExpire(t *testing.T) {
+	for _, late := range []time.Duration{0, 200 * time.Millisecond} {
+		t.Run(fmt.Sprintf("timeouts %v late", late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silentUntil = 12
+				calls, _ := holdCalls(t, 15*time.Second, func(n int) (time.Duration, bool) {
+					return late, n > 0 && n < silentUntil
+				})
+				renewals := 0
+				for _, c := range calls[1 : silentUntil+1] {
+					if c.until > 0 {
+						renewals++
+					}
+				}
+				want := 1 // the first call of which the answer is missing
+				if late > 0 {
+					want += maxLateCalls
+				}
+				if renewals != want {
+					t.Errorf("%d renewals of a silent worker's leases, want %d", renewals, want)
+				}
+				if next := calls[silentUntil+1]; next.until < defaultLease*9/10 || next.unresponsive {
+					t.Errorf("after the first answer: %+v, want a renewal", next)
+				}
+			})
+		})
+	}
+}
+
+// The answer to a renewal is missing: the lease may have been granted and counts until it
+// would expire.
+func TestUnansweredRenewalCountsAsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		calls, a := holdCalls(t, 10*time.Second, func(n int) (time.Duration, bool) { return 200 * time.Millisecond, n > 0 })
+		var last time.Time // the end of the last requested lease
+		for _, c := range calls {
+			if c.until > 0 {
+				last = began.Add(c.at + c.until)
+			}
+		}
+		if a.expireLeases(last) || !a.expireLeases(last.Add(time.Second)) {
+			t.Errorf("the leases count as expired at %v, want soon after %v", a.leasesExpireAt, last)
+		}
+	})
+}
+
 // A start times out late on a worker that carried it out: a list shows that it runs before
 // it counts as unanswered and is stopped.
 func TestLateStartThatRunsIsNotStopped(t *testing.T) {
@@ -187,3 +303,115 @@
 		end()
 	})
 }
+
+// A start waits in an agent's queue until all leases at the worker have expired and its task
+// is placed elsewhere: it is not sent when the worker answers again, or the task would run
+// twice.
+func TestQueuedStartIsVoidOnceLeasesExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		defer end()
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		sent := 0
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) {
+			sent++
+			return 0, nil
+		}
+		a := &agent{key: "i-1@1", owner: o, worker: w, orders: make(chan order, 2)}
+		a.setClock(w.clock(), time.Now())
+		a.nextLease()
+		start := place.StartOrder{Worker: a.key, Task: jobs.Task{Job: "0000000000000001"}, Attempt: 1}
+		queue := func() {
+			if err := a.enqueue(order{start: &start}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		queue()
+		if a.expireLeases(time.Now().Add(defaultLease)) {
+			t.Fatal("the leases count as expired too early")
+		}
+		time.Sleep(2 * defaultLease)
+		if !a.expireLeases(time.Now()) {
+			t.Fatal("the leases do not count as expired")
+		}
+		queue()
+		a.execute(o.ctx, <-a.orders)
+		if sent != 0 {
+			t.Error("a start was sent after the leases had expired")
+		}
+		a.execute(o.ctx, <-a.orders)
+		if sent != 1 {
+			t.Errorf("%d starts sent, want the one that was queued later", sent)
+		}
+	})
+}
+
+// Guards against an owner that is asked to handle the same ends eight times a second and
+// worker while it is too slow to store them.
+func TestUnacknowledgedEndsAreReadLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		var holds atomic.Int64
+		w.hold = func(context.Context, platform.HoldRequest) (platform.Listing, error) {
+			holds.Add(1)
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now(), Ended: []platform.EndedAttempt{{Number: 1}}}, nil
+		}
+		newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1}, w)
+		const span = 10 * time.Second
+		time.Sleep(span)
+		if have, most := holds.Load(), int64(span/busyHoldWait)+5; have > most {
+			t.Errorf("%d lists with the same end in %v, want at most %d", have, span, most)
+		}
+		end()
+	})
+}
+
+// Guards against an owner that answers nothing while it sends the starts of a large backlog,
+// and against a long-running task whose start waits behind them.
+func TestStartsInFlightAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		var inFlight, most, urgent atomic.Int64
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(_ context.Context, r platform.StartRequest) (time.Duration, error) {
+			if r.Task.Job == "urgent" {
+				urgent.Add(1)
+				return 0, nil
+			}
+			most.Store(max(most.Load(), inFlight.Add(1)))
+			time.Sleep(200 * time.Millisecond)
+			inFlight.Add(-1)
+			return 0, nil
+		}
+		var agents []*agent
+		for i := range 2 * maxStartsInFlight {
+			agents = append(agents, newAgent(o.ctx, o, platform.WorkerEntry{ID: fmt.Sprint(i), Born: 1}, w))
+		}
+		time.Sleep(time.Second)
+		for _, a := range agents {
+			for n := range maxParallelOrders {
+				if err := a.enqueue(order{start: &place.StartOrder{Task: jobs.Task{Index: n}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		if err := agents[0].enqueue(order{start: &place.StartOrder{Task: jobs.Task{Job: "urgent"}}, urgent: true}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if urgent.Load() != 1 {
+			t.Error("an urgent start waits behind others")
+		}
+		time.Sleep(10 * time.Second)
+		if most.Load() > maxStartsInFlight {
+			t.Errorf("%d starts in flight, want at most %d", most.Load(), maxStartsInFlight)
+		}
+		end()
+	})
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -123,7 +123,8 @@
 	cancel           context.CancelFunc
 	posts            chan func()
 	ended            chan struct{}
-	storeDownSinceMs atomic.Int64 // Unix time in ms, 0 while the store answers
+	startSlots       chan struct{} // one item for each start of a batch task in flight
+	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 
 	// The fields below are used only in the loop.
 	board          *place.Board
@@ -151,19 +152,21 @@
 	expired        []jobs.ID      // jobs whose rows are to be removed
 	registrations  []registration // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
-	registrationsStale, registrationsDiffer bool
-	retiredAt                               map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil                             map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	jobsLoaded                              bool                 // the stored jobs are on the board
-	started                                 bool                 // scheduling has started
-	summarizedAt                            time.Time
-	loop                                    loopStats
-	flushing                                bool
-	closed                                  bool
-	deposed                                 bool
-	queues                                  map[string]platform.Queue
-	advise                                  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries                                 map[string]platform.WorkerEntry // of this pool, by id
+	registrationsStale  bool
+	registrationsDiffer bool
+	retiredAt           map[string]time.Time // lifetimes ended by an order for their host, and when
+	unseenUntil         map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	jobsLoaded          bool                 // the stored jobs are on the board
+	started             bool                 // scheduling has started
+	claimedAt           time.Time
+	summarizedAt        time.Time
+	loop                loopStats
+	flushing            bool
+	closed              bool
+	deposed             bool
+	queues              map[string]platform.Queue
+	advise              func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries             map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
@@ -225,17 +228,21 @@
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, retention: s.Retention,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), ended: make(chan struct{}),
-		board:  board,
-		agents: map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		startSlots: make(chan struct{}, maxStartsInFlight),
+		board:      board,
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
-		decideTimer: time.NewTimer(tickPeriod),
+		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
 }
 
 // Name returns the pool's name.
 func (o *Owner) Name() string { return o.name }
 
+// ClaimedAt returns when this process became the owner.
+func (o *Owner) ClaimedAt() time.Time { return o.claimedAt }
+
 // Token returns the fencing token of this ownership.
 func (o *Owner) Token() uint64 { return o.token }
 
@@ -324,7 +331,7 @@
 		}
 		for _, s := range orders.Starts {
 			metricStarts.Inc()
-			o.sendOrder(s.Worker, order{start: &s})
+			o.sendOrder(s.Worker, order{start: &s, urgent: o.board.IsLongRunning(s.Task)})
 			o.updateBusy(o.agents[s.Worker])
 		}
 		for _, p := range orders.Paces {
@@ -409,7 +416,7 @@
 	for _, a := range o.agents {
 		o.updateBusy(a)
 		gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
-		if a.silent && a.leasesExpired(now) || a.lifetimeEnded {
+		if a.silent && a.expireLeases(now) || a.lifetimeEnded {
 			if !o.board.Idle(a.key) {
 				metricLapses.Inc()
 				o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
