--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -205,24 +205,17 @@
 
 // pingPeers periodically asks every peer for its status.
 func (d *Daemon) pingPeers(ctx context.Context) error {
-	ticker := time.NewTicker(pingPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return every(ctx, pingPeriod, func() {
 		status := d.status()
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		for _, p := range d.peers {
 			if !p.pinging {
 				p.pinging = true
 				go d.ping(ctx, p, status)
 			}
 		}
-		d.mu.Unlock()
-	}
+	})
 }
 
 func (d *Daemon) ping(ctx context.Context, p *peer, status Status) {
@@ -268,6 +261,7 @@
 
 const (
 	configFetchDelay   = 500 * time.Millisecond // for the store to deliver a configuration that a peer already has
+	maxConfigDelay     = 750 * time.Millisecond // for the store to deliver any, while newer ones come in quick succession
 	configFetchTimeout = 2 * time.Second
 )
 
@@ -275,18 +269,29 @@
 // them have a new one at about the same time; fetched from each, a large one would fill
 // the link of the host for seconds.
 type configFetch struct {
-	version uint64 // the newest one known of
-	seenAt  time.Time
-	running bool
+	version     uint64 // the newest one known of
+	seenAt      time.Time
+	behindSince time.Time // since when a newer one than the active one is known of, zero if none is
+	running     bool
 }
 
-// begin reports whether to fetch a version now: it is known of for configFetchDelay, and no
-// fetch is under way.
+// applied records the version of the active configuration.
+func (f *configFetch) applied(version uint64) {
+	if version >= f.version {
+		f.behindSince = time.Time{}
+	}
+}
+
+// begin reports whether to fetch a version now: it is known of for configFetchDelay, or
+// some newer one for maxConfigDelay, and no fetch is under way.
 func (f *configFetch) begin(version uint64, now time.Time) bool {
 	if version > f.version {
 		f.version, f.seenAt = version, now
 	}
-	if f.running || now.Sub(f.seenAt) < configFetchDelay {
+	if f.behindSince.IsZero() {
+		f.behindSince = now
+	}
+	if f.running || now.Sub(f.seenAt) < configFetchDelay && now.Sub(f.behindSince) < maxConfigDelay {
 		return false
 	}
 	f.running = true
