--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,10 +117,10 @@
 	add(serveHTTP(ready))
 	add(serveHTTP(meter))
 	add(d.register)
-	add(d.watch(platform.TableOperator, d.readOperator, d.applyOperatorRow))
-	add(d.watch(platform.TableWorkers, d.readWorkers, d.applyWorkerRow))
-	add(d.watch(pool.TableOwner, d.readOwners, d.applyOwnerRow))
-	add(d.watch(tableMember, d.readMembers, d.applyMemberRow))
+	add(d.watch(platform.TableOperator, d.readOperator, eachRow(d.applyOperatorRow)))
+	add(d.watch(platform.TableWorkers, d.readWorkers, d.applyWorkerRows))
+	add(d.watch(pool.TableOwner, d.readOwners, eachRow(d.applyOwnerRow)))
+	add(d.watch(tableMember, d.readMembers, eachRow(d.applyMemberRow)))
 	add(d.pingPeers)
 	add(d.claimPools)
 	add(d.rebalancePools)
@@ -200,6 +200,20 @@
 	}
 }
 
+// every calls f once a period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		f()
+	}
+}
+
 // sleep waits for t or until ctx ends.
 func sleep(ctx context.Context, t time.Duration) {
 	timer := time.NewTimer(t)
