Round products before sums, so that experiments are the same on arm64 and amd64

Cause: the compiler fuses x*y+z into one instruction on arm64, which rounds once. TestExperimentSession (cmd/papayarudder) differed from its golden file in the last digit of worst-queue and worth; with -d=fmahash=n it passed, so nothing else was the cause.

Change: every product that is added in internal/model, place and sched is converted to float64 (jobs, pool, trace and upkeep have none).

--- a/internal/model/bound.go
+++ b/internal/model/bound.go
@@ -68,7 +68,7 @@
 			if n < level {
 				continue
 			}
-			switch idle := float64(i-last-1) * step; {
+			switch idle := float64(float64(i-last-1) * step); {
 			case last < 0:
 				b.Moves++
 			case idle > gap:
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -116,7 +116,7 @@
 			d := time.Duration(logNormal(random, float64(base), taskSpread))
 			runTimes = append(runTimes, runTime(d))
 			longest = max(longest, d)
-			c.work += float64(step.Size.Millicores) * d.Seconds()
+			c.work += float64(float64(step.Size.Millicores) * d.Seconds())
 		}
 		c.runTimes = append(c.runTimes, runTimes)
 		c.criticalPath += longest
@@ -202,8 +202,8 @@
 	if c.cancelled {
 		return
 	}
-	c.dueSeconds += float64(c.job.Steps[0].Count) * d.Seconds()
-	c.servedSeconds += float64(min(working, c.job.Steps[0].Count)) * d.Seconds()
+	c.dueSeconds += float64(float64(c.job.Steps[0].Count) * d.Seconds())
+	c.servedSeconds += float64(float64(min(working, c.job.Steps[0].Count)) * d.Seconds())
 }
 
 // objective returns the longest time in which the job is on time.
--- a/internal/model/report.go
+++ b/internal/model/report.go
@@ -53,7 +53,7 @@
 		s.Worth += r.Worth() / n
 		square += r.Worth() * r.Worth() / n
 	}
-	s.Deviation = math.Sqrt(max(0, square-s.Worth*s.Worth))
+	s.Deviation = math.Sqrt(max(0, square-float64(s.Worth*s.Worth)))
 	return s
 }
 
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -70,9 +70,9 @@
 	}
 	worked := w.now.Sub(lost.began)
 	if lost.saves {
-		worked = time.Duration(float64(worked) - float64(lost.duration)*(restoredShare(lost.saved(w.now))-lost.done))
+		worked = time.Duration(float64(worked) - float64(float64(lost.duration)*(restoredShare(lost.saved(w.now))-lost.done)))
 	}
-	r.Wasted += float64(lost.size.Millicores) / 1000 * max(0, worked.Seconds())
+	r.Wasted += float64(float64(lost.size.Millicores) / 1000 * max(0, worked.Seconds()))
 }
 
 // add adds the outcome of a job.
@@ -161,7 +161,7 @@
 
 // Served returns the shares of achieved worth, weighted by the goal.
 func (r *Result) Served() float64 {
-	return r.goal.Day*r.All.Share() + r.goal.Windows*r.worstWindows() + r.goal.Class*r.worstQueue()
+	return float64(r.goal.Day*r.All.Share()) + float64(r.goal.Windows*r.worstWindows()) + float64(r.goal.Class*r.worstQueue())
 }
 
 // HostPrice returns the price of hosts in pools, as a share of the achievable worth.
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -135,7 +135,7 @@
 // logNormal draws from a log-normal distribution with this mean; spread is the
 // standard deviation of the logarithm.
 func logNormal(random *rand.Rand, mean, spread float64) float64 {
-	return mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
+	return mean * math.Exp(float64(spread*random.NormFloat64())-float64(spread*spread/2))
 }
 
 // sampleInterval is the interval at which hosts and lasting tasks are counted.
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		for i := range e.job.Steps {
-			work += factor * e.estimatedWork(i, e.progress.Left(0, i))
+			work += float64(factor * e.estimatedWork(i, e.progress.Left(0, i)))
 		}
 	}
 	return work
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -115,7 +115,7 @@
 // estimatedWork returns the work of a number of tasks of a step, in millicore seconds.
 func (e *jobEntry) estimatedWork(step, tasks int) float64 {
 	s := &e.job.Steps[step]
-	return float64(tasks) * float64(s.Claim().Millicores) * s.Estimate.Seconds()
+	return float64(float64(tasks) * float64(s.Claim().Millicores) * s.Estimate.Seconds())
 }
 
 // requiredMillicores returns the millicores that an occurrence of the job needs from
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -28,7 +28,7 @@
 	if !known {
 		old = 1
 	}
-	s.factors[queue] = old + sampleWeight*(sample-old)
+	s.factors[queue] = old + float64(sampleWeight*(sample-old))
 }
 
 // factor returns the ratio of actual to declared run times of a queue, 1 if unknown.
--- a/internal/sched/estimate.go
+++ b/internal/sched/estimate.go
@@ -21,7 +21,7 @@
 func (e *runTimeEstimate) add(sample time.Duration) {
 	e.samples++
 	weight := max(minSampleWeight, 1/float64(e.samples))
-	e.average += weight * (float64(sample) - e.average)
+	e.average += float64(weight * (float64(sample) - e.average))
 }
 
 // mean returns the estimate and whether it has enough samples to be reliable.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -226,9 +226,9 @@
 		failed = 1
 	} else {
 		w.slownessSamples++
-		w.slowness += max(minSlownessSampleWeight, 1/float64(w.slownessSamples)) * (factor - w.slowness)
+		w.slowness += float64(max(minSlownessSampleWeight, 1/float64(w.slownessSamples)) * (factor - w.slowness))
 	}
-	w.failureRate += failureSampleWeight * (failed - w.failureRate)
+	w.failureRate += float64(failureSampleWeight * (failed - w.failureRate))
 	q.ejectIfUnhealthy(w, now)
 }
 
