--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -218,3 +218,27 @@
 		t.Errorf("callers were answered after %d of %d events, want before any of 10", before, handled)
 	}
 }
+
+// Guards against an owner that works off all queued events before it stores and decides: with
+// many queued, as after a pause, what it handled was not acknowledged and came again.
+func TestQueuedEventsAreHandledInShares(t *testing.T) {
+	const (
+		events = 60
+		cost   = 5 * time.Millisecond
+	)
+	o, _ := benchOwner(1, 0)
+	handled := 0
+	for range events {
+		o.post(func() { handled++; time.Sleep(cost) })
+	}
+	o.drainPosts(time.Now())
+	if most := int(drainTimeout/cost) + 1; handled > most || drainTimeout > tickPeriod {
+		t.Errorf("%d events handled in one share of %v, want at most %d, and a share within a tick", handled, drainTimeout, most)
+	}
+	for range events {
+		o.drainPosts(time.Now())
+	}
+	if handled != events {
+		t.Errorf("%d events handled, want all %d", handled, events)
+	}
+}
