Probe ring neighbours instead of all processes; only owners follow the workers

Change: package gossip keeps a view of the fleet at a cost a process that does not grow with it (ring, distant targets, piggybacked updates, refutation, whole lists now and then; docs/DESIGN.md "who lives"). Evidence for a claim stays a process's own: candidates for a pool probe its owner all the time, reports only say whom else to probe. A silent process is reported only if another one does not reach it either. Links between processes have no heartbeats without calls, nor a timer every 150 ms, and close after 30 s without use. The table of workers is followed by owners and by the first two candidates for a pool without owner; a claim waits until it is read. Fleets of nine and fewer probe each other as before.

Ruled out: longer pings for all (detection), rows as signs of life (store), suspicion as in SWIM (a claim's own probes are that).

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -25,6 +25,7 @@
 	firstClaimDelay = time.Second            // for pools that never had an owner, and until all peers are known, since all processes may be starting
 	rankDelay       = 400 * time.Millisecond // each lower-ranked candidate waits this much longer
 	lateClaimDelay  = 2 * time.Second        // a process that runs late leaves pools to others for this long
+	readAheadRank   = 2                      // this many candidates for an ownerless pool read the workers before they claim it
 )
 
 // claimPools periodically claims the pools without an owner that fall to this process.
@@ -183,7 +184,7 @@
 	slices.Sort(names)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.ownersRead || !d.workersRead {
+	if !d.ownersRead {
 		return nil, nil
 	}
 	majority := d.majority(now)
@@ -225,7 +226,10 @@
 		rank := rankCandidates(name, candidates)
 		candidates[rank[0]].owned++
 		self := slices.IndexFunc(rank, func(at int) bool { return candidates[at].node == d.self.Node })
-		if now.Sub(since) < time.Duration(self)*rankDelay || d.claiming[name] {
+		if self < readAheadRank && name != fleetName {
+			d.needWorkers(now)
+		}
+		if now.Sub(since) < time.Duration(self)*rankDelay || d.claiming[name] || d.failureReported(own, now) {
 			continue
 		}
 		still, cause := d.requiredStandstill(own, majority, now)
@@ -242,16 +246,25 @@
 	return due, unconfirmed
 }
 
-// knowsAllPeers reports whether each peer has answered. The caller holds d.mu.
+// knowsAllPeers reports whether each peer that is probed in every period has answered, and
+// one has told of the others. The caller holds d.mu.
 func (d *Daemon) knowsAllPeers() bool {
 	for _, p := range d.peers {
-		if p.life == "" {
+		if !p.reported && p.life == "" || p.reported && !d.joined {
 			return false
 		}
 	}
 	return true
 }
 
+// failureReported reports whether the only evidence of an owner's failure is what others
+// say. Its probes, which then begin, show within peerTimeout whether it is true. The caller
+// holds d.mu.
+func (d *Daemon) failureReported(own pool.Ownership, now time.Time) bool {
+	p := d.peers[own.Owner.Node]
+	return p != nil && p.reported && !d.ownerDead(own, now)
+}
+
 // requiredStandstill returns for how long the heartbeat of a pool's owner must have stood
 // still before this process may claim the pool, 0 if the heartbeat does not matter, and
 // the cause of such a claim. The caller holds d.mu.
@@ -334,7 +347,10 @@
 		return true // ownerAlive already found that this process does not run the pool
 	}
 	p := d.peers[own.Owner.Node]
-	return p != nil && p.alive(now) && p.life != own.Owner.Life
+	if p == nil || !p.alive(now) || p.life == own.Owner.Life {
+		return false
+	}
+	return !p.reported || p.rowVersion > own.Version // else the row of the owner's life is on its way
 }
 
 // majority reports whether this process reaches more than half of the processes that
@@ -345,7 +361,14 @@
 	alive, recent, first := 1, 1, d.self.Node
 	reached := map[string]bool{d.self.Node: true}
 	for _, p := range d.peers {
-		if now.Sub(p.answeredAt) > recentPeerWindow {
+		seenAt := p.answeredAt
+		switch {
+		case p.reported && p.failed:
+			seenAt = p.failedAt
+		case p.reported:
+			seenAt = now
+		}
+		if now.Sub(seenAt) > recentPeerWindow {
 			continue
 		}
 		recent++
@@ -355,13 +378,29 @@
 			reached[p.node] = true
 		}
 	}
-	return 2*alive > recent || 2*alive == recent && reached[first]
+	return (2*alive > recent || 2*alive == recent && reached[first]) && (d.view.Whole() || d.probesReachMost(now))
+}
+
+// probesReachMost reports whether most of the last probes were answered. A process that was
+// cut off learns no more from reports that others have failed. The caller holds d.mu.
+func (d *Daemon) probesReachMost(now time.Time) bool {
+	answered, sent := 0, 0
+	for _, p := range d.peers {
+		if now.Sub(p.probedAt) > probeMemory || p.failed {
+			continue
+		}
+		sent++
+		if p.answered {
+			answered++
+		}
+	}
+	return 2*answered >= sent
 }
 
 // claim makes this process the owner of a pool and starts the owner.
 func (d *Daemon) claim(ctx context.Context, name string, cause claimCause) error {
 	d.mu.Lock()
-	if d.claiming[name] || d.stopping.Load() || !d.workersRead {
+	if d.claiming[name] || d.stopping.Load() {
 		d.mu.Unlock()
 		return errors.WithStack(errCannotClaim)
 	}
@@ -374,6 +413,11 @@
 		delete(d.claiming, name)
 		d.mu.Unlock()
 	}()
+	if name != fleetName {
+		if err := d.awaitWorkers(ctx); err != nil {
+			return err
+		}
+	}
 	previous.Pool = name
 	own, err := pool.Claim(ctx, d.store, d.self, previous)
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/papayarudder/papayarudder/internal/event"
+	"github.com/papayarudder/papayarudder/internal/gossip"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/upkeep"
 	"github.com/papayarudder/papayarudder/internal/wire"
@@ -44,24 +45,31 @@
 	storeAnsweredAt atomic.Int64 // Unix time in ms of the store's last answer
 	storeFailing    atomic.Bool  // the last call for a table or a feed failed
 
-	mu          sync.Mutex
-	peers       map[string]*peer                // by node name
-	owners      map[string]*pool.Owner          // pool owners that run in this process, by pool
-	ownerships  map[string]pool.Ownership       // latest known owner of each pool
-	ownersRead  bool                            // the ownership table has been read once
-	workersRead bool                            // the worker table has been read once
-	vacantSince map[string]time.Time            // when a pool was first seen without an owner
-	heartbeats  map[string]*heartbeat           // of owners that this process can't reach, by pool
-	claiming    map[string]bool                 // pools with a claim in progress
-	workers     map[string]platform.WorkerEntry // by worker id
-	outdated    map[*pool.Owner]bool            // owners that are being passed workers; true if newer ones wait
-	waves       map[int]platform.Wave
-	configFetch configFetch
-	keeper      *upkeep.Keeper
-	startedAt   time.Time
-	claimTickAt time.Time     // when claimTick was called last
-	lateAt      time.Time     // when this process was last found late
-	lateness    time.Duration // by how much it was late then
+	mu            sync.Mutex
+	peers         map[string]*peer                // by node name
+	view          *gossip.View                    // which of them run, as reported
+	joined        bool                            // the membership as a whole was received from a peer once
+	watched       []string                        // nodes of the owners that this process probes in every period
+	watchedAt     time.Time                       // when they were computed
+	relayed       int                             // counts the helpers of indirect probes
+	owners        map[string]*pool.Owner          // pool owners that run in this process, by pool
+	ownerships    map[string]pool.Ownership       // latest known owner of each pool
+	ownersRead    bool                            // the ownership table has been read once
+	workersRead   bool                            // the worker table has been read, and is followed
+	workersUntil  time.Time                       // the worker table is followed until then, and while it is needed
+	workersSignal chan struct{}                   // receives an item when the worker table is needed
+	vacantSince   map[string]time.Time            // when a pool was first seen without an owner
+	heartbeats    map[string]*heartbeat           // of owners that this process can't reach, by pool
+	claiming      map[string]bool                 // pools with a claim in progress
+	workers       map[string]platform.WorkerEntry // by worker id
+	outdated      map[*pool.Owner]bool            // owners that are being passed workers; true if newer ones wait
+	waves         map[int]platform.Wave
+	configFetch   configFetch
+	keeper        *upkeep.Keeper
+	startedAt     time.Time
+	claimTickAt   time.Time     // when claimTick was called last
+	lateAt        time.Time     // when this process was last found late
+	lateness      time.Duration // by how much it was late then
 }
 
 // New returns a process; Run starts it.
@@ -71,10 +79,10 @@
 		settings: settings, log: log,
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
-		server: wire.NewServer(), peers: map[string]*peer{}, owners: map[string]*pool.Owner{},
+		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{},
 		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers,
-		workers: map[string]platform.WorkerEntry{}, waves: map[int]platform.Wave{},
+		workers: map[string]platform.WorkerEntry{}, workersSignal: make(chan struct{}, 1), waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
 		d.advisor = platform.NewAdvisor(settings.Advice)
@@ -118,10 +126,10 @@
 	add(serveHTTP(meter))
 	add(d.register)
 	add(d.watch(platform.TableOperator, d.readOperator, eachRow(d.applyOperatorRow)))
-	add(d.watch(platform.TableWorkers, d.readWorkers, d.applyWorkerRows))
+	add(d.followWorkers)
 	add(d.watch(pool.TableOwner, d.readOwners, eachRow(d.applyOwnerRow)))
 	add(d.watch(tableMember, d.readMembers, eachRow(d.applyMemberRow)))
-	add(d.pingPeers)
+	add(d.probePeers)
 	add(d.claimPools)
 	add(d.rebalancePools)
 	done := tree.ServeBackground(work)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"syscall"
@@ -435,3 +436,34 @@
 	}
 	s.check()
 }
+
+// In a fleet in which no process probes all others, owners that are killed, frozen or stopped
+// are replaced, jobs go on and complete, and only the owners follow the workers.
+func TestOwnersLostInALargerFleet(t *testing.T) {
+	s := newSystem(t, 14, mimic.Options{})
+	p := s.processes[13]
+	next := 0
+	for _, tt := range []struct {
+		name          string
+		lost, resumed os.Signal
+	}{{"killed", syscall.SIGKILL, nil}, {"frozen", syscall.SIGSTOP, syscall.SIGCONT}, {"stopped", syscall.SIGTERM, nil}} {
+		lost := s.owner("p1")
+		if lost == p {
+			p = s.other(lost)
+		}
+		s.submit(p, "/labels/"+id(next), `{"spec":"700ms","steps":[{"count":6,"cpu":1000,"estimate_ms":700},{"count":3,"cpu":1000,"estimate_ms":700,"after":[0]}]}`)
+		s.signal(lost, tt.lost)
+		began := time.Now()
+		s.submit(p, "/labels/"+id(next+1), oneStep)
+		t.Logf("%s: a job was accepted after %v", tt.name, time.Since(began).Round(time.Millisecond))
+		if tt.resumed != nil {
+			time.Sleep(time.Second)
+			s.signal(lost, tt.resumed)
+		}
+		for i := range 2 {
+			s.waitState(p, "/labels/"+id(next+i), "complete", 15*time.Second)
+		}
+		next += 2
+	}
+	s.check()
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/thejerf/suture/v4"
 
+	"github.com/papayarudder/papayarudder/internal/gossip"
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
-	"github.com/papayarudder/papayarudder/internal/wire"
-	"github.com/papayarudder/papayarudder/platform"
 )
 
 const (
-	tableMember      = "member" // table of processes, by node name
-	pingPeriod       = 250 * time.Millisecond
+	tableMember      = "member"               // table of processes, by node name
 	pingTimeout      = 450 * time.Millisecond // for the answer to a ping
 	suspicionTime    = pingTimeout            // a peer without an answer for this long may have failed
 	peerTimeout      = 900 * time.Millisecond // a peer without an answer for this long counts as failed
@@ -28,147 +23,6 @@
 	maxExcuse        = 4 * time.Second        // for which a peer's silence may be excused, in case this process stays late
 )
 
-// memberRow is the stored entry of a process.
-type memberRow struct {
-	Addr string `json:"addr"`
-	Life string `json:"life"`
-}
-
-// register writes this process's row to the store and retries until that succeeds.
-func (d *Daemon) register(ctx context.Context) error {
-	value, err := json.Marshal(memberRow{d.self.Addr, d.self.Life})
-	if err != nil {
-		return errors.Wrap(err, "encode the member row")
-	}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, time.Second)
-		_, _, err := d.store.Commit(callCtx, platform.Transaction{
-			Write: []platform.Row{{Table: tableMember, Key: d.self.Node, Value: value}},
-		})
-		cancel()
-		if err == nil {
-			return suture.ErrDoNotRestart
-		}
-		d.log.WithError(err).Info("registration failed; retrying")
-		sleep(ctx, watchRetryDelay)
-	}
-	return ctx.Err()
-}
-
-// applyMemberRow applies the row of another process.
-func (d *Daemon) applyMemberRow(r platform.Row) {
-	if r.Deleted || r.Key == d.self.Node {
-		return
-	}
-	var w memberRow
-	err := json.Unmarshal(r.Value, &w)
-	addr, addrErr := netip.ParseAddrPort(w.Addr)
-	if err = errors.CombineErrors(err, addrErr); err != nil {
-		d.log.WithField("member", r.Key).WithError(err).Error("decoding a member row failed")
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.peers[r.Key]
-	if old != nil && old.addr == addr {
-		return
-	}
-	if old != nil {
-		go old.link.Close()
-	}
-	d.peers[r.Key] = &peer{node: r.Key, addr: addr, link: wire.NewPeer(addr, wire.DefaultTiming(), nil)}
-}
-
-// peer is another process. Daemon.mu guards the fields from life on.
-type peer struct {
-	node               string
-	addr               netip.AddrPort
-	link               *wire.Peer
-	life               string
-	answeredAt         time.Time // time of the last answer
-	refusedConnections int       // consecutive refused connections
-	ready              bool      // the peer can own pools
-	processor          float64   // as in Status
-	pinging            bool
-	excusedAt          time.Time // silence before this time does not count
-	firstExcusedAt     time.Time // first excuse since the last answer, zero if there was none
-	lastError          error     // of the last ping, nil if it was answered
-	loggedAlive        bool      // as in the last log line about it
-	silentSince        time.Time // last answer before that line, if it said that the peer is not alive
-}
-
-// alive reports whether the peer counts as alive.
-func (p *peer) alive(now time.Time) bool {
-	return p.life != "" && !p.refuses() && !p.silentFor(now, peerTimeout)
-}
-
-// refuses reports whether the peer refuses connections. A nil peer doesn't.
-func (p *peer) refuses() bool { return p != nil && p.refusedConnections >= 2 }
-
-// silentFor reports whether the peer has given no answer for a time that is not excused. A
-// nil peer is silent.
-func (p *peer) silentFor(now time.Time, t time.Duration) bool {
-	return p == nil || now.Sub(p.answeredAt) >= t && now.Sub(p.excusedAt) >= t
-}
-
-// excuse gives a peer that was alive at a time before now a new peerTimeout.
-func (p *peer) excuse(before, now time.Time) {
-	if !p.alive(before) || !p.firstExcusedAt.IsZero() && now.Sub(p.firstExcusedAt) > maxExcuse {
-		return
-	}
-	p.excusedAt = now
-	if p.firstExcusedAt.IsZero() {
-		p.firstExcusedAt = now
-	}
-}
-
-// recordLateness records that this process did something at now that was due earlier by
-// the given time. If that is more than maxLateness, what looked like silence of its peers
-// since then may have been its own. The caller holds d.mu.
-func (d *Daemon) recordLateness(now time.Time, lateness time.Duration) {
-	if lateness <= maxLateness || now.Sub(d.lateAt) < claimPeriod && lateness <= d.lateness {
-		return
-	}
-	d.lateAt, d.lateness = now, lateness
-	for _, p := range d.peers {
-		p.excuse(now.Add(-lateness), now)
-	}
-}
-
-// recentLateness returns by how much this process ran late within the last peerTimeout, 0 if
-// it did not. The caller holds d.mu.
-func (d *Daemon) recentLateness(now time.Time) time.Duration {
-	if !d.late(now) {
-		return 0
-	}
-	return d.lateness
-}
-
-// logLiveness logs which peers began or ceased to count as alive since the last call. The
-// caller holds d.mu.
-func (d *Daemon) logLiveness(now time.Time) {
-	for _, p := range d.peers {
-		alive := p.alive(now)
-		if alive == p.loggedAlive {
-			continue
-		}
-		p.loggedAlive = alive
-		fields := logrus.Fields{"peer": p.node, "alive": alive, "late-ms": d.recentLateness(now).Milliseconds()}
-		switch {
-		case !alive:
-			p.silentSince = p.answeredAt
-			fields["silent-ms"], fields["refused"] = now.Sub(p.answeredAt).Milliseconds(), p.refusedConnections
-		case !p.silentSince.IsZero():
-			fields["silent-ms"] = p.answeredAt.Sub(p.silentSince).Milliseconds()
-		}
-		d.log.WithFields(fields).WithError(p.lastError).Info("peer's liveness changed")
-	}
-}
-
-// late reports whether this process ran late within the last peerTimeout. The caller
-// holds d.mu.
-func (d *Daemon) late(now time.Time) bool { return now.Sub(d.lateAt) < peerTimeout }
-
 // Status is the argument and the reply of a ping.
 type Status struct {
 	Node    string
@@ -180,6 +34,11 @@
 	// Processor is the processor time that the host gets in a second, in cores. It is 0 if
 	// it is unknown, or from a process of a version without this field.
 	Processor float64
+	// Incarnation and Sequence number the state, as in gossip.Update. Incarnation is 0
+	// until the process has registered, and from a process of a version without this field.
+	Incarnation uint64
+	Sequence    uint64
+	News        []gossip.Update // about other processes
 }
 
 func (d *Daemon) status() Status {
@@ -195,6 +54,10 @@
 	for _, own := range d.ownerships {
 		s.Owned += own.Token
 	}
+	// A process that has just started is presumed to become ready. If it said that it is not
+	// yet, all processes that start together would have news about all of them.
+	state := d.view.SetReady(s.Ready || !s.Stopped && time.Since(d.startedAt) < firstClaimDelay)
+	s.Incarnation, s.Sequence = state.Incarnation, state.Sequence
 	return s
 }
 
@@ -203,46 +66,6 @@
 	return d.config.Load() != nil && d.storeReachable() && !d.stopping.Load()
 }
 
-// pingPeers periodically asks every peer for its status.
-func (d *Daemon) pingPeers(ctx context.Context) error {
-	return every(ctx, pingPeriod, func() {
-		status := d.status()
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		for _, p := range d.peers {
-			if !p.pinging {
-				p.pinging = true
-				go d.ping(ctx, p, status)
-			}
-		}
-	})
-}
-
-func (d *Daemon) ping(ctx context.Context, p *peer, status Status) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	began := time.Now()
-	var reply Status
-	err := p.link.Call(ctx, "Peer.Ping", status, &reply)
-	now := time.Now()
-	d.mu.Lock()
-	if ctx.Err() != nil {
-		d.recordLateness(now, now.Sub(began)-pingTimeout)
-	}
-	p.pinging, p.lastError = false, err
-	switch {
-	case err == nil:
-		p.life, p.answeredAt, p.refusedConnections, p.ready = reply.Life, now, 0, reply.Ready && !reply.Stopped
-		p.processor, p.firstExcusedAt = reply.Processor, time.Time{}
-	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
-		p.refusedConnections++
-	}
-	d.mu.Unlock()
-	if err == nil {
-		d.fetchNewer(ctx, p, reply, status)
-	}
-}
-
 // fetchNewer fetches the configuration and the owners from a peer whose status shows
 // newer ones.
 func (d *Daemon) fetchNewer(ctx context.Context, p *peer, theirs, ours Status) {
@@ -250,6 +73,8 @@
 		d.fetchConfig(p, theirs.Config)
 	}
 	if theirs.Owned > ours.Owned {
+		ctx, cancel := context.WithTimeout(ctx, configFetchTimeout)
+		defer cancel()
 		var owned []pool.Ownership
 		if err := p.link.Call(ctx, "Peer.Owned", Empty{}, &owned); err == nil {
 			for _, own := range owned {
@@ -350,12 +175,49 @@
 // peerService holds the methods that other processes call.
 type peerService struct{ d *Daemon }
 
-// Ping returns this process's status.
+// Ping takes in the status of the calling process and returns this one's.
 func (s *peerService) Ping(args Status, reply *Status) error {
+	s.d.mu.Lock()
+	s.d.applyNews(args)
+	p := s.d.peers[args.Node]
+	whole := s.d.view.Whole()
+	s.d.mu.Unlock()
 	*reply = s.d.status()
+	if p != nil && !whole {
+		go s.d.fetchNewer(context.Background(), p, args, *reply)
+	}
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	reply.News = s.d.view.News(args.Node)
 	return nil
 }
 
+// Members returns the state of every process as this one knows it.
+func (s *peerService) Members(_ Empty, reply *[]gossip.Update) error {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	*reply = s.d.view.All()
+	return nil
+}
+
+// Probe reports whether this process reaches another one.
+func (s *peerService) Probe(node string, reply *bool) error {
+	s.d.mu.Lock()
+	p := s.d.peers[node]
+	s.d.mu.Unlock()
+	if p == nil {
+		return errors.Wrapf(errUnknownPeer, "node %.100q", node)
+	}
+	var status Status
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	*reply = p.link.Call(ctx, "Peer.Ping", s.d.status(), &status) == nil
+	return nil
+}
+
+// errUnknownPeer is returned to a process that asks about one that is not registered.
+var errUnknownPeer = errors.New("the process is not registered")
+
 // Config returns the active configuration as stored.
 func (s *peerService) Config(_ Empty, reply *[]byte) error {
 	if c := s.d.config.Load(); c != nil {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -21,7 +21,10 @@
 	// Service must resume within two seconds of the store's return.
 	maxWatchRetryDelay = 600 * time.Millisecond
 
-	workersPollPause = 150 * time.Millisecond // between polls of the worker table, since many workers often change together
+	batchPause = 150 * time.Millisecond // between polls of the tables of workers and processes, since many rows often change together
+
+	workersLinger = 10 * time.Second // for which the workers are followed after they were last needed
+	workersWait   = time.Second      // for reading the workers before a claim
 )
 
 // configuration is the active configuration and its encoded form.
@@ -45,8 +48,8 @@
 			}
 			for err == nil {
 				version, err = d.pollFeed(ctx, table, version, apply)
-				if table == platform.TableWorkers {
-					sleep(ctx, workersPollPause)
+				if table == platform.TableWorkers || table == tableMember {
+					sleep(ctx, batchPause)
 				}
 			}
 			if ctx.Err() == nil {
@@ -180,6 +183,70 @@
 	d.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues), "pools": len(c.Pools), "from": from}).Info("configuration in force")
 }
 
+// followWorkers follows the workers' table while this process needs it: most processes own
+// no pool, and the table changes hundreds of times a second in a large fleet.
+func (d *Daemon) followWorkers(ctx context.Context) error {
+	follow := d.watch(platform.TableWorkers, d.readWorkers, d.applyWorkerRows)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.workersSignal:
+		}
+		followCtx, cancel := context.WithCancel(ctx)
+		go func() {
+			_ = every(followCtx, time.Second, func() { // ends with followCtx
+				if d.dropWorkers(time.Now()) {
+					cancel()
+				}
+			})
+		}()
+		_ = follow(followCtx) // ends with followCtx, too
+		cancel()
+	}
+	return ctx.Err()
+}
+
+// needWorkers makes this process follow the workers for some time. The caller holds d.mu.
+func (d *Daemon) needWorkers(now time.Time) {
+	d.workersUntil = now.Add(workersLinger)
+	select {
+	case d.workersSignal <- struct{}{}:
+	default:
+	}
+}
+
+// dropWorkers forgets the workers if they are not needed any more, and reports whether it
+// did.
+func (d *Daemon) dropWorkers(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.owners) > 0 || len(d.claiming) > 0 || now.Before(d.workersUntil) {
+		return false
+	}
+	d.workers, d.workersRead = map[string]platform.WorkerEntry{}, false
+	select {
+	case <-d.workersSignal: // of a need that has passed
+	default:
+	}
+	return true
+}
+
+// awaitWorkers waits until the workers are known.
+func (d *Daemon) awaitWorkers(ctx context.Context) error {
+	const pollPeriod = 5 * time.Millisecond
+	for began := time.Now(); time.Since(began) < workersWait && ctx.Err() == nil; sleep(ctx, pollPeriod) {
+		d.mu.Lock()
+		d.needWorkers(time.Now())
+		known := d.workersRead
+		d.mu.Unlock()
+		if known {
+			return nil
+		}
+	}
+	return errors.WithStack(errWorkersUnknown)
+}
+
 func (d *Daemon) readWorkers(ctx context.Context) (uint64, error) {
 	rows, version, err := d.store.ReadAll(ctx, platform.TableWorkers, "")
 	if err != nil {
@@ -333,5 +400,8 @@
 	return version, nil
 }
 
-// errCannotClaim is returned for a claim that is not attempted.
-var errCannotClaim = errors.New("a claim is in progress, the process is stopping, or the workers were not read yet")
+// Errors of claims.
+var (
+	errCannotClaim    = errors.New("a claim is in progress, or the process is stopping")
+	errWorkersUnknown = errors.New("the workers can't be read")
+)
--- /dev/null
+++ b/internal/gossip/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package gossip
+
+const raceDetector = true
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,8 +39,9 @@
 type Timing struct {
 	DialTimeout      time.Duration
 	BusyInterval     time.Duration // between heartbeats while a call waits
-	IdleInterval     time.Duration // between heartbeats otherwise
+	IdleInterval     time.Duration // between heartbeats otherwise, 0 for none
 	HeartbeatTimeout time.Duration // how long a heartbeat's answer may take
+	IdleTimeout      time.Duration // after which an unused connection is closed, if there are no idle heartbeats
 }
 
 // DefaultTiming returns the timing for connections between entry hosts.
@@ -53,19 +54,32 @@
 	}
 }
 
+// ProbedTiming returns the timing for connections to processes that are probed by calls, as
+// far as this process needs to know whether they answer. Without a call there are no
+// heartbeats, and no connection after a while.
+func ProbedTiming() Timing {
+	t := DefaultTiming()
+	t.IdleInterval, t.IdleTimeout = 0, 30*time.Second
+	return t
+}
+
 // heartbeatMethod is the heartbeat method, which every [Server] registers.
 const heartbeatMethod = "Heartbeat.Beat"
 
 // Peer is a client of another process. It keeps one connection, dialed on demand,
-// and sends heartbeats until it is closed.
+// and sends heartbeats until it is closed. What it does does not depend on how many other
+// peers there are: without calls it wakes up once an idle interval.
 type Peer struct {
-	addr         netip.AddrPort
-	timing       Timing
-	report       func(alive bool)
-	waiting      atomic.Int64 // calls in progress
-	refused      atomic.Bool  // the last dial was refused
-	heartbeatNow chan struct{}
-	done         chan struct{}
+	addr           netip.AddrPort
+	timing         Timing
+	report         func(alive bool)
+	waiting        atomic.Int64  // calls in progress
+	busy           chan struct{} // receives an item when a call begins and the heartbeats are not at the busy interval
+	atBusyInterval atomic.Bool
+	usedAt         atomic.Int64 // when a call last ended, Unix time in ms
+	refused        atomic.Bool  // the last dial was refused
+	heartbeatNow   chan struct{}
+	done           chan struct{}
 
 	mu     sync.Mutex
 	client *rpc.Client
@@ -80,6 +94,7 @@
 		timing:       timing,
 		report:       report,
 		heartbeatNow: make(chan struct{}, 1),
+		busy:         make(chan struct{}, 1),
 		done:         make(chan struct{}),
 	}
 	go p.runHeartbeats()
@@ -103,8 +118,8 @@
 
 // Call makes one call and waits for its reply until ctx ends.
 func (p *Peer) Call(ctx context.Context, method string, args, reply any) error {
-	p.waiting.Add(1)
-	defer p.waiting.Add(-1)
+	p.beginCall()
+	defer p.endCall()
 	client, err := p.connect(ctx)
 	if err != nil {
 		return err
@@ -118,6 +133,22 @@
 	return p.callError(client, method, call.Error)
 }
 
+func (p *Peer) beginCall() {
+	p.waiting.Add(1)
+	if p.atBusyInterval.Load() {
+		return
+	}
+	select {
+	case p.busy <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Peer) endCall() {
+	p.usedAt.Store(time.Now().UnixMilli())
+	p.waiting.Add(-1)
+}
+
 func (p *Peer) callError(client *rpc.Client, method string, err error) error {
 	if err == nil {
 		return nil
@@ -170,36 +201,71 @@
 // waits, so that a dead connection costs the call one bounded wait, and rarely
 // otherwise. After a missed heartbeat, the idle interval restarts short and grows.
 func (p *Peer) runHeartbeats() {
-	ticker := time.NewTicker(p.timing.BusyInterval)
-	defer ticker.Stop()
 	var last time.Time
 	interval := p.timing.IdleInterval
+	timer := time.NewTimer(p.timing.BusyInterval)
+	defer timer.Stop()
+	p.atBusyInterval.Store(true)
 	for {
 		requested := false
 		select {
 		case <-p.done:
 			return
-		case <-ticker.C:
+		case <-p.busy:
+			p.atBusyInterval.Store(true)
+			timer.Reset(p.timing.BusyInterval)
+			continue
+		case <-timer.C:
 		case <-p.heartbeatNow:
 			requested = true
 		}
-		if !requested && p.waiting.Load() == 0 && time.Since(last) < interval {
-			continue
-		}
-		alive := p.sendHeartbeat()
-		last = time.Now()
-		interval = p.nextInterval(interval, alive)
-		if p.report != nil {
-			p.report(alive)
+		idle := p.waiting.Load() == 0
+		switch {
+		case requested, !idle, p.timing.IdleInterval > 0 && time.Since(last) >= interval:
+			alive := p.sendHeartbeat()
+			last = time.Now()
+			interval = p.nextInterval(interval, alive)
+			if p.report != nil {
+				p.report(alive)
+			}
+		case p.timing.IdleInterval == 0:
+			p.closeIfUnused()
 		}
+		timer.Reset(p.nextWakeUp(last.Add(interval)))
+	}
+}
+
+// nextWakeUp returns the time until the heartbeats are looked after again if no call begins;
+// idleAt is when one is due without any.
+func (p *Peer) nextWakeUp(idleAt time.Time) time.Duration {
+	p.atBusyInterval.Store(false)
+	if p.waiting.Load() > 0 {
+		p.atBusyInterval.Store(true)
+		return p.timing.BusyInterval
+	}
+	if p.timing.IdleInterval == 0 {
+		return p.timing.IdleTimeout
+	}
+	return max(time.Until(idleAt), p.timing.BusyInterval)
+}
+
+// closeIfUnused closes the connection if no call has used it for the idle timeout.
+func (p *Peer) closeIfUnused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unused := time.Since(time.UnixMilli(p.usedAt.Load()))
+	if p.client == nil || p.waiting.Load() > 0 || unused < p.timing.IdleTimeout {
+		return
 	}
+	_ = p.client.Close() // nothing is on it
+	p.client = nil
 }
 
 // nextInterval returns the time until the next heartbeat if no call waits. After
 // missed heartbeats it doubles from BusyInterval to at most a fifth of IdleInterval.
 func (p *Peer) nextInterval(interval time.Duration, alive bool) time.Duration {
 	switch {
-	case alive:
+	case alive || p.timing.IdleInterval == 0:
 		return p.timing.IdleInterval
 	case interval >= p.timing.IdleInterval:
 		return p.timing.BusyInterval
