Withdraw queued starts that are no longer wanted; removed workers stay removed

Cause 1: an owner sends 128 starts of batch tasks at a time, so others wait in its agents' queues. A stop of an attempt waits for the answer to its start, so a start whose task had ended as done elsewhere, or whose job was cancelled, went out all the same: a copy started 1.09 s after the end of the other one had been acknowledged. Change: what the board wants stopped is withdrawn from the queue, and the start counts as not carried out.

Cause 2: a call that had begun before its worker was removed reported its failure afterwards, and syncAgent put the worker back on the board, where nothing removed it. The holder of the fleet took it for a host to vacate. Change: syncAgent ignores agents that were removed.

Measured: TestStartThatIsNoLongerWantedIsNotSent without the fix: "1 starts were sent of a job that had been cancelled"; TestRemovedWorkerStaysRemoved without it: "2 workers, want 1" in four cases; both pass now.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -70,6 +70,20 @@
 	return true
 }
 
+// UnwantedStarts returns the attempts whose start order has no answer yet and that are to be
+// stopped once it has: a start that was not sent yet need not be.
+func (b *Board) UnwantedStarts() []StopOrder {
+	var unwanted []StopOrder
+	for _, key := range slices.Sorted(maps.Keys(b.pending.stops)) {
+		for _, a := range b.attemptsToStop(b.pending.stops[key]) {
+			if a.Phase == Starting {
+				unwanted = append(unwanted, StopOrder{Worker: key, Task: a.Task, Attempt: a.Number, Cause: a.stopCause()})
+			}
+		}
+	}
+	return unwanted
+}
+
 // orderStops adds the stop orders that are due.
 func (b *Board) orderStops(o *Orders) {
 	for _, key := range slices.Sorted(maps.Keys(b.pending.stops)) {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -45,6 +45,14 @@
 	lapses int  // the agent's count when the order was queued
 }
 
+// startKey names the start of an attempt at a worker.
+type startKey struct {
+	task    jobs.Task
+	attempt int
+}
+
+func keyOfStart(s *place.StartOrder) startKey { return startKey{s.Task, s.Attempt} }
+
 // pendingEnd is the end of an attempt that has been handled.
 type pendingEnd struct {
 	number uint64
@@ -74,13 +82,14 @@
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
-	leasesExpireAt time.Time     // all granted leases have expired by then
-	lapses         int           // how often all leases were found expired; starts queued before are void
-	ackNumber      uint64        // ends up to this number may be acknowledged
-	ackRaised      chan struct{} // closed when ackNumber rises
-	busy           bool          // it has tasks
-	answeredCallAt time.Time     // when the latest hold call that was answered was sent
-	failedCallAt   time.Time     // when the latest hold call that failed should have been answered
+	leasesExpireAt time.Time         // all granted leases have expired by then
+	queuedStarts   map[startKey]bool // starts that wait to be sent; true if they must not be
+	lapses         int               // how often all leases were found expired; starts queued before are void
+	ackNumber      uint64            // ends up to this number may be acknowledged
+	ackRaised      chan struct{}     // closed when ackNumber rises
+	busy           bool              // it has tasks
+	answeredCallAt time.Time         // when the latest hold call that was answered was sent
+	failedCallAt   time.Time         // when the latest hold call that failed should have been answered
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
@@ -148,15 +157,32 @@
 	return true
 }
 
-// leaseForStart is [agent.nextLease] for a queued start. It reports false if the start
-// must not be sent, because the worker does not answer or the start is void.
-func (a *agent) leaseForStart(lapses int) (time.Duration, bool) {
+// leaseForStart is [agent.nextLease] for a start that is about to be sent. It returns an
+// error if the start must not be sent any more: the worker does not answer, its leases
+// expired while the start was queued, or the start was withdrawn.
+func (a *agent) leaseForStart(o order) (time.Duration, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	key := keyOfStart(o.start)
+	withdrawn := a.queuedStarts[key]
+	delete(a.queuedStarts, key)
+	switch {
+	case withdrawn:
+		return 0, errWithdrawn
+	case a.failedCallAt.After(a.answeredCallAt), a.lapses != o.lapses:
+		return 0, errUnresponsive
+	}
+	return a.grantLease(), nil
+}
+
+// withdrawStart keeps a start from being sent, if it is still queued.
+func (a *agent) withdrawStart(s place.StopOrder) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.failedCallAt.After(a.answeredCallAt) || a.lapses != lapses {
-		return 0, false
+	key := startKey{s.Task, s.Attempt}
+	if _, queued := a.queuedStarts[key]; queued {
+		a.queuedStarts[key] = true
 	}
-	return a.grantLease(), true
 }
 
 // clock returns a lower bound of the worker's clock at a time, even if that clock is
@@ -334,6 +360,7 @@
 var (
 	errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
 	errQueueFull    = errors.Wrap(platform.ErrNotDone, "the worker's order queue is full")
+	errWithdrawn    = errors.Wrap(platform.ErrNotDone, "the attempt is not wanted any more")
 )
 
 // isUnresponsive reports whether the worker has left a hold call unanswered and has
@@ -389,10 +416,16 @@
 	}
 	select {
 	case queue <- o:
-		return nil
 	default:
 		return errQueueFull
 	}
+	if o.start != nil {
+		if a.queuedStarts == nil {
+			a.queuedStarts = map[startKey]bool{}
+		}
+		a.queuedStarts[keyOfStart(o.start)] = false
+	}
+	return nil
 }
 
 // rejectQueuedStarts rejects the queued starts, so that they can be placed
@@ -403,6 +436,9 @@
 		select {
 		case o := <-a.starts:
 			s := *o.start
+			a.mu.Lock()
+			delete(a.queuedStarts, keyOfStart(&s))
+			a.mu.Unlock()
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 		default:
 			return
@@ -438,13 +474,13 @@
 	switch {
 	case o.start != nil:
 		s := *o.start
-		until, ok := a.leaseForStart(o.lapses)
-		if !ok {
-			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
+		until, err := a.leaseForStart(o)
+		if err != nil {
+			a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 			return
 		}
 		sentAt := time.Now()
-		_, err := a.worker.Start(callCtx, platform.StartRequest{
+		_, err = a.worker.Start(callCtx, platform.StartRequest{
 			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: until,
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		})
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -456,3 +456,58 @@
 		end()
 	})
 }
+
+// All slots for starts are taken, and meanwhile a copy of the task is done: the start that
+// waits for a slot is not sent. One that was sent a second after the end had been acknowledged
+// ran the task again (large fleet, quiet day).
+func TestStartThatIsNoLongerWantedIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		defer end()
+		sent := 0
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent++; return 0, nil }
+		for range maxStartsInFlight {
+			o.startSlots <- struct{}{}
+		}
+		job := jobs.Job{ID: "0000000000000001", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 1, Size: jobs.Resources{Millicores: 1000}}}}
+		key := "i-1@1"
+		o.post(func() {
+			o.agents[key] = newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1, Size: jobs.Resources{Millicores: 8000, MemoryMB: 1000}}, w)
+			o.agents[key].registered = true
+			o.board.Add(job, jobs.NewProgress(job), time.Now())
+		})
+		time.Sleep(time.Second)
+		o.post(func() {
+			o.started = true
+			o.inFlight = &commit{} // nothing is stored here
+			o.dispatch(time.Now())
+			if n := len(o.board.Attempts(key)); n != 1 {
+				t.Errorf("%d attempts, want 1", n)
+			}
+		})
+		time.Sleep(time.Second)
+		o.post(func() {
+			o.board.Cancel(job.ID, time.Now())
+			o.dispatch(time.Now())
+		})
+		synctest.Wait()
+		for range maxStartsInFlight {
+			<-o.startSlots
+		}
+		time.Sleep(time.Second)
+		if sent != 0 {
+			t.Errorf("%d starts were sent of a job that had been cancelled", sent)
+		}
+		o.post(func() {
+			if n := len(o.board.Attempts(key)); n != 0 {
+				t.Errorf("%d attempts are left, want none", n)
+			}
+		})
+		synctest.Wait()
+	})
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -346,6 +346,11 @@
 			o.sendOrder(s.Worker, order{start: &s, urgent: o.board.IsLongRunning(s.Task)})
 			o.updateBusy(o.agents[s.Worker])
 		}
+		for _, s := range o.board.UnwantedStarts() {
+			if a := o.agents[s.Worker]; a != nil {
+				a.withdrawStart(s)
+			}
+		}
 		for _, p := range orders.Paces {
 			o.sendOrder(p.Worker, order{pace: &p})
 		}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -114,8 +114,12 @@
 	}
 }
 
-// syncAgent updates the state of a worker's lifetime on the board.
+// syncAgent updates the state of a worker's lifetime on the board. It ignores an agent that
+// was removed, about which calls that had begun before may still report.
 func (o *Owner) syncAgent(a *agent) {
+	if o.agents[a.key] != a {
+		return
+	}
 	rack := ""
 	if len(a.entry.Labels) > 1 {
 		rack = a.entry.Labels[1]
--- a/internal/pool/workers_test.go
+++ b/internal/pool/workers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -30,3 +31,32 @@
 		t.Errorf("the listed worker %s is not used", lifetimeKey(present))
 	}
 }
+
+// A call to a worker that fails after the worker was removed does not bring it back: a pool of
+// 109 workers had 44 that did not exist, to which the fleet's holder turned again and again.
+func TestRemovedWorkerStaysRemoved(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		report func(o *Owner, a *agent)
+	}{
+		{"a renewal fails", func(o *Owner, a *agent) { o.holdFailed(a, platform.ErrOutcomeUnknown, 0) }},
+		{"another lifetime answers a renewal", func(o *Owner, a *agent) { o.holdFailed(a, platform.ErrLifetimeMismatch, 0) }},
+		{"another lifetime answers a stop", func(o *Owner, a *agent) {
+			o.stopAnswered(a, place.StopOrder{}, time.Now(), platform.ErrLifetimeMismatch)
+		}},
+		{"lists arrive", func(o *Owner, a *agent) { a.answered = false; o.handleListing(a, platform.Listing{}, time.Now()) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			o, entries := benchOwner(2, 0)
+			a := o.agents[lifetimeKey(entries[0])]
+			a.worker = &fakeWorker{}
+			a.failedCallAt = time.Now()
+			o.board.RemoveWorker(a.key, time.Now())
+			o.removeAgent(a)
+			tt.report(o, a)
+			if n := o.board.Summary(time.Now()).Workers; n != 1 {
+				t.Errorf("%d workers, want 1", n)
+			}
+		})
+	}
+}
