Test that an unused peer costs nothing

Change: TestUnusedPeerCostsNothing: no connection without a call, an unused one is closed, the next call dials again, and a call that waits at a silent process is ended by a missed heartbeat.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -128,3 +128,62 @@
 		}
 	}
 }
+
+// A peer that is only probed by calls costs nothing between them: in a fleet of 147 processes
+// each had a timer every 150 ms and a connection for each other one. A call that waits at a
+// silent process is ended as before.
+func TestUnusedPeerCostsNothing(t *testing.T) {
+	timing := fastTiming
+	timing.IdleInterval, timing.IdleTimeout = 0, 100*time.Millisecond
+	listener, addr := listenOn(t)
+	accepted, closed := make(chan struct{}, 8), make(chan struct{}, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() {
+				server := NewServer()
+				server.rpc.ServeConn(conn) // returns once the peer has closed the connection
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	peer := NewPeer(addr, timing, nil)
+	defer peer.Close()
+	time.Sleep(10 * timing.BusyInterval)
+	if len(accepted) != 0 {
+		t.Error("a connection was made without a call")
+	}
+	for range 2 { // the second call dials again
+		if err := peer.Call(t.Context(), heartbeatMethod, Beat{}, &Beat{}); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-closed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the unused connection was not closed")
+		}
+	}
+	if len(accepted) != 2 {
+		t.Errorf("%d connections for two calls, want 2", len(accepted))
+	}
+
+	silent, silentAddr := listenOn(t)
+	go func() {
+		for {
+			if _, err := silent.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	other := NewPeer(silentAddr, timing, nil)
+	defer other.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := other.Call(ctx, "Any.Method", Beat{}, &Beat{}); !errors.Is(err, ErrLost) || ctx.Err() != nil {
+		t.Errorf("got %v, want ErrLost long before the deadline", err)
+	}
+}
