A queued start is not sent to a worker that leaves, nor later than a second

An owner without processor time keeps starts in its queues, and what it knew of a worker when it decided is no longer true when they are sent.

Change: an agent whose worker drains, whose entry is gone or whose host is wanted elsewhere sends no queued start; a start that waited for more than a second is not sent at all. Both count as not carried out, so that the task is placed again. Not covered: an owner that learns of a drain more than three seconds late.

Measured: TestQueuedStartIsNotSentToALeavingWorker without the two guards: "1 starts sent, want 0" in four of six cases; passes with them.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -30,6 +30,7 @@
 	maxStartsInFlight = 128                    // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond  // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond // to read answers that arrived while this process was held up
+	maxStartAge       = time.Second            // a start that waited longer is not sent: what was known of its worker is out of date; half of the platform's shortest time for workers that leave
 	maxLateCalls      = 2                      // calls in a row that time out late before the worker counts as silent
 )
 
@@ -41,8 +42,9 @@
 	stop  *place.StopOrder
 	pace  *place.PaceOrder
 
-	urgent bool // a start that does not wait for others
-	lapses int  // the agent's count when the order was queued
+	urgent   bool // a start that does not wait for others
+	lapses   int  // the agent's count when the order was queued
+	queuedAt time.Time
 }
 
 // startKey names the start of an attempt at a worker.
@@ -88,6 +90,7 @@
 	ackNumber      uint64            // ends up to this number may be acknowledged
 	ackRaised      chan struct{}     // closed when ackNumber rises
 	busy           bool              // it has tasks
+	leaving        bool              // it gets no new tasks: it drains, or its host is wanted elsewhere
 	answeredCallAt time.Time         // when the latest hold call that was answered was sent
 	failedCallAt   time.Time         // when the latest hold call that failed should have been answered
 
@@ -171,6 +174,10 @@
 		return 0, errWithdrawn
 	case a.failedCallAt.After(a.answeredCallAt), a.lapses != o.lapses:
 		return 0, errUnresponsive
+	case !o.queuedAt.IsZero() && time.Since(o.queuedAt) > maxStartAge:
+		return 0, errStale
+	case a.leaving:
+		return 0, errLeaving
 	}
 	return a.grantLease(), nil
 }
@@ -232,6 +239,13 @@
 	}
 }
 
+// setLeaving sets whether starts that are still queued must not be sent.
+func (a *agent) setLeaving(leaving bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = leaving
+}
+
 func (a *agent) setBusy(busy bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -361,6 +375,8 @@
 	errUnresponsive = errors.Wrap(platform.ErrNotDone, "the worker does not answer")
 	errQueueFull    = errors.Wrap(platform.ErrNotDone, "the worker's order queue is full")
 	errWithdrawn    = errors.Wrap(platform.ErrNotDone, "the attempt is not wanted any more")
+	errStale        = errors.Wrap(platform.ErrNotDone, "the start waited too long")
+	errLeaving      = errors.Wrap(platform.ErrNotDone, "the worker leaves")
 )
 
 // isUnresponsive reports whether the worker has left a hold call unanswered and has
@@ -405,7 +421,7 @@
 	if o.start != nil && a.failedCallAt.After(a.answeredCallAt) {
 		return errUnresponsive
 	}
-	o.lapses = a.lapses
+	o.lapses, o.queuedAt = a.lapses, time.Now()
 	if o.urgent {
 		go a.execute(a.ctx, o)
 		return nil
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -511,3 +511,62 @@
 		synctest.Wait()
 	})
 }
+
+// All slots for starts are taken for some time: a start that waits for one is not sent to a
+// worker that leaves meanwhile, nor after its time. With an owner short of processor time ten
+// starts reached workers 4.1 s after they had said that they leave.
+func TestQueuedStartIsNotSentToALeavingWorker(t *testing.T) {
+	const wait = 300 * time.Millisecond // less than maxStartAge
+	for _, tt := range []struct {
+		name string
+		wait time.Duration
+		in   func(o *Owner, a *agent)
+		want int // starts sent
+	}{
+		{"the worker stays", wait, func(*Owner, *agent) {}, 1},
+		{"it drains", wait, func(o *Owner, a *agent) { a.entry.Draining = true; o.syncAgent(a) }, 0},
+		{"its host is wanted elsewhere", wait, func(o *Owner, _ *agent) { o.vacate("i-1", time.Now()) }, 0},
+		{"its entry is gone", wait, func(o *Owner, a *agent) {
+			a.missingSince = time.Now().Add(-2 * missingTimeout)
+			o.syncAgent(a)
+		}, 0},
+		{"it was wanted elsewhere, and is no more", wait, func(o *Owner, a *agent) {
+			o.vacate("i-1", time.Now())
+			delete(o.vacateUntil, "i-1")
+			o.syncAgent(a)
+		}, 1},
+		{"the owner learns of nothing for long", 2 * maxStartAge, func(*Owner, *agent) {}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o, end := idleOwner(t)
+				defer end()
+				sent := 0
+				w := &fakeWorker{rate: 1, began: time.Now()}
+				w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+					time.Sleep(max(r.Wait, time.Millisecond))
+					return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+				}
+				w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent++; return 0, nil }
+				for range maxStartsInFlight {
+					o.startSlots <- struct{}{}
+				}
+				a := newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1, Size: jobs.Resources{Millicores: 8000}}, w)
+				o.post(func() { o.agents[a.key], o.lifetimes["i-1"] = a, []*agent{a} })
+				time.Sleep(time.Second)
+				if err := a.enqueue(order{start: &place.StartOrder{Worker: a.key, Task: jobs.Task{Job: "0000000000000001"}, Attempt: 1}}); err != nil {
+					t.Fatal(err)
+				}
+				o.post(func() { tt.in(o, a) })
+				time.Sleep(tt.wait)
+				for range maxStartsInFlight {
+					<-o.startSlots
+				}
+				time.Sleep(time.Second)
+				if sent != tt.want {
+					t.Errorf("%d starts sent, want %d", sent, tt.want)
+				}
+			})
+		})
+	}
+}
