Tests of queued starts: count the starts atomically

Change: the counters of that test and of TestStartThatIsNoLongerWantedIsNotSent are atomic; what they ask for is unchanged.

--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -464,13 +464,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		o, end := idleOwner(t)
 		defer end()
-		sent := 0
+		var sent atomic.Int64
 		w := &fakeWorker{rate: 1, began: time.Now()}
 		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
 			time.Sleep(max(r.Wait, time.Millisecond))
 			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
 		}
-		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent++; return 0, nil }
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent.Add(1); return 0, nil }
 		for range maxStartsInFlight {
 			o.startSlots <- struct{}{}
 		}
@@ -500,8 +500,8 @@
 			<-o.startSlots
 		}
 		time.Sleep(time.Second)
-		if sent != 0 {
-			t.Errorf("%d starts were sent of a job that had been cancelled", sent)
+		if n := sent.Load(); n != 0 {
+			t.Errorf("%d starts were sent of a job that had been cancelled", n)
 		}
 		o.post(func() {
 			if n := len(o.board.Attempts(key)); n != 0 {
@@ -521,7 +521,7 @@
 		name string
 		wait time.Duration
 		in   func(o *Owner, a *agent)
-		want int // starts sent
+		want int64 // starts sent
 	}{
 		{"the worker stays", wait, func(*Owner, *agent) {}, 1},
 		{"it drains", wait, func(o *Owner, a *agent) { a.entry.Draining = true; o.syncAgent(a) }, 0},
@@ -541,13 +541,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				o, end := idleOwner(t)
 				defer end()
-				sent := 0
+				var sent atomic.Int64
 				w := &fakeWorker{rate: 1, began: time.Now()}
 				w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
 					time.Sleep(max(r.Wait, time.Millisecond))
 					return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
 				}
-				w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent++; return 0, nil }
+				w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent.Add(1); return 0, nil }
 				for range maxStartsInFlight {
 					o.startSlots <- struct{}{}
 				}
@@ -563,8 +563,8 @@
 					<-o.startSlots
 				}
 				time.Sleep(time.Second)
-				if sent != tt.want {
-					t.Errorf("%d starts sent, want %d", sent, tt.want)
+				if n := sent.Load(); n != tt.want {
+					t.Errorf("%d starts sent, want %d", n, tt.want)
 				}
 			})
 		})
