--- /dev/null
+++ b/internal/place/lasting_test.go
@@ -0,0 +1,115 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// lasting returns a long-running step that needs little processor time and much memory.
+func lasting(count, memory int) jobs.Step {
+	return jobs.Step{Count: count, Size: jobs.Resources{Millicores: 500, MemoryMB: memory}, LongRunning: true}
+}
+
+// Guards against a long-running task that stays down for as long as its pool is being
+// vacated for maintenance, because only workers that are to be vacated have room for it.
+func TestLongRunningTaskStartsOnAVacatedWorkerThatAloneHasRoom(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 6000)), newJob(2, lasting(1, 3000)), newJob(3, lasting(1, 3000)))
+	starts := f.decide()
+	if len(starts) != 3 {
+		t.Fatalf("started %v, want the 3 tasks", starts)
+	}
+	var failing place.StartOrder
+	for _, s := range starts {
+		if s.Task.Job == newJob(2).ID {
+			failing = s
+		}
+	}
+	f.SetVacate(failing.Worker, true)
+	f.decide()
+	f.endAttempt(failing, jobs.Failed)
+	f.now = f.now.Add(time.Second)
+	again := f.decide()
+	if len(again) != 1 || again[0].Worker != failing.Worker {
+		t.Errorf("started %v, want the failed task on %s again: no other worker has room", again, failing.Worker)
+	}
+}
+
+// Guards against a start on a vacated worker that was reported as empty: its host may be
+// ordered away at any moment, which ends the task.
+func TestNothingStartsOnAnEmptyVacatedWorker(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 6000)))
+	occupied := f.decide()[0].Worker
+	for i := range 2 {
+		if key(i) != occupied {
+			f.SetVacate(key(i), true)
+		}
+	}
+	f.add(newJob(2, lasting(1, 3000)))
+	if starts := f.decide(); len(starts) != 0 {
+		t.Errorf("started %v on an empty worker that is vacated", starts)
+	}
+}
+
+// Guards against long-running tasks that are stopped for a move into room that only one of
+// them can get: the others are down until a further worker comes.
+func TestMovedTasksDoNotShareRoom(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 5000)), newJob(2, lasting(1, 5000)))
+	if starts := f.decide(); len(starts) != 2 {
+		t.Fatalf("started %v, want one task a worker", starts)
+	}
+	f.SetWorker(worker(2))
+	f.SetVacate(key(0), true)
+	f.SetVacate(key(1), true)
+	f.decide()
+	if len(f.orders.Stops) != 1 {
+		t.Fatalf("stopped %v, want one: the new worker has room for one", f.orders.Stops)
+	}
+	stopped := f.orders.Stops[0]
+	f.add(newJob(3, batch(1, 3800)))
+	if starts := f.decide(); len(starts) != 0 {
+		t.Errorf("started %v in the room that is meant for the task that moves", starts)
+	}
+	f.StopAnswered(stopped.Worker, stopped.Task, stopped.Attempt, f.now)
+	f.endAttempt(place.StartOrder{Worker: stopped.Worker, Task: stopped.Task, Attempt: stopped.Attempt}, jobs.Stopped)
+	if starts := f.decide(); len(starts) != 1 || starts[0].Task != stopped.Task || starts[0].Worker != key(2) {
+		t.Errorf("started %v, want %v on the new worker", starts, stopped.Task)
+	}
+	if len(f.orders.Stops) > 0 {
+		t.Errorf("stopped %v, though the room is taken", f.orders.Stops)
+	}
+}
+
+// Guards against a reservation of a worker whose other long-running tasks leave no room for
+// the waiting one, however long it is reserved: batch tasks take the room of the others.
+func TestReservedWorkerCanBecomeFree(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 6000)))
+	f.decide()
+	f.add(newJob(2, jobs.Step{Count: 20, Size: jobs.Resources{Millicores: 1900, MemoryMB: 3500}, Estimate: time.Second}))
+	running := f.decide()
+	if len(running) != 2 || running[0].Worker != running[1].Worker {
+		t.Fatalf("started %v, want two on the worker without the long-running task", running)
+	}
+	f.add(newJob(3, lasting(1, 6000)))
+	f.decide()
+	for len(running) > 0 {
+		f.endAttempt(running[0], jobs.Done)
+		starts := f.decide()
+		for _, s := range starts {
+			if s.Task.Job == newJob(3).ID {
+				return
+			}
+		}
+		running = append(running[1:], starts...)
+		if len(running) > 0 && running[0].Task.Index > 10 {
+			break
+		}
+	}
+	t.Error("the long-running task did not start while batch tasks kept ending on the one worker that can have room for it")
+}
