A long-running task starts on a worker that is to be vacated if no other has room

Cause: a wave has a third of a pool's workers vacated for as long as their lasting tasks have no room elsewhere; such workers took nothing, the open ones lacked memory, and the fleet had no host to give. Class: an intention of ours (to empty a host) that withholds room for longer than its reason holds.

A long-running task for which no open worker has room now starts on a vacated one that still runs tasks. It counts in the answer to the keeper, which orders a host only after it was reported as empty; an empty vacated worker gets nothing, as before (TestNothingStartsOnAnEmptyVacatedWorker). Its start is not held back at the agent either: only batch starts are.

--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -83,7 +83,12 @@
 // eligible reports whether a worker may run a task of a step, regardless of its free
 // capacity.
 func (b *Board) eligible(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
-	if !w.acceptsTasks() || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
+	return w.acceptsTasks() && b.suits(e, step, t, w, now)
+}
+
+// suits is [Board.eligible] for a worker that may be about to be vacated.
+func (b *Board) suits(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
+	if now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
 		return false
 	}
 	if step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker {
@@ -149,12 +154,33 @@
 			}
 		}
 	}
+	if best == nil && step.LongRunning && !step.BestEffort {
+		return b.chooseVacated(e, step, t, now)
+	}
 	if best == nil && b.rejectsAll(e, step, t) {
 		b.rejected.add(claim)
 	}
 	return best
 }
 
+// chooseVacated returns the worker with the lowest placement cost among those that are to be
+// vacated but still run tasks. A long-running task that has room nowhere else is better
+// off there, to be moved later, than down. An empty one may be ordered away at any moment.
+func (b *Board) chooseVacated(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
+	var best *worker
+	var bestCost int64
+	for _, w := range b.pending.leaving {
+		b.examined++
+		if !w.Vacate || w.Draining || w.Silent || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
+			continue
+		}
+		if cost := b.placementCost(e, step, t, w); best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
 // accepts reports whether a worker may run a task of a step now, regardless of its free
 // capacity.
 func (b *Board) accepts(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -90,7 +90,8 @@
 	ackNumber      uint64            // ends up to this number may be acknowledged
 	ackRaised      chan struct{}     // closed when ackNumber rises
 	busy           bool              // it has tasks
-	leaving        bool              // it gets no new tasks: it drains, or its host is wanted elsewhere
+	leaving        bool              // it gets no new tasks: it drains or is gone
+	vacating       bool              // its host is wanted elsewhere: it gets no batch tasks
 	answeredCallAt time.Time         // when the latest hold call that was answered was sent
 	failedCallAt   time.Time         // when the latest hold call that failed should have been answered
 
@@ -176,7 +177,7 @@
 		return 0, errUnresponsive
 	case !o.queuedAt.IsZero() && time.Since(o.queuedAt) > maxStartAge:
 		return 0, errStale
-	case a.leaving:
+	case a.leaving, a.vacating && !o.urgent:
 		return 0, errLeaving
 	}
 	return a.grantLease(), nil
@@ -239,11 +240,12 @@
 	}
 }
 
-// setLeaving sets whether starts that are still queued must not be sent.
-func (a *agent) setLeaving(leaving bool) {
+// setLeaving sets which starts that are still queued must not be sent: all if the worker
+// leaves, those of batch tasks if it is only to be vacated.
+func (a *agent) setLeaving(leaving, vacating bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.leaving = leaving
+	a.leaving, a.vacating = leaving, vacating
 }
 
 func (a *agent) setBusy(busy bool) {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -126,7 +126,7 @@
 	}
 	_, vacate := o.vacateUntil[a.entry.ID]
 	gone := !a.missingSince.IsZero() && time.Since(a.missingSince) > missingTimeout
-	a.setLeaving(a.entry.Draining || gone || vacate)
+	a.setLeaving(a.entry.Draining || gone, vacate)
 	o.board.SetWorker(place.Worker{
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
 		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate,
