Room on the new worker is kept for a long-running task that is stopped to move

Cause: whether a task fits elsewhere was judged for each alone, so that several were stopped for the room of one, and batch tasks took it before the stop was done. Class: a check of something that others may take before it is used.

The worker is now chosen with the stop, and the task's claim counts as used there until the task is placed. TestMovedTasksDoNotShareRoom failed before (two stops, want one) and passes; CheckPending compares the sums with a scan in the random tests.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -31,6 +31,7 @@
 	enqueuedSteps map[stepKey]bool        // steps whose tasks were added to waiting
 	backoffs      map[jobs.Task]backoff   // of long-running tasks that ended
 	advice        map[stepKey]*advice
+	promises      map[jobs.Task]*worker // long-running tasks that are stopped in order to run there; nil if there are none
 	firstFailedOn string // key of the worker where a task failed first
 }
 
@@ -203,6 +204,9 @@
 		e.emptyWaiting(key)
 	}
 	e.backoffs = map[jobs.Task]backoff{}
+	for t := range e.promises {
+		b.releasePromise(e, t)
+	}
 	delete(b.pending.unfinished, e.job.ID)
 	for _, attempts := range e.attempts {
 		for _, a := range attempts {
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -114,9 +114,13 @@
 	return float64(quarantined) <= b.policy.MaxQuarantinedShare*float64(len(b.workers))
 }
 
-// countOnWorker returns the number of attempts of a task's step on a worker.
+// countOnWorker returns the number of attempts of a task's step on a worker, and of tasks
+// of the step that are about to move there.
 func (b *Board) countOnWorker(w *worker, t jobs.Task) int {
 	n := 0
+	if w.promised > 0 {
+		n = b.jobs[t.Job].countPromised(w, t)
+	}
 	for o := range w.attempts {
 		if o.Job == t.Job && o.Occurrence == t.Occurrence && o.Step == t.Step {
 			n++
@@ -128,6 +132,19 @@
 // chooseWorker returns the worker with the lowest placement cost for a task, nil if
 // none fits.
 func (b *Board) chooseWorker(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
+	best := b.chooseOpen(e, step, t, now)
+	switch {
+	case best != nil:
+	case step.LongRunning && !step.BestEffort:
+		return b.chooseVacated(e, step, t, now)
+	case b.rejectsAll(e, step, t):
+		b.rejected.add(step.Claim())
+	}
+	return best
+}
+
+// chooseOpen is [Board.chooseWorker] among the workers that accept tasks.
+func (b *Board) chooseOpen(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
 	claim := step.Claim()
 	if !step.LongRunning && b.rejected.covers(claim) || !b.hasLabel(step.Label) {
 		return nil
@@ -154,12 +171,6 @@
 			}
 		}
 	}
-	if best == nil && step.LongRunning && !step.BestEffort {
-		return b.chooseVacated(e, step, t, now)
-	}
-	if best == nil && b.rejectsAll(e, step, t) {
-		b.rejected.add(claim)
-	}
 	return best
 }
 
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -179,9 +179,14 @@
 			if a.Phase != Live || a.stopRequested || !a.step.LongRunning {
 				continue
 			}
-			if b.mayStop(a, now) && b.fitsElsewhere(a, now) {
+			if !b.mayStop(a, now) {
+				continue
+			}
+			e := b.jobs[a.Task.Job]
+			if to := b.chooseOpen(e, a.step, a.Task, now); to != nil {
 				b.requestStop(a)
 				a.reschedule = true
+				b.promise(e, a.Task, to)
 			}
 		}
 	}
@@ -219,20 +224,6 @@
 	return n
 }
 
-func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
-	e := b.jobs[a.Task.Job]
-	claim := a.step.Claim()
-	for _, room := range []*roomIndex{&b.pending.room, &b.pending.reserved} {
-		for _, w := range room.atLeast(claim.Millicores) {
-			b.examined++
-			if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // The classes of candidates, in scheduling order.
 const (
 	classLongRunning = iota
@@ -322,6 +313,7 @@
 			break
 		}
 		t := tasks[0]
+		b.releasePromise(e, t)
 		w := b.chooseWorker(e, step, t, now)
 		if w == nil {
 			break
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -3,14 +3,29 @@
 import (
 	"fmt"
 	"slices"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // CheckPending returns an error if the index of pending work lacks something that a scan
 // of the whole board finds.
 func (b *Board) CheckPending() error {
 	p := &b.pending
+	promised := map[*worker]int{}
+	for _, e := range b.jobs {
+		for _, w := range e.promises {
+			promised[w]++
+		}
+	}
 	for key, w := range b.workers {
 		lasting, filling := 0, 0
+		if promised[w] != w.promised {
+			return fmt.Errorf("%s counts %d tasks that move to it, has %d", key, w.promised, promised[w])
+		}
+		used := b.claimed(w)
+		if used != w.used {
+			return fmt.Errorf("%s counts %+v as used, has %+v", key, w.used, used)
+		}
 		for _, a := range w.attempts {
 			if a.step.LongRunning {
 				lasting++
@@ -53,3 +68,19 @@
 	}
 	return nil
 }
+
+// claimed returns what the attempts at a worker and the tasks that move to it claim.
+func (b *Board) claimed(w *worker) jobs.Resources {
+	var used jobs.Resources
+	for _, a := range w.attempts {
+		used = used.Add(a.step.Claim())
+	}
+	for _, e := range b.jobs {
+		for t, to := range e.promises {
+			if to == w {
+				used = used.Add(e.job.Steps[t.Step].Claim())
+			}
+		}
+	}
+	return used
+}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -41,7 +41,7 @@
 			w.idleSince = now
 		}
 		load := WorkerLoad{
-			ID: w.ID, Tasks: len(w.attempts), Lasting: w.lasting,
+			ID: w.ID, Tasks: len(w.attempts) + w.promised, Lasting: w.lasting + w.promised,
 			Used: w.used.Millicores, Open: w.acceptsTasks(),
 		}
 		if load.Tasks == 0 {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -114,6 +114,7 @@
 	attempts map[jobs.Task]*Attempt
 	lasting  int // attempts of long-running tasks
 	filling  int // attempts of best-effort tasks
+	promised int // long-running tasks about to move here, whose claims are part of used
 	health   health
 	reserved bool // by the current decision, for a task that does not fit yet
 
--- /dev/null
+++ b/internal/place/promise.go
@@ -0,0 +1,43 @@
+package place
+
+import "github.com/papayarudder/papayarudder/internal/jobs"
+
+// A long-running task that moves is stopped first and started once its end is listed.
+// Meanwhile its room on the new worker counts as used, so that no other task takes it and
+// no other move relies on it.
+
+// promise keeps room on a worker for a task that is being stopped in order to run there.
+func (b *Board) promise(e *jobEntry, t jobs.Task, w *worker) {
+	b.releasePromise(e, t)
+	if e.promises == nil {
+		e.promises = map[jobs.Task]*worker{}
+	}
+	e.promises[t] = w
+	w.promised++
+	b.setUsed(w, w.used.Add(e.job.Steps[t.Step].Claim()))
+}
+
+// releasePromise gives up the room that is kept for a task, if there is any.
+func (b *Board) releasePromise(e *jobEntry, t jobs.Task) {
+	w := e.promises[t]
+	if w == nil {
+		return
+	}
+	delete(e.promises, t)
+	if b.workers[w.Key] != w {
+		return // removed meanwhile
+	}
+	w.promised--
+	b.setUsed(w, w.used.Sub(e.job.Steps[t.Step].Claim()))
+}
+
+// countPromised returns how many tasks of a task's step are about to move to a worker.
+func (e *jobEntry) countPromised(w *worker, t jobs.Task) int {
+	n := 0
+	for o, to := range e.promises {
+		if to == w && o.Occurrence == t.Occurrence && o.Step == t.Step {
+			n++
+		}
+	}
+	return n
+}
