A worker is reserved only for a task that fits once its batch tasks have ended

Cause: the roomiest worker by processor time was reserved, though its long-running tasks held the memory that the waiting task needs, so that it never fitted there and batch tasks took the room of the workers where it would have. Class: capacity weighed by processor time alone.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -279,7 +279,7 @@
 }
 
 // reserveWorker reserves the worker with the most free millicores for a step that
-// does not fit anywhere yet.
+// does not fit anywhere yet, among those where it will fit once their batch tasks end.
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
 	if !b.hasLabel(step.Label) {
 		return
@@ -290,7 +290,7 @@
 		roomiest := b.pending.room.atLeast(most)[:len(workers)-b.pending.room.below(most)]
 		for _, w := range roomiest {
 			b.examined++
-			if step.Claim().Fits(w.Size) && b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
+			if step.Claim().Fits(w.Size.Sub(w.lastingClaims())) && b.eligible(c.entry, step, c.entry.waiting[c.key][0], w, now) {
 				b.pending.setReserved(w, true)
 				b.reservations = append(b.reservations, w)
 				return
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -127,6 +127,20 @@
 
 func (w *worker) free() jobs.Resources { return w.Size.Sub(w.used) }
 
+// lastingClaims returns what the long-running tasks at the worker claim.
+func (w *worker) lastingClaims() jobs.Resources {
+	var claims jobs.Resources
+	if w.lasting == 0 {
+		return claims
+	}
+	for _, a := range w.attempts {
+		if a.step.LongRunning {
+			claims = claims.Add(a.step.Claim())
+		}
+	}
+	return claims
+}
+
 // batchAttempts returns the number of attempts of batch tasks.
 func (w *worker) batchAttempts() int { return len(w.attempts) - w.lasting }
 
