An owner binds no more tasks to workers than it can start in time

Cause: in its turn a pool's owner is at the limit of its processor time. It bound all tasks that found room; starts that waited over a second were given back and placed again (every fourth line of its log), which took more time still; bound tasks claimed room, so that the pool got 925 of the 1,100 hosts and the turns of other pools had none. Class: overload that feeds itself, as work is done again that was given up for being late, and as what waits for one resource is given another one.

Batch tasks beyond what the owner sends in a quarter of a second now wait on the board, in its order (on time first). The load tells that they wait for their owner, and the planner then gives the pool no hosts beyond what its tasks use. Long-running tasks are not limited. "pool state" shows Limited.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -32,7 +33,7 @@
 	backoffs      map[jobs.Task]backoff   // of long-running tasks that ended
 	advice        map[stepKey]*advice
 	promises      map[jobs.Task]*worker // long-running tasks that are stopped in order to run there; nil if there are none
-	firstFailedOn string // key of the worker where a task failed first
+	firstFailedOn string                // key of the worker where a task failed first
 }
 
 // backoff delays the restart of a long-running task.
@@ -56,6 +57,9 @@
 	reservations     []*worker  // by the last decision
 	rejected         rejections // by the present decision
 	admission        admissionEstimate
+	startLimit       int       // batch tasks that a decision may start, see SetStartLimit
+	startsLeft       int       // of startLimit, for the present decision
+	limitedAt        time.Time // when startLimit last held tasks back
 	trying           bool      // starts may be undone, so that a rejection does not hold
 	unconfirmedUntil time.Time // attempts of an earlier owner may be running undetected until then
 	estimates        estimates
@@ -68,7 +72,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
 	}
 }
 
@@ -83,6 +87,17 @@
 	b.advisedQueues = queues
 }
 
+// SetStartLimit sets how many batch tasks each decision from now on may start, since the
+// owner can't send more. It holds until it is set again. Gangs start whole and
+// long-running tasks always.
+func (b *Board) SetStartLimit(limit int) {
+	if limit == b.startLimit {
+		return
+	}
+	b.recordStep(Step{Kind: StepStartLimit, Limit: limit})
+	b.startLimit = limit
+}
+
 // Add adds a job with its stored progress, unless the job is already known.
 func (b *Board) Add(j jobs.Job, p *jobs.Progress, now time.Time) {
 	if _, known := b.jobs[j.ID]; known {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -247,8 +247,13 @@
 	}
 	largest := b.largestWorkerMillicores()
 	reservations := 1
+	b.startsLeft = b.startLimit
 	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
+		if !step.LongRunning && b.startsLeft <= 0 {
+			b.limitedAt = now
+			continue
+		}
 		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c, now) {
 			continue
 		}
@@ -313,6 +318,10 @@
 			break
 		}
 		t := tasks[0]
+		if !step.LongRunning && b.startsLeft <= 0 {
+			b.limitedAt = now
+			break
+		}
 		b.releasePromise(e, t)
 		w := b.chooseWorker(e, step, t, now)
 		if w == nil {
@@ -334,6 +343,9 @@
 func (b *Board) startAttempt(o *Orders, e *jobEntry, w *worker, t jobs.Task, number int, now time.Time) {
 	a := &Attempt{Task: t, Number: number, Worker: w.Key, Phase: Starting, OrderedAt: now, PercentChangedAt: now}
 	b.addAttempt(e, w, a)
+	if !a.step.LongRunning {
+		b.startsLeft--
+	}
 	order := StartOrder{Worker: w.Key, Task: t, Attempt: number, Spec: e.job.Spec, Checkpoint: e.progress.Checkpoint(t)}
 	if advice := e.advice[stepKey{t.Occurrence, t.Step}]; advice != nil {
 		order.Ticket = advice.tickets[w.ID]
@@ -384,4 +396,5 @@
 	b.detach(w.attempts[s.Task])
 	delete(e.attempts, s.Task)
 	e.lastAttempt[s.Task] = s.Attempt - 1
+	b.startsLeft++
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -28,12 +28,15 @@
 	Steady  int // millicores claimed by long-running attempts
 	Rate    int // millicores needed to keep up with the jobs of about the last second
 	Density int // millicores that all jobs together need to meet their objectives
-	Workers []WorkerLoad
+	// StartLimited means that batch tasks wait for their owner, which starts as many as it
+	// can, and not for a worker: more hosts would not help them.
+	StartLimited bool
+	Workers      []WorkerLoad
 }
 
 // Load returns the load of the pool and of each worker.
 func (b *Board) Load(now time.Time) Load {
-	var l Load
+	l := Load{StartLimited: b.startsLimited(now)}
 	for _, w := range b.workers {
 		if len(w.attempts) > 0 {
 			w.idleSince = time.Time{}
@@ -79,6 +82,15 @@
 	return l
 }
 
+// limitedTime is how long a decision whose start limit held tasks back counts: a few
+// decisions, which are up to 50 ms apart.
+const limitedTime = 200 * time.Millisecond
+
+// startsLimited reports whether a start limit holds batch tasks back.
+func (b *Board) startsLimited(now time.Time) bool {
+	return !b.limitedAt.IsZero() && now.Sub(b.limitedAt) <= limitedTime
+}
+
 // minWorkers returns the minimum number of workers for a long-running step. One that
 // has several tasks gets at least 2, to survive the loss of a worker.
 func minWorkers(s jobs.Step) int {
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -152,3 +152,35 @@
 		}
 	}
 }
+
+// Guards against an owner that binds more tasks to workers than it can start: their starts grow
+// old in its queues and are placed again, and the room that they claim keeps hosts from
+// the pools that could use them.
+func TestStartsBeyondTheLimitWaitOnTheBoard(t *testing.T) {
+	f := newTestBoard(0, 10)
+	f.add(newJob(1, batch(30, 1000)), newJob(2, lasting(2, 100)))
+	f.SetStartLimit(5)
+	batchStarts, lastingStarts := 0, 0
+	for _, s := range f.decide() {
+		if s.Task.Job == newJob(1).ID {
+			batchStarts++
+		} else {
+			lastingStarts++
+		}
+	}
+	if batchStarts != 5 || lastingStarts != 2 {
+		t.Errorf("%d batch and %d long-running tasks started, want 5 and 2: the limit is for batch tasks", batchStarts, lastingStarts)
+	}
+	if l := f.Load(f.now); !l.StartLimited {
+		t.Error("the load does not tell that tasks wait for their owner and not for a worker")
+	}
+	f.SetStartLimit(100)
+	if starts := f.decide(); len(starts) != 25 {
+		t.Errorf("%d tasks started, want the other 25", len(starts))
+	}
+	f.now = f.now.Add(time.Second)
+	f.decide()
+	if l := f.Load(f.now); l.StartLimited {
+		t.Error("the load tells of a limit that no longer holds tasks back")
+	}
+}
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -23,6 +23,7 @@
 	StepRefused         StepKind = "refused"
 	StepRemoveWorker    StepKind = "remove-worker"
 	StepSilent          StepKind = "silent"
+	StepStartLimit      StepKind = "start-limit"
 	StepStarted         StepKind = "started"
 	StepStopAnswered    StepKind = "stop-answered"
 	StepStopFailed      StepKind = "stop-failed"
@@ -55,6 +56,7 @@
 	Kept     time.Duration
 	Tickets  map[string]string
 	Queues   map[string]bool
+	Limit    int
 
 	Orders          Orders      // result of Decide
 	UnexpectedStops []StopOrder // result of Listed
@@ -111,6 +113,8 @@
 		b.RemoveWorker(s.Key, s.At)
 	case StepSilent:
 		b.SetSilent(s.Key, s.Flag)
+	case StepStartLimit:
+		b.SetStartLimit(s.Limit)
 	case StepStarted:
 		b.Started(s.Key, s.Task, s.Attempt, s.At)
 	case StepStopAnswered:
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -67,15 +67,16 @@
 	Reserved int // workers reserved for a task that does not fit yet
 	Jobs     int // jobs that are not final
 	Attempts int
-	Waiting  int // tasks ready to start
-	Size     int // millicores of workers that accept new tasks
-	Used     int // millicores claimed on these workers
-	Wanted   int // millicores of waiting tasks
+	Waiting  int  // tasks ready to start
+	Size     int  // millicores of workers that accept new tasks
+	Used     int  // millicores claimed on these workers
+	Wanted   int  // millicores of waiting tasks
+	Limited  bool // batch tasks wait for their owner to send starts, not for a worker
 }
 
 // Summary returns the current counts of the pool.
 func (b *Board) Summary(now time.Time) Summary {
-	s := Summary{Workers: len(b.workers)}
+	s := Summary{Workers: len(b.workers), Limited: b.startsLimited(now)}
 	for _, w := range b.workers {
 		s.Attempts += len(w.attempts)
 		count := func(n *int, is bool) {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -125,6 +125,12 @@
 // close stops the agent. Tasks at the worker run on until their lease ends.
 func (a *agent) close() {
 	a.cancel()
+	a.mu.Lock()
+	for key := range a.queuedStarts { // its starts are not taken from the queue any more
+		delete(a.queuedStarts, key)
+		a.owner.startsWaiting.Add(-1)
+	}
+	a.mu.Unlock()
 	a.worker.Close()
 }
 
@@ -167,9 +173,8 @@
 func (a *agent) leaseForStart(o order) (time.Duration, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	key := keyOfStart(o.start)
-	withdrawn := a.queuedStarts[key]
-	delete(a.queuedStarts, key)
+	withdrawn := a.queuedStarts[keyOfStart(o.start)]
+	a.unqueueStart(o.start)
 	switch {
 	case withdrawn:
 		return 0, errWithdrawn
@@ -183,6 +188,14 @@
 	return a.grantLease(), nil
 }
 
+// unqueueStart records that a start no longer waits to be sent. a.mu is held.
+func (a *agent) unqueueStart(s *place.StartOrder) {
+	if _, queued := a.queuedStarts[keyOfStart(s)]; queued {
+		delete(a.queuedStarts, keyOfStart(s))
+		a.owner.startsWaiting.Add(-1)
+	}
+}
+
 // withdrawStart keeps a start from being sent, if it is still queued.
 func (a *agent) withdrawStart(s place.StopOrder) {
 	a.mu.Lock()
@@ -442,6 +455,7 @@
 			a.queuedStarts = map[startKey]bool{}
 		}
 		a.queuedStarts[keyOfStart(o.start)] = false
+		a.owner.startsWaiting.Add(1)
 	}
 	return nil
 }
@@ -455,7 +469,7 @@
 		case o := <-a.starts:
 			s := *o.start
 			a.mu.Lock()
-			delete(a.queuedStarts, keyOfStart(&s))
+			a.unqueueStart(&s)
 			a.mu.Unlock()
 			a.owner.post(func() { a.owner.startAnswered(a, s, errUnresponsive) })
 		default:
@@ -498,6 +512,7 @@
 			return
 		}
 		sentAt := time.Now()
+		a.owner.startsSent.Add(1)
 		_, err = a.worker.Start(callCtx, platform.StartRequest{
 			Task: s.Task, Attempt: s.Attempt, Spec: s.Spec, Until: until,
 			Token: a.owner.token, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
--- /dev/null
+++ b/internal/pool/overload_test.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// Guards against an owner that binds thousands of tasks to workers which it can't start in
+// time: the starts grow too old to be sent, are placed again, and all of its time goes into
+// that (large fleet, 925 workers, a turn of 4,000 tasks a second).
+func TestOwnerBindsNoMoreTasksThanItCanStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			workers  = 400
+			answer   = 100 * time.Millisecond // of a start: with 128 in flight, some 1,280 starts a second
+			duration = 5 * time.Second
+		)
+		o, end := idleOwner(t)
+		var sent atomic.Int64
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) {
+			sent.Add(1)
+			time.Sleep(answer)
+			return 0, nil
+		}
+		o.post(func() {
+			for i := range workers {
+				e := benchEntry(i)
+				a := newAgent(o.ctx, o, e, w)
+				a.answered, a.registered = true, true
+				o.agents[a.key], o.lifetimes[e.ID], o.entries[e.ID] = a, []*agent{a}, e
+				o.syncAgent(a)
+			}
+			o.started, o.inFlight = true, &commit{} // nothing is stored
+			for j := range 20 {
+				job := benchJob(j, 800, time.Now())
+				job.Submitted = time.Now()
+				o.board.Add(job, jobs.NewProgress(job), time.Now())
+			}
+		})
+		time.Sleep(time.Second) // until the workers have answered
+		began, refused := time.Now(), metricRefused.Get()
+		for time.Since(began) < duration {
+			o.post(func() {
+				o.startRate.update(o.startsSent.Load(), time.Now())
+				o.dispatch(time.Now())
+			})
+			time.Sleep(tickPeriod)
+		}
+		done := make(chan int)
+		o.post(func() {
+			n := 0
+			for key := range o.agents {
+				n += len(o.board.Attempts(key))
+			}
+			done <- n
+		})
+		if bound, most := <-done, int(sent.Load())+minStartQueue; bound > most {
+			t.Errorf("%d tasks are bound to workers and %d starts were sent, want at most %d bound", bound, sent.Load(), most)
+		}
+		if n := metricRefused.Get() - refused; n > 0 {
+			t.Errorf("%d starts were given back, though no worker refused any", n)
+		}
+		end()
+	})
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -125,6 +125,8 @@
 	calls            chan func() // of callers, which come before posts
 	ended            chan struct{}
 	startSlots       chan struct{} // one item for each start of a batch task in flight
+	startsWaiting    atomic.Int64  // starts of batch tasks that wait to be sent
+	startsSent       atomic.Int64  // starts sent so far
 	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 
 	// The fields below are used only in the loop.
@@ -163,6 +165,7 @@
 	claimedAt           time.Time
 	summarizedAt        time.Time
 	loop                loopStats
+	startRate           startRate
 	flushing            bool
 	closed              bool
 	deposed             bool
@@ -334,6 +337,7 @@
 // changes.
 func (o *Owner) dispatch(now time.Time) {
 	if o.started && !o.flushing && !now.Before(o.decideAfter) {
+		o.board.SetStartLimit(max(0, o.startRate.queueLimit()-int(o.startsWaiting.Load())))
 		orders := o.board.Decide(now)
 		took := time.Since(now)
 		o.loop.recordDecision(took)
@@ -398,6 +402,7 @@
 // tick does what depends on time alone.
 func (o *Owner) tick(now time.Time) {
 	o.loop.recordTick(now)
+	o.startRate.update(o.startsSent.Load(), now)
 	o.offerHandover(now)
 	if now.Sub(o.summarizedAt) > summaryPeriod {
 		o.summarizedAt = now
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -108,6 +108,7 @@
 	Task     string            `json:"task,omitempty"`
 	Attempt  int               `json:"attempt,omitempty"`
 	Flag     bool              `json:"flag,omitempty"`
+	Limit    int               `json:"limit,omitempty"`
 	Running  []runningWire     `json:"running,omitempty"`
 	Ended    []endedWire       `json:"ended,omitempty"`
 	Asked    time.Time         `json:"asked,omitzero"`
@@ -185,7 +186,7 @@
 func encodeBoardStep(s place.Step) (string, error) {
 	w := boardStepWire{
 		Kind: string(s.Kind), At: stripMonotonic(s.At), Progress: s.Progress, ID: string(s.ID), State: string(s.State), Key: s.Key,
-		Attempt: s.Attempt, Flag: s.Flag, Asked: stripMonotonic(s.Asked), Until: stripMonotonic(s.Until), Kept: s.Kept, Tickets: s.Tickets, Queues: s.Queues,
+		Attempt: s.Attempt, Flag: s.Flag, Limit: s.Limit, Asked: stripMonotonic(s.Asked), Until: stripMonotonic(s.Until), Kept: s.Kept, Tickets: s.Tickets, Queues: s.Queues,
 	}
 	if s.Task != (jobs.Task{}) {
 		w.Task = formatTask(s.Task)
@@ -264,7 +265,7 @@
 	var r taskParser
 	s := place.Step{
 		Kind: place.StepKind(w.Kind), At: w.At, Progress: w.Progress, ID: jobs.ID(w.ID), State: jobs.State(w.State), Key: w.Key,
-		Task: r.parse(w.Task), Attempt: w.Attempt, Flag: w.Flag, Asked: w.Asked, Until: w.Until, Kept: w.Kept, Tickets: w.Tickets, Queues: w.Queues,
+		Task: r.parse(w.Task), Attempt: w.Attempt, Flag: w.Flag, Limit: w.Limit, Asked: w.Asked, Until: w.Until, Kept: w.Kept, Tickets: w.Tickets, Queues: w.Queues,
 	}
 	if s.Kind == place.StepAdd {
 		var err error
--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -227,6 +227,9 @@
 		policy.Margin*float64(v.load.Density),
 		policy.RateShare*float64(v.load.Rate),
 	)
+	if v.load.StartLimited { // its owner can't use more hosts than it does, which other pools may need
+		need = min(need, float64(v.load.Used))
+	}
 	hosts := int(need/(policy.Fill*float64(v.hostMillicores))) + 1
 	working, draining := 0, 0
 	for _, w := range v.load.Workers {
--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -387,3 +387,22 @@
 		}
 	}
 }
+
+// Guards against a pool that takes the hosts of others for tasks which its owner can't start in
+// time: the more wait, the more hosts it gets, and the less is left for pools that could use them.
+func TestPoolThatWaitsForItsOwnerGetsNoMoreHosts(t *testing.T) {
+	policy := testPolicy()
+	hosts := append(hostsOf("a", 10), hostsOf("spare", 50)...)
+	load := loadOf("a", 10, 10, 0)
+	load.Wanted, load.Density = 30*hostSize, 30*hostSize
+	loads := map[string]place.Load{"a": load, "b": {}}
+	stays := func(string) bool { return false }
+	if got := count(planMoves(policy, true, testPools, hosts, loads, stays), "a"); got < 20 {
+		t.Errorf("%d hosts for a pool whose tasks wait for workers, want 20 or more", got)
+	}
+	load.StartLimited = true
+	loads["a"] = load
+	if got := count(planMoves(policy, true, testPools, hosts, loads, stays), "a"); got > 2 {
+		t.Errorf("%d hosts for a pool whose tasks wait for its owner, want 2 at most", got)
+	}
+}
