A pool with a long-running task without a worker gets a host before another one gets all

Cause: pools that lack hosts were served in the order of how many they lack, so that one in its turn got all that there were. The first host of each pool in which a long-running task has no worker now comes before them; nothing else of the order changes.

TestPoolWithALongRunningTaskWithoutAWorkerGetsAHostFirst failed before: 5 hosts move, 0 of them to the pool with the long-running task, want 5 and 1.

--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -125,10 +125,10 @@
 	}
 	var out []Move
 	short := shortPools(names, views)
-	for _, name := range short {
+	give := func(name string, limit int) {
 		v := views[name]
 		hosts := hostFinder{v, standby, views, names, kinds[name]}
-		for v.hostCount < v.targetHosts {
+		for n := 0; n < limit && v.hostCount < v.targetHosts; n++ {
 			h, from := hosts.find(v.neededHosts - v.hostCount)
 			if from == nil {
 				break
@@ -138,6 +138,14 @@
 			out = append(out, Move{Host: h, Pool: name})
 		}
 	}
+	for _, name := range short {
+		if views[name].load.Lasting > 0 {
+			give(name, 1) // before another pool takes all hosts for its batch tasks
+		}
+	}
+	for _, name := range short {
+		give(name, len(hosts))
+	}
 	if !allowStandby || len(short) > 0 {
 		return out // another pool may need the idle hosts soon
 	}
--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -406,3 +406,18 @@
 		t.Errorf("%d hosts for a pool whose tasks wait for its owner, want 2 at most", got)
 	}
 }
+
+// Guards against a long-running task that stays down because a pool that lacks many hosts for
+// its batch tasks gets all that there are.
+func TestPoolWithALongRunningTaskWithoutAWorkerGetsAHostFirst(t *testing.T) {
+	hosts := append(append(hostsOf("a", 10), hostsOf("b", 3)...), hostsOf("spare", 5)...)
+	busy := loadOf("a", 10, 10, 0)
+	busy.Wanted = 30 * hostSize
+	waiting := loadOf("b", 3, 3, 0)
+	waiting.Steady, waiting.Lasting, waiting.Wanted = waiting.Used, 1, hostSize/10
+	loads := map[string]place.Load{"a": busy, "b": waiting}
+	moves := planMoves(testPolicy(), true, testPools, hosts, loads, func(string) bool { return false })
+	if len(moves) != 5 || count(moves, "b") != 1 {
+		t.Errorf("%d hosts move, %d of them to the pool with the long-running task, want 5 and 1", len(moves), count(moves, "b"))
+	}
+}
