place: the largest worker is known without a look at all workers

A decision with waiting steps looked at every worker to find the largest one, whose share decides whether a step may reserve a worker. Sizes are counted as workers change.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -320,6 +320,7 @@
 	if known == nil {
 		known = &worker{attempts: map[jobs.Task]*Attempt{}}
 		b.workers[w.Key] = known
+		b.pending.countWorker(known, 1)
 	}
 	b.changeWorker(known, func() { known.Worker = w })
 }
@@ -327,9 +328,9 @@
 // changeWorker changes what is known of a worker.
 func (b *Board) changeWorker(w *worker, change func()) {
 	b.pending.roomOf(w).remove(w)
-	b.pending.countLabels(w, -1)
+	b.pending.countWorker(w, -1)
 	change()
-	b.pending.countLabels(w, 1)
+	b.pending.countWorker(w, 1)
 	if w.acceptsTasks() {
 		b.pending.roomOf(w).insert(w)
 	}
--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -129,3 +130,106 @@
 		})
 	}
 }
+
+// turnCopied is the share of jobs with copies allowed in a pool of the large deployment.
+const turnCopied = 0.3
+
+// turn is a pool that gets a lot of work while a part of its workers is to be vacated.
+type turn struct {
+	*testBoard
+	rng     *rand.Rand
+	jobs    int
+	running []place.StartOrder
+}
+
+// newTurn returns a turn at a number of workers, of which vacated are to be vacated. Three in
+// eight of these run a long-running task that must not be stopped yet. Attempts of batch
+// tasks, of which copies are allowed in a share of the jobs, have run for 1.5 times their
+// estimate.
+func newTurn(workers, vacated, waiting int, copied float64) *turn {
+	s := &turn{testBoard: newTestBoard(0, workers), rng: rand.New(rand.NewPCG(1, 1))}
+	lasting := vacated * 3 / 8
+	const lastingTasks = 25 // of a job
+	for range (lasting + lastingTasks - 1) / lastingTasks {
+		step := batch(lastingTasks, 900)
+		step.LongRunning, step.MaxUnavailable, step.MaxPerWorker = true, 1, 1
+		s.addSteps(step)
+	}
+	moving := s.decide()
+	for range (4*workers - len(moving)) / 4 { // workers have room for four of these tasks
+		step := batch(4, 900)
+		step.Speculative = s.rng.Float64() < copied
+		s.addSteps(step)
+	}
+	s.running = s.decide()
+	for i, x := range moving {
+		// One task of each job is not available, so that no other one may be stopped.
+		s.Listed(x.Worker, []place.Running{{Task: x.Task, Attempt: x.Attempt, Percent: min(100, 50+50*(i%lastingTasks))}}, nil, s.now, s.now)
+		if i < lasting {
+			s.SetVacate(x.Worker, true)
+			vacated--
+		}
+	}
+	for i := workers - 1; vacated > 0; i-- {
+		s.SetVacate(key(i), true)
+		vacated--
+	}
+	for range waiting {
+		s.addSteps(batch(2, 3500))
+	}
+	s.now = s.now.Add(1500 * time.Millisecond)
+	s.decide()
+	return s
+}
+
+func (s *turn) addSteps(steps ...jobs.Step) {
+	s.jobs++
+	j := newJob(0, steps...)
+	j.ID = jobs.ID(fmt.Sprintf("%016x", s.jobs))
+	s.add(j)
+}
+
+// listed gives the board the unchanged list of a worker.
+func (s *turn) listed(i int) {
+	key := s.running[i%len(s.running)].Worker
+	s.Listed(key, s.testBoard.running(key, jobs.Task{}), nil, s.now, s.now)
+}
+
+// Guards against an owner that runs out of processor time in a turn because each decision
+// looks at all attempts and workers.
+func TestDecisionCostInTurn(t *testing.T) {
+	const workers, waiting = 112, 20
+	for _, tt := range []struct {
+		name    string
+		vacated int // of nine workers
+		copied  float64
+	}{
+		{"all workers in use", 0, 0},
+	} {
+		looks := func(workers int) uint64 {
+			s := newTurn(workers, workers*tt.vacated/9, waiting, tt.copied)
+			s.listed(0)
+			before := s.Examined()
+			s.Decide(s.now)
+			return s.Examined() - before
+		}
+		if small, large := looks(workers), looks(8*workers); large > 2*small {
+			t.Errorf("%s: a decision after one list looked at %d with %d workers, at %d with %d", tt.name, large, 8*workers, small, workers)
+		}
+	}
+}
+
+func BenchmarkDecideInTurn(b *testing.B) {
+	for _, workers := range []int{112, 900} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			b.ReportAllocs()
+			s := newTurn(workers, workers*4/9, 300, turnCopied)
+			before := s.Examined()
+			for i := 0; b.Loop(); i++ {
+				s.listed(i)
+				s.Decide(s.now)
+			}
+			b.ReportMetric(float64(s.Examined()-before)/float64(b.N), "looks/op")
+		})
+	}
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -254,7 +254,7 @@
 	if len(candidates) == 0 {
 		return
 	}
-	largest := b.largestWorkerMillicores()
+	largest := b.pending.largestWorkerMillicores()
 	reservations := 1
 	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
@@ -277,16 +277,6 @@
 	}
 }
 
-// largestWorkerMillicores returns the millicores of the largest worker.
-func (b *Board) largestWorkerMillicores() int {
-	most := 0
-	for _, w := range b.workers {
-		b.examined++
-		most = max(most, w.Size.Millicores)
-	}
-	return most
-}
-
 // reserveWorker reserves the worker with the most free millicores for a step that
 // does not fit anywhere yet.
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -32,6 +33,13 @@
 			return fmt.Errorf("%s is missing from a set: %+v, %d failures", key, w.Worker, w.health.failures)
 		}
 	}
+	sizes := map[int]int{}
+	for _, w := range b.workers {
+		sizes[w.Size.Millicores]++
+	}
+	if !maps.Equal(sizes, p.sizes) {
+		return fmt.Errorf("workers by their millicores are %v, counted %v", sizes, p.sizes)
+	}
 	if !slices.IsSortedFunc(p.room.workers, compareRoom) {
 		return fmt.Errorf("the index of room is out of order")
 	}
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -19,6 +19,7 @@
 	room        roomIndex             // workers that accept tasks and are not reserved
 	reserved    roomIndex             // those that are
 	labels      map[string]int        // how many workers have a label
+	sizes       map[int]int           // how many workers have a number of millicores
 }
 
 func newPendingWork() pendingWork {
@@ -26,7 +27,7 @@
 		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
 		stops: map[string]*worker{}, listed: map[string]*worker{}, leaving: map[string]*worker{}, silent: map[string]*worker{},
 		paced: map[string]*worker{}, failing: map[string]*worker{}, copyable: map[*Attempt]struct{}{},
-		labels: map[string]int{},
+		labels: map[string]int{}, sizes: map[int]int{},
 	}
 }
 
@@ -76,16 +77,28 @@
 	}
 }
 
-// countLabels adds n to the counts of a worker's labels.
-func (p *pendingWork) countLabels(w *worker, n int) {
+// countWorker adds n to the counts of a worker's labels and size.
+func (p *pendingWork) countWorker(w *worker, n int) {
 	for _, label := range w.Labels {
 		p.labels[label] += n
 	}
+	if p.sizes[w.Size.Millicores] += n; p.sizes[w.Size.Millicores] == 0 {
+		delete(p.sizes, w.Size.Millicores)
+	}
+}
+
+// largestWorkerMillicores returns the millicores of the largest worker.
+func (p *pendingWork) largestWorkerMillicores() int {
+	most := 0
+	for size := range p.sizes {
+		most = max(most, size)
+	}
+	return most
 }
 
 func (p *pendingWork) removeWorker(w *worker) {
 	p.roomOf(w).remove(w)
-	p.countLabels(w, -1)
+	p.countWorker(w, -1)
 	for _, workers := range []map[string]*worker{p.stops, p.listed, p.leaving, p.silent, p.paced, p.failing} {
 		delete(workers, w.Key)
 	}
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -62,7 +62,7 @@
 		if w.Draining || w.Vacate {
 			p.leaving[key] = w
 		}
-		p.countLabels(w, 1)
+		p.countWorker(w, 1)
 		if w.acceptsTasks() {
 			p.roomOf(w).insert(w)
 		}
