place: copies are weighed when they may be due, not at each decision

Each decision looked at all attempts of which copies are allowed, 8% of an owner's processor time in the turn of a pool with 4,000 attempts. An attempt can need a copy for three reasons, and each has an index now: its start got no answer (a set), its worker is silent (the attempts at silent workers), or it runs three times longer than expected. For the last one the attempts of a queue are in a heap by when they would be that late with 0.75 of the queue's correction factor; from then on they are looked at as before. A change of the factor moves all these times in proportion, so the heap holds every straggler as long as the factor stays at or above the 0.75, and is built anew once it leaves 0.75 to 1.33 of what it was.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -442,7 +442,7 @@
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
 		b.pending.paceable(w)
 	}
-	delete(b.pending.copyable, a)
+	b.pending.noLongerCopyable(a)
 }
 
 // removeAttempt removes an attempt. If it was the last one of an unfinished task,
--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -432,6 +432,14 @@
 			f.now = f.now.Add(3500 * time.Millisecond) // its estimate is a second
 			f.Listed(s.Worker, []place.Running{{Task: s.Task, Attempt: s.Attempt, Percent: 30}}, nil, f.now.Add(-time.Millisecond), f.now)
 		}, 1},
+		{"straggler in a queue whose tasks turn out to be short", true, func(f *testBoard, s place.StartOrder) {
+			f.add(newJob(2, batch(60, 10)))
+			for _, short := range f.decide() {
+				f.endAttempt(short, jobs.Done)
+				f.decide()
+			}
+			f.now = start.Add(2 * time.Second) // more than three times what the tasks of the queue take
+		}, 1},
 		{"silent worker, no copies allowed", false, func(f *testBoard, s place.StartOrder) {
 			f.SetSilent(s.Worker, true)
 			f.decide()
--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -205,6 +205,7 @@
 		copied  float64
 	}{
 		{"all workers in use", 0, 0},
+		{"copies allowed", 0, turnCopied},
 	} {
 		looks := func(workers int) uint64 {
 			s := newTurn(workers, workers*tt.vacated/9, waiting, tt.copied)
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -22,6 +22,9 @@
 			if a.stopRequested && p.stops[key] != w {
 				return fmt.Errorf("%s on %s: its stop is not pending", a.Task, key)
 			}
+			if err := b.checkCopyable(a); err != nil {
+				return err
+			}
 		}
 		if lasting != w.lasting || filling != w.filling {
 			return fmt.Errorf("%s counts %d lasting and %d filling tasks, has %d and %d", key, w.lasting, w.filling, lasting, filling)
@@ -33,6 +36,20 @@
 			return fmt.Errorf("%s is missing from a set: %+v, %d failures", key, w.Worker, w.health.failures)
 		}
 	}
+	indexed, slow := 0, 0
+	for _, w := range b.workers {
+		for _, a := range w.attempts {
+			if a.slow != nil {
+				indexed++
+			}
+		}
+	}
+	for _, q := range p.slow {
+		slow += len(q.waiting) + len(q.overdue)
+	}
+	if indexed != slow {
+		return fmt.Errorf("%d attempts in the indexes of slow ones, want %d", slow, indexed)
+	}
 	sizes := map[int]int{}
 	for _, w := range b.workers {
 		sizes[w.Size.Millicores]++
@@ -61,3 +78,24 @@
 	}
 	return nil
 }
+
+// checkCopyable returns an error if no index would show that a copy of an attempt is due.
+func (b *Board) checkCopyable(a *Attempt) error {
+	_, unanswered := b.pending.unanswered[a]
+	queue := b.jobs[a.Task.Job].job.Queue
+	confirmed := a.copyable && !a.ConfirmedAt.IsZero() && a.step.Estimate > 0
+	switch {
+	case a.copyable && a.Phase == Unconfirmed && !unanswered:
+		return fmt.Errorf("%s on %s is missing from the unanswered starts", a.Task, a.Worker)
+	case confirmed && (a.slow == nil || a.slow != b.pending.slow[queue]):
+		return fmt.Errorf("%s on %s is missing from the index of its queue", a.Task, a.Worker)
+	case !confirmed && a.slow != nil:
+		return fmt.Errorf("%s on %s, of which no copy may be started, is in an index", a.Task, a.Worker)
+	case a.slow == nil:
+		return nil
+	}
+	if _, overdue := a.slow.overdue[a]; !overdue && (a.heapIndex >= len(a.slow.waiting) || a.slow.waiting[a.heapIndex] != a) {
+		return fmt.Errorf("%s on %s is not where the index of its queue has it", a.Task, a.Worker)
+	}
+	return nil
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -30,11 +30,20 @@
 	if a == nil || a.Phase != Starting {
 		return
 	}
-	a.Phase, a.ConfirmedAt, a.PercentChangedAt = Live, now, now
+	a.Phase, a.PercentChangedAt = Live, now
+	b.confirm(a, now)
 	b.pending.paceable(a.worker)
 	b.markBegun(t)
 }
 
+// confirm records that a worker has confirmed an attempt for the first time.
+func (b *Board) confirm(a *Attempt, now time.Time) {
+	a.ConfirmedAt = now
+	if e := b.jobs[a.Task.Job]; e != nil {
+		b.pending.confirmed(a, e.job.Queue, b.estimates.factor(e.job.Queue))
+	}
+}
+
 func (b *Board) markBegun(t jobs.Task) {
 	if e := b.jobs[t.Job]; e != nil && !e.progress.Begun {
 		e.progress.Begun = true
@@ -70,6 +79,9 @@
 		return false
 	}
 	a.Phase, a.reschedule = Unconfirmed, true
+	if a.copyable {
+		b.pending.unanswered[a] = struct{}{}
+	}
 	if a.awaitsListing = a.step.LongRunning; !a.awaitsListing {
 		b.requestStop(a)
 	}
@@ -185,7 +197,7 @@
 		b.markBegun(r.Task)
 	}
 	if a.ConfirmedAt.IsZero() {
-		a.ConfirmedAt = now
+		b.confirm(a, now)
 	}
 	if r.Percent != a.Percent {
 		a.Percent, a.PercentChangedAt = r.Percent, now
@@ -225,8 +237,9 @@
 	if len(e.attempts[r.Task]) > 0 && !step.Speculative {
 		return nil
 	}
-	a := &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, OrderedAt: now, ConfirmedAt: now, PercentChangedAt: now}
+	a := &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, OrderedAt: now, PercentChangedAt: now}
 	b.addAttempt(e, w, a)
+	b.confirm(a, now)
 	e.dequeue(r.Task)
 	b.markBegun(r.Task)
 	return a
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -15,7 +15,8 @@
 	silent      map[string]*worker    // workers that do not answer, or did not until now
 	paced       map[string]*worker    // workers with best-effort tasks whose pace may change
 	failing     map[string]*worker    // workers with failures
-	copyable    map[*Attempt]struct{} // attempts of which a copy may be started
+	unanswered  map[*Attempt]struct{} // copyable attempts whose start got no answer
+	slow        map[string]*slowIndex // copyable attempts that are confirmed, by queue
 	room        roomIndex             // workers that accept tasks and are not reserved
 	reserved    roomIndex             // those that are
 	labels      map[string]int        // how many workers have a label
@@ -26,7 +27,7 @@
 	return pendingWork{
 		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
 		stops: map[string]*worker{}, listed: map[string]*worker{}, leaving: map[string]*worker{}, silent: map[string]*worker{},
-		paced: map[string]*worker{}, failing: map[string]*worker{}, copyable: map[*Attempt]struct{}{},
+		paced: map[string]*worker{}, failing: map[string]*worker{}, unanswered: map[*Attempt]struct{}{}, slow: map[string]*slowIndex{},
 		labels: map[string]int{}, sizes: map[int]int{},
 	}
 }
@@ -55,11 +56,33 @@
 
 func (p *pendingWork) attemptAdded(a *Attempt) {
 	if a.step.Speculative && !a.step.LongRunning && !a.step.Gang {
-		p.copyable[a] = struct{}{}
+		a.copyable = true
 	}
 	p.paceable(a.worker)
 }
 
+// confirmed records that an attempt got its ConfirmedAt.
+func (p *pendingWork) confirmed(a *Attempt, queue string, factor float64) {
+	if !a.copyable || a.step.Estimate <= 0 {
+		return
+	}
+	q := p.slow[queue]
+	if q == nil {
+		q = newSlowIndex(factor)
+		p.slow[queue] = q
+	}
+	q.add(a)
+}
+
+// noLongerCopyable records that no copy of an attempt may be started any more.
+func (p *pendingWork) noLongerCopyable(a *Attempt) {
+	a.copyable = false
+	delete(p.unanswered, a)
+	if a.slow != nil {
+		a.slow.remove(a)
+	}
+}
+
 // roomOf returns the index that holds a worker while it accepts tasks.
 func (p *pendingWork) roomOf(w *worker) *roomIndex {
 	if w.reserved {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -92,6 +92,11 @@
 	reschedule    bool // its task may be queued again without a backoff
 	stalled       bool // stopped because its percentage did not change
 	awaitsListing bool // its start was not answered; the next listing shows whether it runs
+
+	copyable  bool       // a copy of its task may be started
+	slow      *slowIndex // that holds it, nil if none does
+	overdueAt time.Time  // by which slow sorts it
+	heapIndex int        // its place in slow
 }
 
 // Worker is one lifetime of a host that runs tasks.
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"reflect"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -26,7 +25,7 @@
 	if s.Kind == StepDecide {
 		r.scan()
 	}
-	before := maps.Clone(r.board.pending.copyable)
+	before := r.copyable()
 	orders, unexpected, err := r.board.Replay(s)
 	if err != nil {
 		return err
@@ -67,18 +66,43 @@
 			p.roomOf(w).insert(w)
 		}
 		for _, a := range w.attempts {
-			if a.step.Speculative && !a.step.LongRunning && !a.step.Gang && !r.copied[a] {
-				p.copyable[a] = struct{}{}
+			a.copyable, a.slow = a.step.Speculative && !a.step.LongRunning && !a.step.Gang && !r.copied[a], nil
+			if !a.copyable {
+				continue
+			}
+			if a.Phase == Unconfirmed {
+				p.unanswered[a] = struct{}{}
+			}
+			if !a.ConfirmedAt.IsZero() {
+				queue := b.jobs[a.Task.Job].job.Queue
+				if p.slow[queue] == nil {
+					p.slow[queue] = newSlowIndex(b.estimates.factor(queue))
+				}
+				a.slow = p.slow[queue]
+				a.slow.overdue[a] = struct{}{}
 			}
 		}
 	}
 	b.pending = p
 }
 
-// markCopied records the attempts that a decision took from the copyable ones.
-func (r *Reference) markCopied(before map[*Attempt]struct{}) {
-	for a := range before {
-		if _, left := r.board.pending.copyable[a]; !left {
+// copyable returns the attempts of which a copy may be started.
+func (r *Reference) copyable() []*Attempt {
+	var attempts []*Attempt
+	for _, w := range r.board.workers {
+		for _, a := range w.attempts {
+			if a.copyable {
+				attempts = append(attempts, a)
+			}
+		}
+	}
+	return attempts
+}
+
+// markCopied records the attempts that were copyable before a decision and are not any more.
+func (r *Reference) markCopied(before []*Attempt) {
+	for _, a := range before {
+		if !a.copyable {
 			r.copied[a] = true
 		}
 	}
--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -19,37 +19,70 @@
 
 // speculate queues a second copy of each task that needs one.
 func (b *Board) speculate(now time.Time) {
-	for key, w := range b.pending.silent {
+	b.trackSilence(now)
+	var toCopy []*Attempt
+	weigh := func(a *Attempt) {
 		b.examined++
-		if !w.Silent {
-			w.silentSince = time.Time{}
-			delete(b.pending.silent, key)
-		} else if w.silentSince.IsZero() {
-			w.silentSince = now
+		if b.needsCopy(a, now) {
+			toCopy = append(toCopy, a)
 		}
 	}
-	var toCopy []*Attempt
-	for a := range b.pending.copyable {
-		b.examined++
-		lost := a.worker.Silent && now.Sub(a.worker.silentSince) >= silentGrace
-		if !lost && a.Phase != Unconfirmed && !a.mayStraggle(now) {
+	for a := range b.pending.unanswered {
+		if a.Phase != Unconfirmed {
+			delete(b.pending.unanswered, a)
 			continue
 		}
-		e := b.jobs[a.Task.Job]
-		if e == nil || e.progress.Final != "" || e.progress.Done(a.Task) || len(e.attempts[a.Task]) >= maxParallelAttempts {
-			continue
+		weigh(a)
+	}
+	for _, w := range b.pending.silent {
+		for _, a := range w.attempts {
+			weigh(a)
 		}
-		if lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now) {
-			toCopy = append(toCopy, a)
+	}
+	for queue, q := range b.pending.slow {
+		b.examined += uint64(q.refresh(b.estimates.factor(queue), now))
+		for a := range q.overdue {
+			weigh(a)
 		}
 	}
 	slices.SortFunc(toCopy, func(x, y *Attempt) int {
 		return cmp.Or(strings.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.Number, y.Number))
 	})
 	for _, a := range toCopy {
-		delete(b.pending.copyable, a)
-		b.enqueue(b.jobs[a.Task.Job], a.Task)
+		if a.copyable {
+			b.pending.noLongerCopyable(a)
+			b.enqueue(b.jobs[a.Task.Job], a.Task)
+		}
+	}
+}
+
+// trackSilence records since when workers have not answered.
+func (b *Board) trackSilence(now time.Time) {
+	for key, w := range b.pending.silent {
+		b.examined++
+		if !w.Silent {
+			w.silentSince = time.Time{}
+			delete(b.pending.silent, key)
+		} else if w.silentSince.IsZero() {
+			w.silentSince = now
+		}
+	}
+}
+
+// needsCopy reports whether a copy of an attempt's task is due.
+func (b *Board) needsCopy(a *Attempt, now time.Time) bool {
+	if !a.copyable {
+		return false
+	}
+	lost := a.worker.Silent && now.Sub(a.worker.silentSince) >= silentGrace
+	if !lost && a.Phase != Unconfirmed && !a.mayStraggle(now) {
+		return false
+	}
+	e := b.jobs[a.Task.Job]
+	if e == nil || e.progress.Final != "" || e.progress.Done(a.Task) || len(e.attempts[a.Task]) >= maxParallelAttempts {
+		return false
 	}
+	return lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now)
 }
 
 // mayStraggle reports whether an attempt can be a straggler, however short its queue's run
