place: long-running tasks to be moved are looked at when their step allows it

A step now keeps the set of its unavailable tasks and of its attempts at leaving workers; both follow each change of an attempt or its worker (lastingChanged). A decision looks at the steps that had such a change, and at those that allow a stop but found no room elsewhere, for one attempt of each. The order of stops is the same, by worker and task.

CheckPending compares the sets, and which attempts may move, with a scan of the step; TestOrdersAreThoseOfAScan has long-running tasks in gangs and with copies too. The set of leaving workers is gone, as nothing reads it any more.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -31,7 +31,8 @@
 	enqueuedSteps map[stepKey]bool        // steps whose tasks were added to waiting
 	backoffs      map[jobs.Task]backoff   // of long-running tasks that ended
 	advice        map[stepKey]*advice
-	firstFailedOn string // key of the worker where a task failed first
+	lasting       map[stepKey]*lastingStep // long-running steps that have or had attempts
+	firstFailedOn string                   // key of the worker where a task failed first
 }
 
 // backoff delays the restart of a long-running task.
@@ -96,7 +97,7 @@
 		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
 		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{},
 		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
-		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*advice{},
+		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*advice{}, lasting: map[stepKey]*lastingStep{},
 	}
 	b.jobs[j.ID] = e
 	if p.Final != "" {
@@ -227,6 +228,7 @@
 // requestStop marks an attempt to be stopped by the next decision.
 func (b *Board) requestStop(a *Attempt) {
 	a.stopRequested = true
+	b.lastingChanged(a)
 	b.pending.stops[a.Worker] = a.worker
 }
 
@@ -329,12 +331,18 @@
 func (b *Board) changeWorker(w *worker, change func()) {
 	b.pending.roomOf(w).remove(w)
 	b.pending.countWorker(w, -1)
+	silent, leaving := w.Silent, w.isLeaving()
 	change()
 	b.pending.countWorker(w, 1)
 	if w.acceptsTasks() {
 		b.pending.roomOf(w).insert(w)
 	}
 	b.pending.workerChanged(w)
+	if w.lasting > 0 && (w.Silent != silent || w.isLeaving() != leaving) {
+		for _, a := range w.attempts {
+			b.lastingChanged(a)
+		}
+	}
 }
 
 // setUsed changes the resources that the attempts at a worker claim.
@@ -431,6 +439,7 @@
 	b.pending.attemptAdded(a)
 	e.attempts[a.Task] = append(e.attempts[a.Task], a)
 	e.lastAttempt[a.Task] = max(e.lastAttempt[a.Task], a.Number)
+	b.lastingChanged(a)
 }
 
 // detach removes an attempt from its worker and releases its resources.
@@ -456,9 +465,11 @@
 	rest := slices.DeleteFunc(e.attempts[a.Task], func(o *Attempt) bool { return o == a })
 	if len(rest) > 0 {
 		e.attempts[a.Task] = rest
+		b.lastingChanged(a)
 		return
 	}
 	delete(e.attempts, a.Task)
+	b.lastingChanged(a)
 	b.requeue(e, a, now)
 }
 
--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -143,27 +143,26 @@
 }
 
 // newTurn returns a turn at a number of workers, of which vacated are to be vacated. Three in
-// eight of these run a long-running task that must not be stopped yet. Attempts of batch
-// tasks, of which copies are allowed in a share of the jobs, have run for 1.5 times their
-// estimate.
-func newTurn(workers, vacated, waiting int, copied float64) *turn {
+// eight of these run a long-running task, and one task of each job with such tasks is not
+// available. Attempts of batch tasks, of which copies are allowed in a share of the jobs,
+// have run for 1.5 times their estimate. No worker has room for another task.
+func newTurn(workers, vacated, maxUnavailable, waiting int, copied float64) *turn {
 	s := &turn{testBoard: newTestBoard(0, workers), rng: rand.New(rand.NewPCG(1, 1))}
 	lasting := vacated * 3 / 8
 	const lastingTasks = 25 // of a job
 	for range (lasting + lastingTasks - 1) / lastingTasks {
 		step := batch(lastingTasks, 900)
-		step.LongRunning, step.MaxUnavailable, step.MaxPerWorker = true, 1, 1
+		step.LongRunning, step.MaxUnavailable, step.MaxPerWorker = true, maxUnavailable, 1
 		s.addSteps(step)
 	}
 	moving := s.decide()
-	for range (4*workers - len(moving)) / 4 { // workers have room for four of these tasks
-		step := batch(4, 900)
+	for room := 4*workers - len(moving); room > 0; room -= 4 { // workers have room for four tasks
+		step := batch(min(4, room), 900)
 		step.Speculative = s.rng.Float64() < copied
 		s.addSteps(step)
 	}
 	s.running = s.decide()
 	for i, x := range moving {
-		// One task of each job is not available, so that no other one may be stopped.
 		s.Listed(x.Worker, []place.Running{{Task: x.Task, Attempt: x.Attempt, Percent: min(100, 50+50*(i%lastingTasks))}}, nil, s.now, s.now)
 		if i < lasting {
 			s.SetVacate(x.Worker, true)
@@ -200,15 +199,18 @@
 func TestDecisionCostInTurn(t *testing.T) {
 	const workers, waiting = 112, 20
 	for _, tt := range []struct {
-		name    string
-		vacated int // of nine workers
-		copied  float64
+		name           string
+		vacated        int // of nine workers
+		maxUnavailable int
+		copied         float64
 	}{
-		{"all workers in use", 0, 0},
-		{"copies allowed", 0, turnCopied},
+		{"all workers in use", 0, 1, 0},
+		{"copies allowed", 0, 1, turnCopied},
+		{"workers to be vacated", 4, 1, 0},
+		{"workers to be vacated, whose long-running tasks may be stopped once there is room", 4, 2, 0},
 	} {
 		looks := func(workers int) uint64 {
-			s := newTurn(workers, workers*tt.vacated/9, waiting, tt.copied)
+			s := newTurn(workers, workers*tt.vacated/9, tt.maxUnavailable, waiting, tt.copied)
 			s.listed(0)
 			before := s.Examined()
 			s.Decide(s.now)
@@ -224,7 +226,7 @@
 	for _, workers := range []int{112, 900} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			b.ReportAllocs()
-			s := newTurn(workers, workers*4/9, 300, turnCopied)
+			s := newTurn(workers, workers*4/9, 1, 300, turnCopied)
 			before := s.Examined()
 			for i := 0; b.Loop(); i++ {
 				s.listed(i)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -169,56 +170,33 @@
 // moveLongRunning stops and reschedules long-running tasks on workers that drain or
 // are to be vacated, as far as MaxUnavailable permits.
 func (b *Board) moveLongRunning(now time.Time) {
-	for _, key := range slices.Sorted(maps.Keys(b.pending.leaving)) {
-		w := b.pending.leaving[key]
+	var attempts []*Attempt
+	for l := range b.pending.moves {
 		b.examined++
-		if w.lasting == 0 {
+		if a := l.sample(); a != nil && !b.fitsElsewhere(a, now) {
 			continue
 		}
-		for _, a := range b.Attempts(key) {
-			if a.Phase != Live || a.stopRequested || !a.step.LongRunning {
-				continue
-			}
-			if b.mayStop(a, now) && b.fitsElsewhere(a, now) {
-				b.requestStop(a)
-				a.reschedule = true
-			}
+		movable := l.movable()
+		b.examined += uint64(len(movable))
+		if len(movable) == 0 {
+			delete(b.pending.moves, l)
 		}
+		attempts = append(attempts, movable...)
 	}
-}
-
-// mayStop reports whether MaxUnavailable permits stopping a long-running task now.
-// The task counts as available even if it is not known to be: its worker's last
-// listing may be out of date.
-func (b *Board) mayStop(a *Attempt, now time.Time) bool {
-	if a.step.MaxUnavailable == 0 {
-		return true
-	}
-	return b.countUnavailable(a.Task, now) < a.step.MaxUnavailable
-}
-
-// countUnavailable returns the number of other tasks of a long-running step that are
-// not available.
-func (b *Board) countUnavailable(t jobs.Task, now time.Time) int {
-	e := b.jobs[t.Job]
-	n := 0
-	for i := range e.job.Steps[t.Step].Count {
-		o := jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: i}
-		if o == t {
-			continue
-		}
-		available := false
-		for _, a := range e.attempts[o] {
-			w := b.workers[a.Worker]
-			available = available || a.Phase == Live && !a.stopRequested && !a.AvailableSince.IsZero() && w != nil && !w.Silent
-		}
-		if !available {
-			n++
+	slices.SortFunc(attempts, func(x, y *Attempt) int {
+		return cmp.Or(strings.Compare(x.Worker, y.Worker), strings.Compare(x.Task.String(), y.Task.String()))
+	})
+	for _, a := range attempts {
+		l := b.jobs[a.Task.Job].lastingStep(stepKey{a.Task.Occurrence, a.Task.Step})
+		if l.mayStop(a.Task) && b.fitsElsewhere(a, now) {
+			a.reschedule = true
+			b.requestStop(a)
 		}
 	}
-	return n
 }
 
+// fitsElsewhere reports whether another worker has room for a long-running task. The answer
+// is the same for all attempts of a step but for those beside other attempts of their task.
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
 	e := b.jobs[a.Task.Job]
 	claim := a.step.Claim()
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // CheckPending returns an error if the index of pending work lacks something that a scan
@@ -25,6 +27,9 @@
 			if err := b.checkCopyable(a); err != nil {
 				return err
 			}
+			if err := b.checkMovable(a); err != nil {
+				return err
+			}
 		}
 		if lasting != w.lasting || filling != w.filling {
 			return fmt.Errorf("%s counts %d lasting and %d filling tasks, has %d and %d", key, w.lasting, w.filling, lasting, filling)
@@ -32,7 +37,7 @@
 		if slices.Contains(p.roomOf(w).workers, w) != w.acceptsTasks() {
 			return fmt.Errorf("%s accepts tasks: %v, which the index of room contradicts", key, w.acceptsTasks())
 		}
-		if (w.Draining || w.Vacate) && p.leaving[key] != w || w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
+		if w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
 			return fmt.Errorf("%s is missing from a set: %+v, %d failures", key, w.Worker, w.health.failures)
 		}
 	}
@@ -99,3 +104,47 @@
 	}
 	return nil
 }
+
+// checkMovable returns an error if what is known of a long-running task's step, or whether the
+// task may move, is not what a scan of the step finds.
+func (b *Board) checkMovable(a *Attempt) error {
+	if !a.step.LongRunning {
+		return nil
+	}
+	e := b.jobs[a.Task.Job]
+	l := e.lasting[stepKey{a.Task.Occurrence, a.Task.Step}]
+	if l == nil {
+		return fmt.Errorf("%s on %s: its step is not known", a.Task, a.Worker)
+	}
+	want, leaving := map[jobs.Task]struct{}{}, map[*Attempt]struct{}{}
+	for i := range a.step.Count {
+		t := jobs.Task{Job: a.Task.Job, Occurrence: a.Task.Occurrence, Step: a.Task.Step, Index: i}
+		available := false
+		for _, o := range e.attempts[t] {
+			w := b.workers[o.Worker]
+			available = available || o.Phase == Live && !o.stopRequested && !o.AvailableSince.IsZero() && w != nil && !w.Silent
+			if w != nil && (w.Draining || w.Vacate) {
+				leaving[o] = struct{}{}
+			}
+		}
+		if !available {
+			want[t] = struct{}{}
+		}
+	}
+	if !maps.Equal(want, l.unavailable) || !maps.Equal(leaving, l.leaving) {
+		return fmt.Errorf("step of %s: %v are unavailable and %v leave, want %v and %v", a.Task, l.unavailable, l.leaving, want, leaving)
+	}
+	others := len(want)
+	if _, unavailable := want[a.Task]; unavailable {
+		others--
+	}
+	mayStop := a.step.MaxUnavailable == 0 || others < a.step.MaxUnavailable
+	movable := mayStop && a.Phase == Live && !a.stopRequested && (a.worker.Draining || a.worker.Vacate)
+	if l.mayStop(a.Task) != mayStop || slices.Contains(l.movable(), a) != movable {
+		return fmt.Errorf("%s on %s may be stopped: %v, and is to move: %v, which its step contradicts", a.Task, a.Worker, mayStop, movable)
+	}
+	if _, pending := b.pending.moves[l]; !pending && movable {
+		return fmt.Errorf("%s on %s is to move, but its step is not pending", a.Task, a.Worker)
+	}
+	return nil
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -32,6 +32,7 @@
 	}
 	a.Phase, a.PercentChangedAt = Live, now
 	b.confirm(a, now)
+	b.lastingChanged(a)
 	b.pending.paceable(a.worker)
 	b.markBegun(t)
 }
@@ -205,6 +206,7 @@
 	a.Load = r.Load
 	if a.step.LongRunning {
 		b.updateAvailability(a, now)
+		b.lastingChanged(a)
 	}
 	if r.Checkpoint != a.Checkpoint {
 		a.Checkpoint = r.Checkpoint
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -6,27 +6,27 @@
 // what changed and what waits, not the size of the pool. A set may hold more than needs a
 // look; a decision removes what does not.
 type pendingWork struct {
-	unfinished  map[jobs.ID]*jobEntry // jobs that are not final
-	changedJobs map[jobs.ID]*jobEntry // jobs whose steps may have become ready
-	steps       []candidate           // steps with an entry in jobEntry.waiting, in the order of the last decision
-	stops       map[string]*worker    // workers with attempts to stop
-	listed      map[string]*worker    // workers with a new listing, whose tasks may have stalled
-	leaving     map[string]*worker    // workers that drain or are to be vacated
-	silent      map[string]*worker    // workers that do not answer, or did not until now
-	paced       map[string]*worker    // workers with best-effort tasks whose pace may change
-	failing     map[string]*worker    // workers with failures
-	unanswered  map[*Attempt]struct{} // copyable attempts whose start got no answer
-	slow        map[string]*slowIndex // copyable attempts that are confirmed, by queue
-	room        roomIndex             // workers that accept tasks and are not reserved
-	reserved    roomIndex             // those that are
-	labels      map[string]int        // how many workers have a label
-	sizes       map[int]int           // how many workers have a number of millicores
+	unfinished  map[jobs.ID]*jobEntry     // jobs that are not final
+	changedJobs map[jobs.ID]*jobEntry     // jobs whose steps may have become ready
+	steps       []candidate               // steps with an entry in jobEntry.waiting, in the order of the last decision
+	stops       map[string]*worker        // workers with attempts to stop
+	listed      map[string]*worker        // workers with a new listing, whose tasks may have stalled
+	moves       map[*lastingStep]struct{} // steps with tasks that may have to move
+	silent      map[string]*worker        // workers that do not answer, or did not until now
+	paced       map[string]*worker        // workers with best-effort tasks whose pace may change
+	failing     map[string]*worker        // workers with failures
+	unanswered  map[*Attempt]struct{}     // copyable attempts whose start got no answer
+	slow        map[string]*slowIndex     // copyable attempts that are confirmed, by queue
+	room        roomIndex                 // workers that accept tasks and are not reserved
+	reserved    roomIndex                 // those that are
+	labels      map[string]int            // how many workers have a label
+	sizes       map[int]int               // how many workers have a number of millicores
 }
 
 func newPendingWork() pendingWork {
 	return pendingWork{
 		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
-		stops: map[string]*worker{}, listed: map[string]*worker{}, leaving: map[string]*worker{}, silent: map[string]*worker{},
+		stops: map[string]*worker{}, listed: map[string]*worker{}, moves: map[*lastingStep]struct{}{}, silent: map[string]*worker{},
 		paced: map[string]*worker{}, failing: map[string]*worker{}, unanswered: map[*Attempt]struct{}{}, slow: map[string]*slowIndex{},
 		labels: map[string]int{}, sizes: map[int]int{},
 	}
@@ -34,11 +34,6 @@
 
 // workerChanged records a change of what is known of a worker.
 func (p *pendingWork) workerChanged(w *worker) {
-	if w.Draining || w.Vacate {
-		p.leaving[w.Key] = w
-	} else {
-		delete(p.leaving, w.Key)
-	}
 	if w.Silent {
 		p.silent[w.Key] = w
 		return
@@ -122,7 +117,7 @@
 func (p *pendingWork) removeWorker(w *worker) {
 	p.roomOf(w).remove(w)
 	p.countWorker(w, -1)
-	for _, workers := range []map[string]*worker{p.stops, p.listed, p.leaving, p.silent, p.paced, p.failing} {
+	for _, workers := range []map[string]*worker{p.stops, p.listed, p.silent, p.paced, p.failing} {
 		delete(workers, w.Key)
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -147,6 +147,9 @@
 // acceptsTasks reports whether the worker may get new tasks.
 func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate }
 
+// isLeaving reports whether its long-running tasks are to move elsewhere.
+func (w *worker) isLeaving() bool { return w.Draining || w.Vacate }
+
 func (w *worker) hasLabel(label string) bool {
 	if label == "" {
 		return true
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		p.unfinished[id], p.changedJobs[id] = e, e
+		e.lasting = map[stepKey]*lastingStep{}
 		for key, tasks := range e.waiting {
 			if len(tasks) == 0 {
 				delete(e.waiting, key)
@@ -58,9 +59,6 @@
 	}
 	for key, w := range b.workers {
 		p.stops[key], p.listed[key], p.silent[key], p.paced[key], p.failing[key] = w, w, w, w, w
-		if w.Draining || w.Vacate {
-			p.leaving[key] = w
-		}
 		p.countWorker(w, 1)
 		if w.acceptsTasks() {
 			p.roomOf(w).insert(w)
@@ -84,6 +82,11 @@
 		}
 	}
 	b.pending = p
+	for _, w := range b.workers {
+		for _, a := range w.attempts {
+			b.lastingChanged(a)
+		}
+	}
 }
 
 // copyable returns the attempts of which a copy may be started.
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -118,6 +118,8 @@
 	}
 	if lasting {
 		step.MaxUnavailable, step.Target = s.n(3), pick(s, 0, 20*time.Millisecond)
+		step.Gang = s.chance(10)
+		step.Speculative = !step.Gang && s.chance(20)
 		return step
 	}
 	step.Gang = s.chance(20)
