--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -180,9 +180,9 @@
 func (b *Board) chooseVacated(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
 	var best *worker
 	var bestCost int64
-	for _, w := range b.pending.leaving {
+	for _, w := range b.pending.vacated {
 		b.examined++
-		if !w.Vacate || w.Draining || w.Silent || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
+		if w.Draining || w.Silent || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
 			continue
 		}
 		if cost := b.placementCost(e, step, t, w); best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -169,59 +170,50 @@
 // moveLongRunning stops and reschedules long-running tasks on workers that drain or
 // are to be vacated, as far as MaxUnavailable permits.
 func (b *Board) moveLongRunning(now time.Time) {
-	for _, key := range slices.Sorted(maps.Keys(b.pending.leaving)) {
-		w := b.pending.leaving[key]
+	var attempts []*Attempt
+	for l := range b.pending.moves {
 		b.examined++
-		if w.lasting == 0 {
+		if a := l.sample(); a != nil && !b.fitsElsewhere(a, now) {
 			continue
 		}
-		for _, a := range b.Attempts(key) {
-			if a.Phase != Live || a.stopRequested || !a.step.LongRunning {
-				continue
-			}
-			if !b.mayStop(a, now) {
-				continue
-			}
-			e := b.jobs[a.Task.Job]
-			if to := b.chooseOpen(e, a.step, a.Task, now); to != nil {
-				b.requestStop(a)
-				a.reschedule = true
-				b.promise(e, a.Task, to)
-			}
+		movable := l.movable()
+		b.examined += uint64(len(movable))
+		if len(movable) == 0 {
+			delete(b.pending.moves, l)
 		}
+		attempts = append(attempts, movable...)
 	}
-}
-
-// mayStop reports whether MaxUnavailable permits stopping a long-running task now.
-// The task counts as available even if it is not known to be: its worker's last
-// listing may be out of date.
-func (b *Board) mayStop(a *Attempt, now time.Time) bool {
-	if a.step.MaxUnavailable == 0 {
-		return true
-	}
-	return b.countUnavailable(a.Task, now) < a.step.MaxUnavailable
-}
-
-// countUnavailable returns the number of other tasks of a long-running step that are
-// not available.
-func (b *Board) countUnavailable(t jobs.Task, now time.Time) int {
-	e := b.jobs[t.Job]
-	n := 0
-	for i := range e.job.Steps[t.Step].Count {
-		o := jobs.Task{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: i}
-		if o == t {
+	slices.SortFunc(attempts, func(x, y *Attempt) int {
+		return cmp.Or(strings.Compare(x.Worker, y.Worker), strings.Compare(x.Task.String(), y.Task.String()))
+	})
+	for _, a := range attempts {
+		l := b.jobs[a.Task.Job].lastingStep(stepKey{a.Task.Occurrence, a.Task.Step})
+		if !l.mayStop(a.Task) {
 			continue
 		}
-		available := false
-		for _, a := range e.attempts[o] {
-			w := b.workers[a.Worker]
-			available = available || a.Phase == Live && !a.stopRequested && !a.AvailableSince.IsZero() && w != nil && !w.Silent
+		e := b.jobs[a.Task.Job]
+		if to := b.chooseOpen(e, a.step, a.Task, now); to != nil {
+			a.reschedule = true
+			b.requestStop(a)
+			b.promise(e, a.Task, to)
 		}
-		if !available {
-			n++
+	}
+}
+
+// fitsElsewhere reports whether another worker has room for a long-running task. The answer
+// is the same for all attempts of a step but for those beside other attempts of their task.
+func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
+	e := b.jobs[a.Task.Job]
+	claim := a.step.Claim()
+	for _, room := range []*roomIndex{&b.pending.room, &b.pending.reserved} {
+		for _, w := range room.atLeast(claim.Millicores) {
+			b.examined++
+			if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
 // The classes of candidates, in scheduling order.
@@ -245,7 +237,7 @@
 	if len(candidates) == 0 {
 		return
 	}
-	largest := b.largestWorkerMillicores()
+	largest := b.pending.largestWorkerMillicores()
 	reservations := 1
 	b.startsLeft = b.startLimit
 	for _, c := range candidates {
@@ -273,16 +265,6 @@
 	}
 }
 
-// largestWorkerMillicores returns the millicores of the largest worker.
-func (b *Board) largestWorkerMillicores() int {
-	most := 0
-	for _, w := range b.workers {
-		b.examined++
-		most = max(most, w.Size.Millicores)
-	}
-	return most
-}
-
 // reserveWorker reserves the worker with the most free millicores for a step that
 // does not fit anywhere yet, among those where it will fit once their batch tasks end.
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
@@ -393,8 +375,12 @@
 // undoStart removes an attempt whose start order was never sent.
 func (b *Board) undoStart(e *jobEntry, s StartOrder) {
 	w := b.workers[s.Worker]
-	b.detach(w.attempts[s.Task])
+	a := w.attempts[s.Task]
+	b.detach(a)
 	delete(e.attempts, s.Task)
+	b.lastingChanged(a)
 	e.lastAttempt[s.Task] = s.Attempt - 1
-	b.startsLeft++
+	if !a.step.LongRunning {
+		b.startsLeft++
+	}
 }
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -36,6 +37,12 @@
 			if a.stopRequested && p.stops[key] != w {
 				return fmt.Errorf("%s on %s: its stop is not pending", a.Task, key)
 			}
+			if err := b.checkCopyable(a); err != nil {
+				return err
+			}
+			if err := b.checkMovable(a); err != nil {
+				return err
+			}
 		}
 		if lasting != w.lasting || filling != w.filling {
 			return fmt.Errorf("%s counts %d lasting and %d filling tasks, has %d and %d", key, w.lasting, w.filling, lasting, filling)
@@ -43,10 +50,31 @@
 		if slices.Contains(p.roomOf(w).workers, w) != w.acceptsTasks() {
 			return fmt.Errorf("%s accepts tasks: %v, which the index of room contradicts", key, w.acceptsTasks())
 		}
-		if (w.Draining || w.Vacate) && p.leaving[key] != w || w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
+		if w.Vacate != (p.vacated[key] == w) || w.Silent && p.silent[key] != w || w.health.failures > 0 && p.failing[key] != w {
 			return fmt.Errorf("%s is missing from a set: %+v, %d failures", key, w.Worker, w.health.failures)
 		}
 	}
+	indexed, slow := 0, 0
+	for _, w := range b.workers {
+		for _, a := range w.attempts {
+			if a.slow != nil {
+				indexed++
+			}
+		}
+	}
+	for _, q := range p.slow {
+		slow += len(q.waiting) + len(q.overdue)
+	}
+	if indexed != slow {
+		return fmt.Errorf("%d attempts in the indexes of slow ones, want %d", slow, indexed)
+	}
+	sizes := map[int]int{}
+	for _, w := range b.workers {
+		sizes[w.Size.Millicores]++
+	}
+	if !maps.Equal(sizes, p.sizes) {
+		return fmt.Errorf("workers by their millicores are %v, counted %v", sizes, p.sizes)
+	}
 	if !slices.IsSortedFunc(p.room.workers, compareRoom) {
 		return fmt.Errorf("the index of room is out of order")
 	}
@@ -84,3 +112,68 @@
 	}
 	return used
 }
+
+// checkCopyable returns an error if no index would show that a copy of an attempt is due.
+func (b *Board) checkCopyable(a *Attempt) error {
+	_, unanswered := b.pending.unanswered[a]
+	queue := b.jobs[a.Task.Job].job.Queue
+	confirmed := a.copyable && !a.ConfirmedAt.IsZero() && a.step.Estimate > 0
+	switch {
+	case a.copyable && a.Phase == Unconfirmed && !unanswered:
+		return fmt.Errorf("%s on %s is missing from the unanswered starts", a.Task, a.Worker)
+	case confirmed && (a.slow == nil || a.slow != b.pending.slow[queue]):
+		return fmt.Errorf("%s on %s is missing from the index of its queue", a.Task, a.Worker)
+	case !confirmed && a.slow != nil:
+		return fmt.Errorf("%s on %s, of which no copy may be started, is in an index", a.Task, a.Worker)
+	case a.slow == nil:
+		return nil
+	}
+	if _, overdue := a.slow.overdue[a]; !overdue && (a.heapIndex >= len(a.slow.waiting) || a.slow.waiting[a.heapIndex] != a) {
+		return fmt.Errorf("%s on %s is not where the index of its queue has it", a.Task, a.Worker)
+	}
+	return nil
+}
+
+// checkMovable returns an error if what is known of a long-running task's step, or whether the
+// task may move, is not what a scan of the step finds.
+func (b *Board) checkMovable(a *Attempt) error {
+	if !a.step.LongRunning {
+		return nil
+	}
+	e := b.jobs[a.Task.Job]
+	l := e.lasting[stepKey{a.Task.Occurrence, a.Task.Step}]
+	if l == nil {
+		return fmt.Errorf("%s on %s: its step is not known", a.Task, a.Worker)
+	}
+	want, leaving := map[jobs.Task]struct{}{}, map[*Attempt]struct{}{}
+	for i := range a.step.Count {
+		t := jobs.Task{Job: a.Task.Job, Occurrence: a.Task.Occurrence, Step: a.Task.Step, Index: i}
+		available := false
+		for _, o := range e.attempts[t] {
+			w := b.workers[o.Worker]
+			available = available || o.Phase == Live && !o.stopRequested && !o.AvailableSince.IsZero() && w != nil && !w.Silent
+			if w != nil && (w.Draining || w.Vacate) {
+				leaving[o] = struct{}{}
+			}
+		}
+		if !available {
+			want[t] = struct{}{}
+		}
+	}
+	if !maps.Equal(want, l.unavailable) || !maps.Equal(leaving, l.leaving) {
+		return fmt.Errorf("step of %s: %v are unavailable and %v leave, want %v and %v", a.Task, l.unavailable, l.leaving, want, leaving)
+	}
+	others := len(want)
+	if _, unavailable := want[a.Task]; unavailable {
+		others--
+	}
+	mayStop := a.step.MaxUnavailable == 0 || others < a.step.MaxUnavailable
+	movable := mayStop && a.Phase == Live && !a.stopRequested && (a.worker.Draining || a.worker.Vacate)
+	if l.mayStop(a.Task) != mayStop || slices.Contains(l.movable(), a) != movable {
+		return fmt.Errorf("%s on %s may be stopped: %v, and is to move: %v, which its step contradicts", a.Task, a.Worker, mayStop, movable)
+	}
+	if _, pending := b.pending.moves[l]; !pending && movable {
+		return fmt.Errorf("%s on %s is to move, but its step is not pending", a.Task, a.Worker)
+	}
+	return nil
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -92,6 +92,11 @@
 	reschedule    bool // its task may be queued again without a backoff
 	stalled       bool // stopped because its percentage did not change
 	awaitsListing bool // its start was not answered; the next listing shows whether it runs
+
+	copyable  bool       // a copy of its task may be started
+	slow      *slowIndex // that holds it, nil if none does
+	overdueAt time.Time  // by which slow sorts it
+	heapIndex int        // its place in slow
 }
 
 // Worker is one lifetime of a host that runs tasks.
@@ -157,6 +162,9 @@
 // acceptsTasks reports whether the worker may get new tasks.
 func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate }
 
+// isLeaving reports whether its long-running tasks are to move elsewhere.
+func (w *worker) isLeaving() bool { return w.Draining || w.Vacate }
+
 func (w *worker) hasLabel(label string) bool {
 	if label == "" {
 		return true
