Red tests for tasks that crash their workers

A task whose attempts end with the lifetime of their worker is started again without limit, together with whatever ran beside it.

--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -113,11 +113,20 @@
 	Tries []taskRow `json:"tries,omitempty"`
 }
 
-// taskRow is the stored form of [Tries].
+// taskRow is the stored form of [Tries] and of the crashes under a task.
 type taskRow struct {
-	Task       string `json:"task"`
-	Failed     []int  `json:"failed,omitempty"`
-	Checkpoint string `json:"checkpoint,omitempty"`
+	Task       string     `json:"task"`
+	Failed     []int      `json:"failed,omitempty"`
+	Checkpoint string     `json:"checkpoint,omitempty"`
+	Crashes    []crashRow `json:"crashes,omitempty"`
+}
+
+// crashRow is the stored form of a [Crash].
+type crashRow struct {
+	Worker  string `json:"worker"`
+	Attempt int    `json:"attempt"`
+	Alone   bool   `json:"alone,omitempty"`
+	Settled bool   `json:"settled,omitempty"`
 }
 
 // Encode returns the stored form of the progress.
@@ -128,13 +137,26 @@
 			row.Done = append(row.Done, bits.encode())
 		}
 		for t, tries := range p.tries {
-			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint})
+			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint, encodeCrashes(p.crashes[t])})
+		}
+		for t, crashes := range p.crashes {
+			if _, known := p.tries[t]; !known {
+				row.Tries = append(row.Tries, taskRow{Task: t.String(), Crashes: encodeCrashes(crashes)})
+			}
 		}
 	}
 	data, err := json.Marshal(row)
 	return data, errors.Wrap(err, "encode progress")
 }
 
+func encodeCrashes(crashes []Crash) []crashRow {
+	var rows []crashRow
+	for _, c := range crashes {
+		rows = append(rows, crashRow(c))
+	}
+	return rows
+}
+
 // DecodeProgress decodes the stored form of a job's progress.
 func DecodeProgress(j Job, data []byte) (*Progress, error) {
 	var row progressRow
@@ -157,7 +179,12 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
 		}
-		p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
+		if len(r.Failed) > 0 || r.Checkpoint != "" {
+			p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
+		}
+		for _, c := range r.Crashes {
+			p.crashes[t] = append(p.crashes[t], Crash(c))
+		}
 	}
 	return p, nil
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -45,6 +45,10 @@
 	p.MarkFailed(failed, 7) // reported twice
 	p.MarkFailed(failed, 9)
 	p.Save(failed, "saved")
+	crashed := jobs.Task{Job: j.ID}
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w2@1", Attempt: 1002, Alone: true})
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w1@1", Attempt: 1})
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w1@1", Attempt: 1, Settled: true})
 	data, err := p.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -56,6 +60,28 @@
 	if !have.Done(done) || have.Done(failed) || have.Failures(failed) != 2 || have.Checkpoint(failed) != "saved" || have.State() != jobs.Active {
 		t.Errorf("decoded %s", data)
 	}
+	if want := []jobs.Crash{{"w1@1", 1, false, true}, {"w2@1", 1002, true, false}}; !reflect.DeepEqual(have.Crashes(crashed), want) {
+		t.Errorf("crashes %+v, want %+v", have.Crashes(crashed), want)
+	}
+}
+
+// Guards against rows of earlier versions, which lack the crashes, and against rows that
+// outgrow the platform's table when a worker with many tasks of one job crashes.
+func TestStoredCrashes(t *testing.T) {
+	j := sample()
+	p, err := jobs.DecodeProgress(j, []byte(`{"begun":true,"tries":[{"task":"5c0e7a21d94b36f8.0.0.1","failed":[7]}]}`))
+	if err != nil || p.HasCrashes() || p.Failures(jobs.Task{Job: j.ID, Index: 1}) != 1 {
+		t.Errorf("a row without crashes: %+v, %v", p, err)
+	}
+	j.Steps = []jobs.Step{{Count: jobs.MaxTasks}}
+	p = jobs.NewProgress(j)
+	for i := range jobs.MaxTasks {
+		p.MarkCrash(jobs.Task{Job: j.ID, Index: i}, jobs.Crash{Worker: "i-462b1b21f2@1785551696737", Attempt: 123_001, Settled: true})
+	}
+	data, err := p.Encode()
+	if err != nil || len(data) > 48_000 { // a row of 64 KiB in base64
+		t.Errorf("%d bytes for a job with crashes under %d tasks, %v", len(data), jobs.MaxTasks, err)
+	}
 }
 
 func TestInvalidJobsNameFieldAndValue(t *testing.T) {
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"encoding/hex"
+	"iter"
+	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -13,20 +16,29 @@
 	Checkpoint string // newest known checkpoint, empty for none
 }
 
+// Crash is the crash of a worker while an attempt of a task had just been started there.
+type Crash struct {
+	Worker  string // key of the worker's lifetime
+	Attempt int
+	Alone   bool // no other attempt there can have caused it
+	Settled bool // the lifetime is known to have ended; before, the worker may only be unreachable
+}
+
 // Progress holds which tasks of a job are done, and the failures and checkpoints of
 // the others, as reported by workers.
 type Progress struct {
 	Final State // empty while the job is not final
 	Begun bool  // a task has started
 
-	job   Job
-	done  []bitset // of each step of each occurrence
-	tries map[Task]Tries
+	job     Job
+	done    []bitset // of each step of each occurrence
+	tries   map[Task]Tries
+	crashes map[Task][]Crash // of each task in the order of its attempts
 }
 
 // NewProgress returns the progress of a job of which no task has run.
 func NewProgress(j Job) *Progress {
-	p := &Progress{job: j, tries: map[Task]Tries{}}
+	p := &Progress{job: j, tries: map[Task]Tries{}, crashes: map[Task][]Crash{}}
 	for range j.Occurrences() {
 		for _, s := range j.Steps {
 			p.done = append(p.done, newBitset(s.Count))
@@ -75,12 +87,15 @@
 	if p.job.Steps[t.Step].Gang {
 		for i := range p.job.Steps[t.Step].Count {
 			bits.set(i)
-			delete(p.tries, Task{t.Job, t.Occurrence, t.Step, i})
+			member := Task{t.Job, t.Occurrence, t.Step, i}
+			delete(p.tries, member)
+			delete(p.crashes, member)
 		}
 		return
 	}
 	bits.set(t.Index)
 	delete(p.tries, t)
+	delete(p.crashes, t)
 }
 
 // MarkFailed records a failed attempt and returns the number of failed attempts. An
@@ -125,6 +140,68 @@
 // none.
 func (p *Progress) Checkpoint(t Task) string { return p.tries[p.gangTask(t)].Checkpoint }
 
+// maxCrashTasks limits the tasks of a job with recorded crashes. A record takes about 110
+// bytes, and a row of the platform's table holds 64 KiB.
+const maxCrashTasks = 256
+
+// MarkCrash records a crash under a task, or updates the record of the same worker. Unlike
+// failures, crashes of a gang are kept at the task whose worker crashed. It reports whether
+// the records have changed. It has no effect on a task that is done, and on another task
+// once maxCrashTasks tasks have records.
+func (p *Progress) MarkCrash(t Task, c Crash) bool {
+	crashes := p.crashes[t]
+	if p.Done(t) || len(crashes) == 0 && len(p.crashes) >= maxCrashTasks {
+		return false
+	}
+	i := slices.IndexFunc(crashes, func(known Crash) bool { return known.Worker == c.Worker })
+	if i >= 0 && crashes[i] == c {
+		return false
+	}
+	crashes = slices.Clone(crashes)
+	if i >= 0 {
+		crashes[i] = c
+	} else {
+		crashes = append(crashes, c)
+	}
+	slices.SortFunc(crashes, func(x, y Crash) int {
+		return cmp.Or(cmp.Compare(x.Attempt, y.Attempt), cmp.Compare(x.Worker, y.Worker))
+	})
+	p.crashes[t] = crashes
+	return true
+}
+
+// DropCrash removes the record of a worker's crash under a task. It reports whether there
+// was one.
+func (p *Progress) DropCrash(t Task, worker string) bool {
+	crashes := p.crashes[t]
+	rest := slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return c.Worker == worker })
+	if len(rest) == len(crashes) {
+		return false
+	}
+	p.crashes[t] = rest
+	if len(rest) == 0 {
+		delete(p.crashes, t)
+	}
+	return true
+}
+
+// DropCrashes removes all crash records of a task. It reports whether there were any.
+func (p *Progress) DropCrashes(t Task) bool {
+	known := len(p.crashes[t]) > 0
+	delete(p.crashes, t)
+	return known
+}
+
+// Crashes returns the recorded crashes of a task in the order of its attempts. The caller
+// must not change them.
+func (p *Progress) Crashes(t Task) []Crash { return p.crashes[t] }
+
+// Crashed returns the tasks with recorded crashes, in no particular order.
+func (p *Progress) Crashed() iter.Seq[Task] { return maps.Keys(p.crashes) }
+
+// HasCrashes reports whether any task has recorded crashes.
+func (p *Progress) HasCrashes() bool { return len(p.crashes) > 0 }
+
 // AllDone reports whether every task of every occurrence is done.
 func (p *Progress) AllDone() bool {
 	for i := range p.done {
--- a/internal/place/board_test.go
+++ b/internal/place/board_test.go
@@ -17,10 +17,13 @@
 	now     time.Time
 	orders  place.Orders
 	workers int
+	gone    map[string]bool // workers whose lifetimes have ended
+	base    int             // of the attempt numbers
+	t       *testing.T      // nil if no helper needs it
 }
 
 func newTestBoard(base, workers int) *testBoard {
-	f := &testBoard{Board: place.NewBoard(place.DefaultPolicy(), base), now: start, workers: workers}
+	f := &testBoard{Board: place.NewBoard(place.DefaultPolicy(), base), now: start, workers: workers, base: base, gone: map[string]bool{}}
 	for i := range workers {
 		f.SetWorker(worker(i))
 	}
--- /dev/null
+++ b/internal/place/crash_test.go
@@ -0,0 +1,295 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// crash crashes a worker. The worker is back later as a new lifetime.
+func (f *testBoard) crash(key string) place.CrashReport {
+	f.SuspectCrash(key, f.now)
+	f.now = f.now.Add(3 * time.Second)
+	return f.proveCrash(key)
+}
+
+// proveCrash ends the lifetime of a worker. Another one begins.
+func (f *testBoard) proveCrash(key string) place.CrashReport {
+	report := f.WorkerCrashed(key, f.now)
+	f.RemoveWorker(key, f.now)
+	f.gone[key] = true
+	f.SetWorker(worker(f.workers))
+	f.workers++
+	return report
+}
+
+// lapse lets the leases of a silent worker expire.
+func (f *testBoard) lapse(key string) {
+	f.SetSilent(key, true)
+	f.now = f.now.Add(4 * time.Second)
+	f.SuspectCrash(key, f.now)
+	f.ExpireLeases(key, f.now)
+}
+
+// startOf returns the present start of a task, for which it waits a second.
+func (f *testBoard) startOf(t *testing.T, task jobs.Task) place.StartOrder {
+	t.Helper()
+	for range 100 {
+		f.decide()
+		for _, a := range f.allAttempts() {
+			if a.Task == task {
+				return place.StartOrder{Worker: a.Worker, Task: task, Attempt: a.Number}
+			}
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	t.Fatalf("%s is not started within 1s", task)
+	return place.StartOrder{}
+}
+
+// Guards against a task that crashes worker after worker and is started again for ever, and
+// against giving up one that is not to blame.
+func TestJobOfATaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	alone, lasting, gang := batch(1, 1000), batch(1, 1000), batch(2, 1000)
+	lasting.LongRunning, gang.Gang = true, true
+	for _, tt := range []struct {
+		name  string
+		step  jobs.Step
+		once  func(f *testBoard, s place.StartOrder)
+		times int // until the job is given up, 0 for never
+	}{
+		{"crashes", alone, func(f *testBoard, s place.StartOrder) { f.crash(s.Worker) }, 2},
+		{"crashes, each under another owner", alone, func(f *testBoard, s place.StartOrder) {
+			f.crash(s.Worker)
+			f.takeOver()
+		}, 2},
+		{"owner lost between the crash and its proof", alone, func(f *testBoard, s place.StartOrder) {
+			f.SuspectCrash(s.Worker, f.now)
+			f.takeOver()
+			f.proveCrash(s.Worker)
+		}, 2},
+		{"leases lapse before the crash is known", alone, func(f *testBoard, s place.StartOrder) {
+			f.lapse(s.Worker)
+			f.crash(s.Worker)
+		}, 2},
+		{"long-running task crashes at its start", lasting, func(f *testBoard, s place.StartOrder) { f.crash(s.Worker) }, 2},
+		{"crashes under a member of a gang", gang, func(f *testBoard, s place.StartOrder) { f.crash(s.Worker) }, 3},
+		{"crash without an answer to the start", alone, func(f *testBoard, s place.StartOrder) {
+			f.StartUnanswered(s.Worker, s.Task, s.Attempt)
+			f.crash(s.Worker)
+		}, 2},
+		{"only cut off", alone, func(f *testBoard, s place.StartOrder) {
+			f.lapse(s.Worker)
+			f.SetSilent(s.Worker, false)
+			f.Listed(s.Worker, nil, nil, f.now, f.now)
+		}, 0},
+		{"ordered elsewhere", alone, func(f *testBoard, s place.StartOrder) {
+			f.SuspectCrash(s.Worker, f.now)
+			f.WorkerLeft(s.Worker)
+			f.crash(s.Worker)
+		}, 0},
+		{"long at work before the crash", lasting, func(f *testBoard, s place.StartOrder) {
+			f.now = f.now.Add(5 * time.Second)
+			f.Listed(s.Worker, f.running(s.Worker, jobs.Task{}), nil, f.now, f.now)
+			f.crash(s.Worker)
+		}, 0},
+		{"crashes between two runs that survive", alone, func(f *testBoard, s place.StartOrder) {
+			f.crash(s.Worker)
+			again := f.startOf(f.t, s.Task)
+			f.now = f.now.Add(2 * time.Second)
+			f.Listed(again.Worker, f.running(again.Worker, jobs.Task{}), nil, f.now, f.now)
+			f.crash(again.Worker)
+		}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestBoard(0, 4)
+			f.t = t
+			j := newJob(1, tt.step)
+			f.add(j)
+			for n := 1; n <= 6; n++ {
+				f.now = f.now.Add(time.Minute) // a long-running task may wait for its backoff
+				s := f.startOf(t, jobs.Task{Job: j.ID})
+				tt.once(f, s)
+				f.flush(t)
+				if state, _ := f.State(j.ID); (state == jobs.Aborted) != (tt.times > 0 && n >= tt.times) {
+					t.Fatalf("after %d crashes the job is %s, want it given up after %d", n, state, tt.times)
+				}
+				if n == tt.times {
+					f.now = f.now.Add(time.Minute)
+					if more := f.decide(); len(more) > 0 {
+						t.Fatalf("started %v after the job was given up", more)
+					}
+					return
+				}
+			}
+		})
+	}
+}
+
+// Guards against tasks that are given up for the crashes of a worker that they shared with a
+// deadly one again and again.
+func TestInnocentTasksOutliveADeadlyOne(t *testing.T) {
+	f := newTestBoard(0, 4)
+	innocent, deadly := newJob(1, batch(8, 400)), newJob(2, batch(1, 400))
+	f.add(innocent, deadly)
+	crashes := 0
+	for range 200 {
+		for _, s := range f.decide() {
+			if s.Task.Job == deadly.ID {
+				crashes++
+				f.crash(s.Worker)
+			}
+		}
+		for _, a := range f.allAttempts() {
+			if f.now.Sub(a.ConfirmedAt) > 400*time.Millisecond {
+				f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+			}
+		}
+		f.now = f.now.Add(50 * time.Millisecond)
+	}
+	f.flush(t)
+	f.expectState(t, innocent, jobs.Complete)
+	f.expectState(t, deadly, jobs.Aborted)
+	if crashes > 2 {
+		t.Errorf("%d workers crashed, want at most 2", crashes)
+	}
+}
+
+// Guards against tasks that are started together again after the crash of their worker, so
+// that the next crash tells nothing and ends them all.
+func TestSuspectsAreStartedApart(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.add(newJob(1, batch(4, 900)))
+	first := f.decide()
+	if len(first) != 4 || first[0].Worker != first[3].Worker {
+		t.Fatalf("started %v, want 4 tasks on one worker", first)
+	}
+	f.crash(first[0].Worker)
+	f.add(newJob(2, batch(20, 100)))
+	workers := map[string]int{}
+	for _, s := range f.decide() {
+		workers[s.Worker]++
+	}
+	for key, n := range workers {
+		if n != 1 {
+			t.Errorf("%d tasks started on %s beside or as suspects, want 1", n, key)
+		}
+	}
+	if len(workers) != 4 {
+		t.Errorf("tasks started on %d workers, want 4", len(workers))
+	}
+	f.now = f.now.Add(time.Second)
+	if starts := f.decide(); len(starts) != 20 {
+		t.Errorf("%d starts once the suspects have run for a second, want 20", len(starts))
+	}
+}
+
+// Guards against a suspect that never starts because all workers are busy with tasks that
+// come and go.
+func TestSuspectFindsAWorkerInABusyPool(t *testing.T) {
+	f := newTestBoard(0, 3)
+	f.add(newJob(1, batch(1, 1000)))
+	f.crash(f.decide()[0].Worker)
+	for n := range 200 {
+		f.add(newJob(byte(2+n%250), batch(1, 500)))
+		for _, s := range f.decide() {
+			if s.Task.Job == "0000000000000001" {
+				return
+			}
+		}
+		for _, a := range f.allAttempts() {
+			if f.now.Sub(a.ConfirmedAt) > 60*time.Millisecond {
+				f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+			}
+		}
+		f.now = f.now.Add(5 * time.Millisecond)
+	}
+	t.Error("the suspect is not started within 1s")
+}
+
+// Guards against copies that crash a third worker before the first two crashes are proved.
+func TestNoFurtherCopyOfATaskWithTwoCrashes(t *testing.T) {
+	f := newTestBoard(0, 4)
+	step := batch(1, 1000)
+	step.Speculative = true
+	j := newJob(1, step)
+	f.add(j)
+	var crashed []string
+	decide := func() {
+		for _, s := range f.decide() {
+			crashed = append(crashed, s.Worker)
+			f.SetSilent(s.Worker, true)
+			f.SuspectCrash(s.Worker, f.now)
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	for range 30 {
+		decide()
+	}
+	if len(crashed) != 2 {
+		t.Fatalf("%d starts while no crash is proved, want the task and one copy", len(crashed))
+	}
+	f.WorkerCrashed(crashed[0], f.now)
+	f.RemoveWorker(crashed[0], f.now)
+	for range 5 {
+		decide()
+	}
+	f.WorkerCrashed(crashed[1], f.now)
+	f.RemoveWorker(crashed[1], f.now)
+	decide()
+	f.flush(t)
+	f.expectState(t, j, jobs.Aborted)
+	if len(crashed) != 2 {
+		t.Errorf("%d workers crashed, want 2", len(crashed))
+	}
+}
+
+// takeOver replaces the board by that of a new owner, which knows what was stored.
+func (f *testBoard) takeOver() {
+	old := f.Board
+	f.base += 1000
+	next := place.NewBoard(place.DefaultPolicy(), f.base)
+	for _, view := range old.Views() {
+		j, _ := old.Job(view.ID)
+		data, _, err := old.EncodeProgress(view.ID)
+		if err != nil {
+			panic(err)
+		}
+		p, err := jobs.DecodeProgress(j, data)
+		if err != nil {
+			panic(err)
+		}
+		next.Add(j, p, f.now)
+	}
+	for i := range f.workers {
+		if !f.gone[key(i)] {
+			next.SetWorker(worker(i))
+		}
+	}
+	f.Board = next
+}
+
+// flush stores what has changed.
+func (f *testBoard) flush(t *testing.T) {
+	t.Helper()
+	ids, _ := f.Dirty()
+	for _, id := range ids {
+		_, state, err := f.EncodeProgress(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Written(id, state)
+	}
+}
+
+// allAttempts returns the attempts at all workers.
+func (f *testBoard) allAttempts() []*place.Attempt {
+	var all []*place.Attempt
+	for i := range f.workers {
+		all = append(all, f.Attempts(fmt.Sprintf("w%d@1", i))...)
+	}
+	return all
+}
