Attempts that should not run at a worker take room there

Cause: after a takeover a worker may list attempts of a job that has ended or that the owner does not know. They were told to stop, but their room counted as free at once, so that the next start brought a worker that takes whatever it is told over its capacity.

Change: what they claim is in use until a listing lacks them; of an unknown job it is the whole worker.

--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -120,7 +120,8 @@
 	if w == nil {
 		return nil
 	}
-	if asked.After(w.listedAt) {
+	newest := !asked.Before(w.listedAt)
+	if newest {
 		w.listedAt = asked
 	}
 	b.pending.listed[key] = w
@@ -130,13 +131,20 @@
 		b.applyEnd(w, e, now)
 	}
 	var unexpected []StopOrder
+	var unexpectedClaims jobs.Resources
 	listed := make(map[jobs.Task]int, len(running))
 	for _, r := range running {
 		listed[r.Task] = r.Attempt
 		if !b.applyRunning(w, r, asked, now) {
 			unexpected = append(unexpected, StopOrder{Worker: key, Task: r.Task, Attempt: r.Attempt, Cause: "not wanted here"})
+			unexpectedClaims = unexpectedClaims.Add(b.unexpectedClaim(w, r.Task))
 		}
 	}
+	if newest && unexpectedClaims != w.unexpected {
+		used := w.used.Sub(w.unexpected).Add(unexpectedClaims)
+		w.unexpected = unexpectedClaims
+		b.setUsed(w, used)
+	}
 	var gone []*Attempt
 	for _, a := range w.attempts {
 		if number, ok := listed[a.Task]; ok && number == a.Number {
@@ -157,6 +165,15 @@
 	return unexpected
 }
 
+// unexpectedClaim returns what an attempt claims that should not run at a worker. It takes
+// room until it is no longer listed, all of it if its job is not known.
+func (b *Board) unexpectedClaim(w *worker, t jobs.Task) jobs.Resources {
+	if e := b.jobs[t.Job]; e != nil && e.progress.Has(t) {
+		return e.job.Steps[t.Step].Claim()
+	}
+	return w.Size
+}
+
 // hasEnded reports whether an attempt that is missing from a listing requested at
 // asked can't be running any more.
 func (b *Board) hasEnded(a *Attempt, asked time.Time) bool {
--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -53,6 +53,7 @@
 	until time.Time
 	ack   uint64
 	sent  time.Time
+	room  jobs.Resources // capacity of the worker that the owner knew
 }
 
 // modelOwner is one ownership of the pool.
@@ -75,7 +76,9 @@
 	token         int
 	messages      []message
 	job           jobs.Job
-	stored        []byte
+	other         jobs.Job // has the same steps, and may be cancelled
+	stored        map[jobs.ID][]byte
+	capacities    []jobs.Resources // of the workers
 	usedWorkers   map[string]bool
 	doneAcked     map[jobs.Task]bool
 	failuresAcked map[jobs.Task]int
@@ -83,17 +86,19 @@
 
 func (w *simulation) key(i int) string { return fmt.Sprintf("w%d@%d", i, w.workers[i].generation) }
 
-func newSimulation(t *rapid.T, copies bool) *simulation {
-	w := &simulation{t: t, now: start, usedWorkers: map[string]bool{}, doneAcked: map[jobs.Task]bool{}, failuresAcked: map[jobs.Task]int{}}
+func newSimulation(t *rapid.T, copies bool, size int) *simulation {
+	w := &simulation{t: t, now: start, stored: map[jobs.ID][]byte{}, usedWorkers: map[string]bool{}, doneAcked: map[jobs.Task]bool{}, failuresAcked: map[jobs.Task]int{}}
 	for range modelWorkers {
 		w.workers = append(w.workers, &modelWorker{running: map[jobs.Task]int{}, highestEnded: map[jobs.Task]int{}})
+		w.capacities = append(w.capacities, worker(0).Size)
 	}
-	second := batch(1, 1000)
+	second := batch(1, size)
 	second.After = []int{0}
-	w.job = newJob(1, batch(3, 1000), second)
+	w.job = newJob(1, batch(3, size), second)
 	for i := range w.job.Steps {
 		w.job.Steps[i].Speculative = copies
 	}
+	w.other = newJob(2, w.job.Steps...)
 	w.replaceOwner()
 	return w
 }
@@ -106,14 +111,16 @@
 		testBoard: f, token: w.token, appliedEnds: map[string]uint64{}, durableEnds: map[string]uint64{},
 		leaseEnds: map[string]time.Time{}, heard: map[string]bool{}, unheard: maps.Clone(w.usedWorkers),
 	}
-	p := jobs.NewProgress(w.job)
-	if w.stored != nil {
-		var err error
-		if p, err = jobs.DecodeProgress(w.job, w.stored); err != nil {
-			w.t.Fatal(err)
+	for _, j := range []jobs.Job{w.job, w.other} {
+		p := jobs.NewProgress(j)
+		if data := w.stored[j.ID]; data != nil {
+			var err error
+			if p, err = jobs.DecodeProgress(j, data); err != nil {
+				w.t.Fatal(err)
+			}
 		}
+		f.Add(j, p, w.now)
 	}
-	f.Add(w.job, p, w.now)
 	w.owner = o
 	o.SetUnconfirmedUntil(w.now.Add(modelLease))
 	for i := range w.workers {
@@ -135,7 +142,7 @@
 		}
 	}
 	pw := worker(i)
-	pw.Key, pw.Silent = k, true
+	pw.Key, pw.Size, pw.Silent = k, w.capacities[i], true
 	w.owner.SetWorker(pw)
 	w.poll(i)
 }
@@ -173,7 +180,7 @@
 		w.usedWorkers[s.Worker] = true
 		until := w.now.Add(modelLease)
 		o.leaseEnds[s.Worker] = until
-		w.messages = append(w.messages, message{owner: o, key: s.Worker, start: &s, until: until, sent: w.now})
+		w.messages = append(w.messages, message{owner: o, key: s.Worker, start: &s, until: until, sent: w.now, room: w.capacities[s.Worker[1]-'0']})
 	}
 	for _, s := range orders.Stops {
 		w.messages = append(w.messages, message{owner: o, key: s.Worker, stop: &s, sent: w.now})
@@ -209,7 +216,7 @@
 		if m.until.After(mw.leaseUntil) {
 			mw.leaseUntil = m.until
 		}
-		w.apply(mw, m)
+		w.apply(i, m)
 	}
 	if !answered || mw.partitioned || m.owner != w.owner {
 		w.loseAnswer(m)
@@ -218,7 +225,8 @@
 	w.answer(i, mw, m)
 }
 
-func (w *simulation) apply(mw *modelWorker, m message) {
+func (w *simulation) apply(i int, m message) {
+	mw := w.workers[i]
 	switch {
 	case m.start != nil:
 		t, n := m.start.Task, m.start.Attempt
@@ -238,6 +246,9 @@
 			w.t.Fatalf("%s attempt %d started after %d failures", t, n, w.failuresAcked[t])
 		}
 		mw.running[t] = n
+		if used := w.used(mw); m.room == w.capacities[i] && !used.Fits(m.room) {
+			w.t.Fatalf("%s attempt %d on worker %d: %+v in use, capacity %+v", t, n, i, used, m.room)
+		}
 	case m.stop != nil:
 		t, n := m.stop.Task, m.stop.Attempt
 		mw.highestEnded[t] = max(mw.highestEnded[t], n)
@@ -261,6 +272,23 @@
 	}
 }
 
+// used returns what the tasks on a worker claim.
+func (w *simulation) used(mw *modelWorker) jobs.Resources {
+	var used jobs.Resources
+	for t := range mw.running {
+		used = used.Add(w.job.Steps[t.Step].Claim())
+	}
+	return used
+}
+
+// resize changes the capacity of a worker, which the owner learns at once.
+func (w *simulation) resize(i, millicores int) {
+	w.capacities[i].Millicores = millicores
+	pw := worker(i)
+	pw.Key, pw.Size, pw.Silent = w.key(i), w.capacities[i], true // until it answers
+	w.owner.SetWorker(pw)
+}
+
 func (w *simulation) finish(mw *modelWorker, t jobs.Task, how jobs.Outcome) {
 	mw.lastEnd++
 	mw.ends = append(mw.ends, modelEnd{number: mw.lastEnd, end: place.Ended{Task: t, Attempt: mw.running[t], Outcome: how}})
@@ -313,7 +341,7 @@
 			o.SetUnconfirmedUntil(time.Time{})
 		}
 		pw := worker(i)
-		pw.Key = m.key
+		pw.Key, pw.Size = m.key, w.capacities[i]
 		o.SetWorker(pw)
 		for _, s := range o.Listed(m.key, running, ended, m.sent, w.now) {
 			w.messages = append(w.messages, message{owner: o, key: s.Worker, stop: &s, sent: w.now})
@@ -330,7 +358,7 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		w.stored = data
+		w.stored[id] = data
 		o.Written(id, state)
 	}
 	for k, n := range o.appliedEnds {
@@ -381,15 +409,22 @@
 	}
 }
 
-func TestRandomFaults(t *testing.T) { runRandomFaults(t, false) }
+func TestRandomFaults(t *testing.T) { runRandomFaults(t, false, 1000) }
 
 // With copies, attempts of a task may run in parallel, but none is ordered after a
 // success was acknowledged, nor after the last allowed failure.
-func TestRandomFaultsWithCopies(t *testing.T) { runRandomFaults(t, true) }
+func TestRandomFaultsWithCopies(t *testing.T) { runRandomFaults(t, true, 1000) }
 
-func runRandomFaults(t *testing.T, copies bool) {
+// Guards against starts beyond a worker's capacity, which may change while tasks run: of
+// two tasks on one worker, not even one that is being stopped may be forgotten.
+func TestRandomFaultsWithinCapacity(t *testing.T) { runRandomFaults(t, false, 2500) }
+
+// As before, with copies: those of a task that is done are being stopped.
+func TestRandomFaultsWithCopiesWithinCapacity(t *testing.T) { runRandomFaults(t, true, 2500) }
+
+func runRandomFaults(t *testing.T, copies bool, size int) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSimulation(t, copies)
+		w := newSimulation(t, copies, size)
 		pick := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
 		end := func(*rapid.T) {
 			mw := w.workers[pick(modelWorkers, "worker")]
@@ -410,6 +445,10 @@
 			"pass":    func(*rapid.T) { w.advance(time.Duration(1+pick(5000, "ms")) * time.Millisecond) },
 			"replace": func(*rapid.T) { w.replaceOwner() },
 			"cut":     func(*rapid.T) { mw := w.workers[pick(modelWorkers, "worker")]; mw.partitioned = !mw.partitioned },
+			"cancel": func(*rapid.T) { w.owner.Cancel(w.other.ID, w.now) },
+			"resize": func(*rapid.T) {
+				w.resize(pick(modelWorkers, "worker"), []int{0, 1000, 2500, 4000, 5000}[pick(5, "capacity")])
+			},
 			"crash": func(*rapid.T) {
 				i := pick(modelWorkers, "worker")
 				born := w.workers[i].generation + 1
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -117,11 +117,13 @@
 	Worker
 	used     jobs.Resources
 	attempts map[jobs.Task]*Attempt
-	lasting  int // attempts of long-running tasks
-	filling  int // attempts of best-effort tasks
-	health   health
-	trial    *Attempt // latest start of a task with recorded crashes
-	reserved bool     // by the current decision, for a task that does not fit yet
+	// unexpected is the part of used for listed attempts that should not run here.
+	unexpected jobs.Resources
+	lasting    int // attempts of long-running tasks
+	filling    int // attempts of best-effort tasks
+	health     health
+	trial      *Attempt // latest start of a task with recorded crashes
+	reserved   bool     // by the current decision, for a task that does not fit yet
 
 	pausedUntil time.Time // after it refused a start
 	listedAt    time.Time // when its newest listing was requested
