Queued starts are not sent beyond a capacity that has shrunk

Cause: a start that waited for a slot, up to a second, was sent whatever the worker had said of its capacity meanwhile.

Change: when a worker shrinks below what is claimed there, the latest starts that are still queued are withdrawn and placed anew. TestQueuedStartIsNotSentBeyondAShrunkCapacity sends two without it.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -84,6 +84,28 @@
 	return unwanted
 }
 
+// StartsBeyondCapacity returns the attempts whose start order has no answer yet and that do
+// not fit a worker any more because its capacity has shrunk, the latest first. A start that
+// was not sent yet need not be.
+func (b *Board) StartsBeyondCapacity(key string) []StopOrder {
+	w := b.workers[key]
+	if w == nil || w.used.Fits(w.Size) {
+		return nil
+	}
+	starting := slices.DeleteFunc(b.Attempts(key), func(a *Attempt) bool { return a.Phase != Starting })
+	slices.SortStableFunc(starting, func(x, y *Attempt) int { return y.OrderedAt.Compare(x.OrderedAt) })
+	var starts []StopOrder
+	used := w.used
+	for _, a := range starting {
+		if used.Fits(w.Size) {
+			break
+		}
+		used = used.Sub(a.step.Claim())
+		starts = append(starts, StopOrder{Worker: key, Task: a.Task, Attempt: a.Number, Cause: "its worker has shrunk"})
+	}
+	return starts
+}
+
 // orderStops adds the stop orders that are due.
 func (b *Board) orderStops(o *Orders) {
 	for _, key := range slices.Sorted(maps.Keys(b.pending.stops)) {
--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -445,7 +445,7 @@
 			"pass":    func(*rapid.T) { w.advance(time.Duration(1+pick(5000, "ms")) * time.Millisecond) },
 			"replace": func(*rapid.T) { w.replaceOwner() },
 			"cut":     func(*rapid.T) { mw := w.workers[pick(modelWorkers, "worker")]; mw.partitioned = !mw.partitioned },
-			"cancel": func(*rapid.T) { w.owner.Cancel(w.other.ID, w.now) },
+			"cancel":  func(*rapid.T) { w.owner.Cancel(w.other.ID, w.now) },
 			"resize": func(*rapid.T) {
 				w.resize(pick(modelWorkers, "worker"), []int{0, 1000, 2500, 4000, 5000}[pick(5, "capacity")])
 			},
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -512,6 +512,51 @@
 	})
 }
 
+// Guards against a queued start that is sent although its worker's capacity has shrunk
+// meanwhile: of two that wait for a slot, one still fits.
+func TestQueuedStartIsNotSentBeyondAShrunkCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, end := idleOwner(t)
+		defer end()
+		var sent atomic.Int64
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, time.Millisecond))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(context.Context, platform.StartRequest) (time.Duration, error) { sent.Add(1); return 0, nil }
+		for range maxStartsInFlight {
+			o.startSlots <- struct{}{}
+		}
+		job := jobs.Job{ID: "0000000000000001", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 2, Size: jobs.Resources{Millicores: 3000}}}}
+		a := newAgent(o.ctx, o, platform.WorkerEntry{ID: "i-1", Born: 1, Size: jobs.Resources{Millicores: 8000}}, w)
+		a.registered = true
+		o.post(func() {
+			o.agents[a.key], o.lifetimes["i-1"] = a, []*agent{a}
+			o.board.Add(job, jobs.NewProgress(job), time.Now())
+		})
+		time.Sleep(time.Second)
+		o.post(func() {
+			o.started = true
+			o.inFlight = &commit{} // nothing is stored here
+			o.dispatch(time.Now())
+			if n := len(o.board.Attempts(a.key)); n != 2 {
+				t.Errorf("%d attempts, want 2", n)
+			}
+			a.entry.Size.Millicores = 4000
+			o.syncAgent(a)
+		})
+		synctest.Wait()
+		for range maxStartsInFlight {
+			<-o.startSlots
+		}
+		time.Sleep(100 * time.Millisecond)
+		if n := sent.Load(); n != 1 {
+			t.Errorf("%d starts were sent to a worker with room for one", n)
+		}
+	})
+}
+
 // All slots for starts are taken for some time: a start that waits for one is not sent to a
 // worker that leaves meanwhile, nor after its time. With an owner short of processor time ten
 // starts reached workers 4.1 s after they had said that they leave.
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -131,6 +131,9 @@
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
 		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate,
 	})
+	for _, s := range o.board.StartsBeyondCapacity(a.key) {
+		a.withdrawStart(s)
+	}
 }
 
 // lifetimeEnd is the way in which a worker's lifetime ended.
