A pool whose workers have shrunk gets hosts for what they lack

Cause: pools are sized in hosts of the capacity that the list of hosts names; a worker that says it has less now counted as a whole one.

Change: the load of a pool tells what each worker has, and what the workers lack counts as need. The case 'three shrunk workers' of TestPoolWithRisingLoadGetsHosts moves no host without it.

--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -14,6 +14,7 @@
 	Tasks   int           // attempts, including long-running ones
 	Lasting int           // attempts of long-running tasks
 	Used    int           // millicores claimed by attempts
+	Size    int           // millicores that the worker has now, 0 if not known
 	Idle    time.Duration // time since the worker was first seen without attempts
 	Open    bool          // accepts new tasks
 }
@@ -42,7 +43,7 @@
 		}
 		load := WorkerLoad{
 			ID: w.ID, Tasks: len(w.attempts), Lasting: w.lasting,
-			Used: w.used.Millicores, Open: w.acceptsTasks(),
+			Used: w.used.Millicores, Size: w.Size.Millicores, Open: w.acceptsTasks(),
 		}
 		if load.Tasks == 0 {
 			load.Idle = now.Sub(w.idleSince)
--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -59,6 +59,7 @@
 	draining       bool            // one of its hosts is being drained of lasting tasks
 	hostCount      int             // hosts that run tasks, may get new ones, or are arriving
 	hostMillicores int             // capacity of its largest host
+	lacking        int             // millicores by which its workers are smaller than their hosts
 	neededHosts    int             // for its work
 	targetHosts    int             // neededHosts and some more for load peaks
 	idleHosts      []platform.Host // that may leave at once
@@ -205,6 +206,9 @@
 		return
 	}
 	v.hostCount++
+	if w.Open && w.Size > 0 {
+		v.lacking += max(0, h.Size.Millicores-w.Size)
+	}
 	switch {
 	case !w.Open || mustStay(h.Name):
 	case w.Tasks == 0 && w.Idle >= policy.IdleTime:
@@ -227,7 +231,7 @@
 		policy.Margin*float64(v.load.Density),
 		policy.RateShare*float64(v.load.Rate),
 	)
-	hosts := int(need/(policy.Fill*float64(v.hostMillicores))) + 1
+	hosts := int((need+float64(v.lacking))/(policy.Fill*float64(v.hostMillicores))) + 1
 	working, draining := 0, 0
 	for _, w := range v.load.Workers {
 		if w.Tasks > 0 {
--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -75,6 +75,11 @@
 		{"backlog that would miss its objective", func(a *place.Load) { a.Wanted, a.Density = 4*hostSize, 6*hostSize }, 4},
 		{"arrival rate without a backlog yet", func(a *place.Load) { a.Rate = 6 * hostSize }, 3},
 		{"unplaced lasting task", func(a *place.Load) { a.Lasting = 1 }, 1},
+		{"three shrunk workers", func(a *place.Load) {
+			for i := range 3 {
+				a.Workers[i].Size = hostSize / 4
+			}
+		}, 3},
 		{"nothing waits", func(*place.Load) {}, 0},
 		{"load above the capacity of all hosts", func(a *place.Load) { a.Rate = 50 * hostSize }, 4}, // the other pool keeps its minimum
 	} {
