--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -137,6 +137,7 @@
 	w.owner.heard[k] = false
 	for old := range w.owner.heard {
 		if old != k && old[:2] == k[:2] {
+			w.owner.WorkerCrashed(old, w.now)
 			w.owner.RemoveWorker(old, w.now) // replaced by a later lifetime
 			delete(w.owner.unheard, old)
 		}
@@ -164,6 +165,7 @@
 	for k := range o.heard {
 		if !o.leaseEnds[k].IsZero() && w.now.After(o.leaseEnds[k]) {
 			o.SetSilent(k, true)
+			o.SuspectCrash(k, w.now)
 			o.ExpireLeases(k, w.now)
 		}
 	}
