--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -88,7 +88,7 @@
 
 // suits is [Board.eligible] for a worker that may be about to be vacated.
 func (b *Board) suits(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
-	if now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
+	if w.onTrial(b.policy, t, now) || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
 		return false
 	}
 	if step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -85,6 +85,28 @@
 	return unwanted
 }
 
+// StartsBeyondCapacity returns the attempts whose start order has no answer yet and that do
+// not fit a worker any more because its capacity has shrunk, the latest first. A start that
+// was not sent yet need not be.
+func (b *Board) StartsBeyondCapacity(key string) []StopOrder {
+	w := b.workers[key]
+	if w == nil || w.used.Fits(w.Size) {
+		return nil
+	}
+	starting := slices.DeleteFunc(b.Attempts(key), func(a *Attempt) bool { return a.Phase != Starting })
+	slices.SortStableFunc(starting, func(x, y *Attempt) int { return y.OrderedAt.Compare(x.OrderedAt) })
+	var starts []StopOrder
+	used := w.used
+	for _, a := range starting {
+		if used.Fits(w.Size) {
+			break
+		}
+		used = used.Sub(a.step.Claim())
+		starts = append(starts, StopOrder{Worker: key, Task: a.Task, Attempt: a.Number, Cause: "its worker has shrunk"})
+	}
+	return starts
+}
+
 // orderStops adds the stop orders that are due.
 func (b *Board) orderStops(o *Orders) {
 	for _, key := range slices.Sorted(maps.Keys(b.pending.stops)) {
@@ -240,6 +262,7 @@
 	largest := b.pending.largestWorkerMillicores()
 	reservations := 1
 	b.startsLeft = b.startLimit
+	b.placeSuspects(o, candidates, now)
 	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
 		if !step.LongRunning && b.startsLeft <= 0 {
@@ -294,7 +317,7 @@
 func (b *Board) placeStep(o *Orders, c candidate, now time.Time) int {
 	e := c.entry
 	step := &e.job.Steps[c.key.step]
-	tasks := e.waiting[c.key]
+	tasks, suspects := b.splitSuspects(c)
 	for len(tasks) > 0 {
 		if b.unconfirmed(e, now) && !step.Speculative {
 			break
@@ -312,7 +335,7 @@
 		b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
 		tasks = tasks[1:]
 	}
-	e.waiting[c.key] = tasks
+	e.waiting[c.key] = append(tasks, suspects...)
 	return len(tasks)
 }
 
@@ -328,6 +351,9 @@
 	if !a.step.LongRunning {
 		b.startsLeft--
 	}
+	if len(e.progress.Crashes(t)) > 0 {
+		w.trial = a
+	}
 	order := StartOrder{Worker: w.Key, Task: t, Attempt: number, Spec: e.job.Spec, Checkpoint: e.progress.Checkpoint(t)}
 	if advice := e.advice[stepKey{t.Occurrence, t.Step}]; advice != nil {
 		order.Ticket = advice.tickets[w.ID]
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -97,9 +97,9 @@
 	return nil
 }
 
-// claimed returns what the attempts at a worker and the tasks that move to it claim.
+// claimed returns what is listed at a worker and the tasks that move to it claim.
 func (b *Board) claimed(w *worker) jobs.Resources {
-	var used jobs.Resources
+	used := w.unexpected
 	for _, a := range w.attempts {
 		used = used.Add(a.step.Claim())
 	}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -63,6 +63,9 @@
 		w.pausedUntil = now.Add(refusalPause)
 	}
 	if a := b.findAttempt(key, t, attempt); a != nil {
+		if e := b.jobs[t.Job]; e != nil && e.progress.DropCrash(t, key) {
+			b.markDirty(e) // a crash of its worker is not due to it
+		}
 		a.reschedule = true // it never ran, so no backoff is needed
 		b.removeAttempt(a, now)
 	}
@@ -130,22 +133,31 @@
 	if w == nil {
 		return nil
 	}
-	if asked.After(w.listedAt) {
+	newest := !asked.Before(w.listedAt)
+	if newest {
 		w.listedAt = asked
 	}
 	b.pending.listed[key] = w
 	b.pending.paceable(w)
+	b.dropCrashes(key) // it was only unreachable
 	for _, e := range ended {
 		b.applyEnd(w, e, now)
 	}
 	var unexpected []StopOrder
+	var unexpectedClaims jobs.Resources
 	listed := make(map[jobs.Task]int, len(running))
 	for _, r := range running {
 		listed[r.Task] = r.Attempt
-		if !b.applyRunning(w, r, now) {
+		if !b.applyRunning(w, r, asked, now) {
 			unexpected = append(unexpected, StopOrder{Worker: key, Task: r.Task, Attempt: r.Attempt, Cause: "not wanted here"})
+			unexpectedClaims = unexpectedClaims.Add(b.unexpectedClaim(w, r.Task))
 		}
 	}
+	if newest && unexpectedClaims != w.unexpected {
+		used := w.used.Sub(w.unexpected).Add(unexpectedClaims)
+		w.unexpected = unexpectedClaims
+		b.setUsed(w, used)
+	}
 	var gone []*Attempt
 	for _, a := range w.attempts {
 		if number, ok := listed[a.Task]; ok && number == a.Number {
@@ -166,6 +178,15 @@
 	return unexpected
 }
 
+// unexpectedClaim returns what an attempt claims that should not run at a worker. It takes
+// room until it is no longer listed, all of it if its job is not known.
+func (b *Board) unexpectedClaim(w *worker, t jobs.Task) jobs.Resources {
+	if e := b.jobs[t.Job]; e != nil && e.progress.Has(t) {
+		return e.job.Steps[t.Step].Claim()
+	}
+	return w.Size
+}
+
 // hasEnded reports whether an attempt that is missing from a listing requested at
 // asked can't be running any more.
 func (b *Board) hasEnded(a *Attempt, asked time.Time) bool {
@@ -181,7 +202,7 @@
 
 // applyRunning updates an attempt that is listed as running. It reports false if the
 // attempt should not run there.
-func (b *Board) applyRunning(w *worker, r Running, now time.Time) bool {
+func (b *Board) applyRunning(w *worker, r Running, asked, now time.Time) bool {
 	a := b.findAttempt(w.Key, r.Task, r.Attempt)
 	if a == nil {
 		a = b.adopt(w, r, now)
@@ -200,6 +221,10 @@
 	if a.ConfirmedAt.IsZero() {
 		b.confirm(a, now)
 	}
+	if asked.After(a.shownAt) {
+		a.shownAt = asked
+		b.clearSurvivor(a)
+	}
 	if r.Percent != a.Percent {
 		a.Percent, a.PercentChangedAt = r.Percent, now
 	}
