A malformed line of registrations does not take its pool out of service

Cause: the lifetimes of a pool's workers are stored one a line, with an optional end of the lease after a space. One line that did not parse made every load of the pool fail, for every owner; an end in the far future held all of its jobs up, a negative or overflowing one let tasks start before a lease had run out. An id with an @ was cut at the wrong one, so that the worker was waited for after it had answered, and forgotten as retired.

The id is what stands before the last @.

Measured: TestOddRegistrationsAreWaitedFor failed in three of five cases ("i-1@5 soon": no registrations and an error), TestIDWithTheSeparatorOfLifetimes with "i@1@ has answered and is still waited for" and "is no longer known as retired"; both pass.

--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -27,11 +27,8 @@
 			registrationRow, err = o.store.ReadRow(ctx, tableRegistrations, o.name, keyRegistrations)
 		}
 		cancel()
-		var registrations []registration
-		if err == nil {
-			registrations, err = decodeRegistrations(registrationRow.Value)
-		}
 		if err == nil {
+			registrations := decodeRegistrations(registrationRow.Value)
 			o.post(func() { o.addStoredJobs(jobRows, progressRows, registrations, began) })
 			return
 		}
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -38,23 +36,30 @@
 	return []byte(strings.Join(lines, "\n"))
 }
 
-func decodeRegistrations(data []byte) ([]registration, error) {
+// decodeRegistrations decodes the stored registrations. A lifetime with a malformed end of
+// its lease counts as one without: it is waited for as long as a lease may last.
+func decodeRegistrations(data []byte) []registration {
 	var registrations []registration
 	for line := range strings.Lines(string(data)) {
-		key, leaseEnd, hasLeaseEnd := strings.Cut(strings.TrimSpace(line), " ")
-		r := registration{key: key}
-		if hasLeaseEnd {
-			ms, err := strconv.ParseInt(leaseEnd, 10, 64)
-			if err != nil {
-				return nil, errors.Wrapf(platform.ErrMalformed, "crew: %q: %v", line, err)
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		r := registration{key: fields[0]}
+		if len(fields) == 2 {
+			if ms, err := strconv.ParseInt(fields[1], 10, 64); err == nil && ms > 0 && ms <= maxLeaseEnd.Milliseconds() {
+				r.leaseEnd = time.Duration(ms) * time.Millisecond
 			}
-			r.leaseEnd = time.Duration(ms) * time.Millisecond
 		}
 		registrations = append(registrations, r)
 	}
-	return registrations, nil
+	return registrations
 }
 
+// maxLeaseEnd is the latest end of a lease that is believed, on the store's clock, which
+// starts at 0 with the store.
+const maxLeaseEnd = 100 * 365 * 24 * time.Hour
+
 // registrationsDue reports whether the registrations have to be stored: a worker that
 // answers is not registered yet, or the stored ones differ from the current ones. A new
 // owner waits for every registered lifetime, so one that has ended must be removed, or it
@@ -140,8 +145,8 @@
 	clock := o.store.Clock()
 	for _, r := range registrations {
 		until := now.Add(takeoverWait + o.maxLeaseTime()) // the earlier owner may start tasks until workers know the new token
-		if r.leaseEnd > 0 {
-			until = now.Add(r.leaseEnd - clock)
+		if end := now.Add(r.leaseEnd - clock); r.leaseEnd > 0 && end.Before(until) {
+			until = end
 		}
 		o.unseenUntil[r.key] = until
 	}
@@ -159,7 +164,7 @@
 		return
 	}
 	for key, until := range o.unseenUntil {
-		id, _, _ := strings.Cut(key, "@")
+		id := lifetimeID(key)
 		seen := slices.ContainsFunc(o.lifetimes[id], func(a *agent) bool {
 			return a.answered || a.key == key && a.lifetimeEnded // an answer of a later lifetime shows that this one has ended
 		})
--- /dev/null
+++ b/internal/pool/registration_test.go
@@ -0,0 +1,74 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// Guards against a row of registrations that no owner can load: one odd line took the whole
+// pool out of service. Such a lifetime is waited for like one without the end of its lease.
+func TestOddRegistrationsAreWaitedFor(t *testing.T) {
+	for _, tt := range []struct {
+		in   string
+		want []registration
+	}{
+		{"", nil},
+		{"i-1@5\ni-2@6 1500", []registration{{"i-1@5", 0}, {"i-2@6", 1500 * time.Millisecond}}},
+		{"i-1@5 soon\ni-2@6", []registration{{"i-1@5", 0}, {"i-2@6", 0}}},
+		{"i-1@5 -1\n\n \ni-2@6 9223372036854775807", []registration{{"i-1@5", 0}, {"i-2@6", 0}}},
+		{"i-1@5 1 2", []registration{{"i-1@5", 0}}},
+	} {
+		if got := decodeRegistrations([]byte(tt.in)); !slices.Equal(got, tt.want) {
+			t.Errorf("%q: %+v, want %+v", tt.in, got, tt.want)
+		}
+	}
+}
+
+// Guards against a retired worker that is forgotten, or waited for in vain, because its id has
+// the sign that separates it from its birth.
+func TestIDWithTheSeparatorOfLifetimes(t *testing.T) {
+	o, _ := benchOwner(0, 0)
+	var cancel context.CancelFunc
+	o.ctx, cancel = context.WithCancel(t.Context())
+	defer cancel()
+	o.jobsLoaded = true
+	e := benchEntry(0)
+	e.ID = "i@1"
+	o.SetWorkers([]platform.WorkerEntry{e})
+	(<-o.posts)()
+	a := o.agents[lifetimeKey(e)]
+	a.answered = true
+	o.unseenUntil[a.key] = time.Now().Add(time.Hour)
+	o.updateUnseen(time.Now())
+	if len(o.unseenUntil) > 0 {
+		t.Errorf("%s has answered and is still waited for", a.key)
+	}
+	o.retiredAt[a.key] = time.Now()
+	e.Version++
+	o.SetWorkers([]platform.WorkerEntry{e})
+	(<-o.posts)()
+	if len(o.retiredAt) == 0 {
+		t.Errorf("%s is no longer known as retired", a.key)
+	}
+}
+
+func FuzzRegistrations(f *testing.F) {
+	for _, s := range []string{"", "i-1@5", "i-1@5 1500\ni-2@6", "i-1@5 x", "x\t 5 6", "a\n\nb", "\x00 \xff", "i-1@5 9223372036854775807"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		registrations := decodeRegistrations(data)
+		for _, r := range registrations {
+			if r.key == "" || r.leaseEnd < 0 {
+				t.Errorf("%+v", r)
+			}
+		}
+		if again := decodeRegistrations(encodeRegistrations(registrations)); !slices.Equal(again, registrations) {
+			t.Errorf("%q: %+v, encoded and decoded again %+v", data, registrations, again)
+		}
+	})
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -17,6 +17,9 @@
 // lifetimeKey returns the key of one lifetime of a worker.
 func lifetimeKey(e platform.WorkerEntry) string { return fmt.Sprintf("%s@%d", e.ID, e.Born) }
 
+// lifetimeID returns the id of the worker in the key of a lifetime.
+func lifetimeID(key string) string { return key[:max(0, strings.LastIndexByte(key, '@'))] }
+
 // SetWorkers sets the current worker entries of the pool. Workers without an entry
 // count as missing.
 func (o *Owner) SetWorkers(entries []platform.WorkerEntry) {
@@ -39,7 +42,7 @@
 		}
 		o.entries = next
 		for key := range o.retiredAt {
-			if id, _, _ := strings.Cut(key, "@"); next[id].ID == "" || lifetimeKey(next[id]) != key {
+			if id := lifetimeID(key); next[id].ID == "" || lifetimeKey(next[id]) != key {
 				delete(o.retiredAt, key)
 			}
 		}
@@ -99,7 +102,7 @@
 			continue
 		}
 		delete(o.retiredAt, key)
-		id, _, _ := strings.Cut(key, "@")
+		id := lifetimeID(key)
 		if e, ok := o.entries[id]; ok && lifetimeKey(e) == key && o.jobsLoaded {
 			o.log.WithField("worker", key).Info("retired worker is still running")
 			o.addAgent(e)
