Submissions out of range are refused with 400

Cause: no length or number of a submission but a few was bounded. A step with a long image, or with 60,000 dependencies, gave a row that the store does not take: the pool's transactions failed with it, again and again, and no other job was accepted meanwhile. 10,000 occurrences of four steps with 4,096 tasks each were accepted and ended the process that owns the pool by the memory for their tasks; the next owner then loads the same job. An estimate, target, interval or start in milliseconds overflowed as a duration.

Change: named limits in package jobs for names, durations, the whole schedule, all tasks and all steps; times that overflow become the longest one, which is out of bounds. A job whose stored form exceeds row_bytes is invalid.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -153,14 +153,14 @@
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
 		err = j.Validate()
 	}
+	var data []byte
+	if err == nil {
+		data, err = j.Encode()
+	}
 	if err != nil {
 		d.log.WithField("job", id).WithError(err).Info("job refused: invalid")
 		return d.refuse(w, http.StatusBadRequest, err.Error())
 	}
-	data, err := j.Encode()
-	if err != nil {
-		return d.refuse(w, http.StatusInternalServerError, err.Error())
-	}
 	reply := d.askOwner(ctx, q.Pool, "Peer.Submit", SubmitArgs{q.Pool, data}, func(o *pool.Owner) Reply {
 		v, after := o.Submit(ctx, j)
 		return Reply{Verdict: v, After: after}
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -46,7 +46,8 @@
 	SubmittedMS int64     `json:"submitted-ms"`
 }
 
-// Encode returns the stored form of a job.
+// Encode returns the stored form of a job. The error wraps [ErrInvalid] if it does not fit
+// into a row.
 func (j Job) Encode() ([]byte, error) {
 	row := jobRow{
 		ID: string(j.ID), Spec: j.Spec, Repetitions: j.Repetitions, EveryMS: j.Every.Milliseconds(),
@@ -64,6 +65,9 @@
 		})
 	}
 	data, err := json.Marshal(row)
+	if len(data) > MaxRow {
+		return nil, errors.Wrapf(ErrInvalid, "stored form: %d bytes, allowed: up to %d", len(data), MaxRow)
+	}
 	return data, errors.Wrap(err, "encode job")
 }
 
@@ -85,9 +89,9 @@
 	}
 	j := Job{
 		ID: ID(row.ID), Spec: row.Spec, Repetitions: row.Repetitions,
-		Every:    time.Duration(row.EveryMS) * time.Millisecond,
+		Every:    Milliseconds(row.EveryMS),
 		Priority: row.Priority, MaxAttempts: row.MaxAttempts, Slack: row.Slack,
-		Target: time.Duration(row.TargetMS) * time.Millisecond,
+		Target: Milliseconds(row.TargetMS),
 		Queue:  row.Queue, Pool: row.Pool, Submitted: time.UnixMilli(row.SubmittedMS),
 	}
 	if row.Repetitions > 0 {
@@ -96,10 +100,10 @@
 	for _, s := range row.Steps {
 		j.Steps = append(j.Steps, Step{
 			Count: s.Count, Size: Resources{s.Millicores, s.MemoryMB, s.Accelerators},
-			Estimate: time.Duration(s.EstimateMS) * time.Millisecond, After: s.After,
+			Estimate: Milliseconds(s.EstimateMS), After: s.After,
 			Gang: s.Gang, RackLocal: s.RackLocal, Checkpoints: s.Checkpoints, Speculative: s.Speculative,
 			LongRunning: s.Lasting, BestEffort: s.Fills, Label: s.Label, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker,
-			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: time.Duration(s.TargetMS) * time.Millisecond,
+			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: Milliseconds(s.TargetMS),
 		})
 	}
 	return j, nil
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -15,6 +15,7 @@
 package jobs
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -22,15 +23,27 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Limits of a job. A job with the longest spec and all steps must fit into a row of
-// the platform's table, which holds 64 KiB.
+// Limits of a job. Whatever a caller sends within them fits into the rows of the
+// platform's store and into the memory of a process, and overflows no sum of durations.
 const (
-	MaxSpec        = 4000      // bytes
-	MaxSteps       = 64        // steps of a job
-	MaxTasks       = 4096      // tasks of one step
-	MaxRepetitions = 10_000    // occurrences of a job
-	maxMillicores  = 1_000_000 // of one task
-	maxMemory      = 1 << 24   // MB of one task
+	MaxSpec        = 4000                // bytes
+	MaxSteps       = 64                  // steps of a job
+	MaxTasks       = 4096                // tasks of one step
+	MaxRepetitions = 10_000              // occurrences of a job
+	maxMillicores  = 1_000_000           // of one task
+	maxMemory      = 1 << 24             // MB of one task
+	maxName        = 200                 // bytes of a label, a rack or an image, as of a key of the store
+	maxEstimate    = 30 * 24 * time.Hour // run time of one task
+	maxTarget      = 366 * 24 * time.Hour
+	maxSchedule    = 10 * maxTarget      // from the first occurrence to the last one
+	maxObjective   = 2 * maxSchedule     // from when an occurrence is due
+	maxStart       = 253_402_300_799_999 // end of the year 9999, Unix time in ms
+	maxAllTasks    = 1 << 17             // tasks of all steps and occurrences; each takes some 100 bytes while it waits
+	maxAllSteps    = 10_000              // steps of all occurrences
+
+	// MaxRow is the longest stored form of a job, and of its progress, in bytes: row_bytes
+	// in the platform's settings.
+	MaxRow = 64 << 10
 )
 
 // ErrInvalid is returned for an invalid job, job id or task name.
@@ -127,6 +140,19 @@
 	Submitted time.Time // when an entry host received it
 }
 
+// Milliseconds returns a number of milliseconds as a duration. One that overflows becomes
+// the longest one, which no field of a job may have.
+func Milliseconds(ms int64) time.Duration {
+	const limit = math.MaxInt64 / int64(time.Millisecond)
+	switch {
+	case ms > limit:
+		return math.MaxInt64
+	case ms < -limit:
+		return math.MinInt64
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Occurrences returns the number of times that the steps run.
 func (j Job) Occurrences() int { return max(1, j.Repetitions) }
 
@@ -154,7 +180,7 @@
 // duration of the critical path.
 func (j Job) Objective(k int, criticalPath time.Duration) time.Time {
 	slack := max(1, j.Slack)
-	return j.Due(k).Add(time.Duration(slack*float64(criticalPath)) + j.Target)
+	return j.Due(k).Add(time.Duration(min(slack*float64(criticalPath), float64(maxObjective))) + j.Target)
 }
 
 // LongRunning reports whether the job has a long-running step.
@@ -192,13 +218,22 @@
 		return errors.Wrapf(ErrInvalid, "steps: %d, allowed: 1 to %d", len(j.Steps), MaxSteps)
 	case j.Repetitions < 0 || j.Repetitions > MaxRepetitions:
 		return errors.Wrapf(ErrInvalid, "repetitions: %d, allowed: 0 to %d", j.Repetitions, MaxRepetitions)
-	case j.Repetitions > 0 && j.Every < 0:
-		return errors.Wrapf(ErrInvalid, "interval: %v, allowed: none below 0", j.Every)
+	case j.Repetitions > 0 && (j.Every < 0 || j.Every > maxSchedule/time.Duration(j.Repetitions)):
+		return errors.Wrapf(ErrInvalid, "interval: %v, allowed: 0 to %v for %d repetitions", j.Every, maxSchedule/time.Duration(j.Repetitions), j.Repetitions)
+	case j.Repetitions > 0 && (j.FirstAt.UnixMilli() < 0 || j.FirstAt.UnixMilli() > maxStart):
+		return errors.Wrapf(ErrInvalid, "first start: %v, allowed: the years 1970 to 9999", j.FirstAt.UTC())
+	case j.Target < 0 || j.Target > maxTarget:
+		return errors.Wrapf(ErrInvalid, "target: %v, allowed: 0 to %v", j.Target, maxTarget)
 	}
+	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
 			return err
 		}
+		tasks += s.Count * j.Occurrences()
+	}
+	if steps := len(j.Steps) * j.Occurrences(); tasks > maxAllTasks || steps > maxAllSteps {
+		return errors.Wrapf(ErrInvalid, "tasks: %d in %d steps of all occurrences, allowed: up to %d in %d", tasks, steps, maxAllTasks, maxAllSteps)
 	}
 	return nil
 }
@@ -216,13 +251,20 @@
 		return invalid("memory", s.Size.MemoryMB, "0 to "+strconv.Itoa(maxMemory))
 	case s.Size.Accelerators < 0 || s.Size.Accelerators > maxMillicores:
 		return invalid("accelerators", s.Size.Accelerators, "0 to "+strconv.Itoa(maxMillicores))
-	case s.Estimate < 0:
-		return invalid("estimate", s.Estimate, "none below 0")
+	case s.Estimate < 0 || s.Estimate > maxEstimate:
+		return invalid("estimate", s.Estimate, "0 to "+maxEstimate.String())
+	case s.Target < 0 || s.Target > maxTarget:
+		return invalid("target", s.Target, "0 to "+maxTarget.String())
 	case s.MaxPerWorker < 0:
 		return invalid("most on one worker", s.MaxPerWorker, "none below 0")
 	case s.MaxUnavailable < 0:
 		return invalid("most unavailable", s.MaxUnavailable, "none below 0")
 	}
+	for _, name := range []struct{ field, value string }{{"label", s.Label}, {"rack", s.Rack}, {"image", s.Image}} {
+		if len(name.value) > maxName {
+			return invalid(name.field, strconv.Itoa(len(name.value))+" bytes", "up to "+strconv.Itoa(maxName))
+		}
+	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= number {
 			return invalid("after", dependency, "numbers of earlier steps")
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,7 +1,9 @@
 package jobs_test
 
 import (
+	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +74,18 @@
 		{func(j *jobs.Job) { j.Steps[1].After = []int{1} }, "after: 1"},
 		{func(j *jobs.Job) { j.Repetitions = -1 }, "repetitions: -1"},
 		{func(j *jobs.Job) { j.Every = -time.Second }, "interval: -1s"},
+		{func(j *jobs.Job) { j.Every = math.MaxInt64 }, "interval: 2562047h"},
+		{func(j *jobs.Job) { j.Repetitions, j.Every = 10_000, 24*time.Hour }, "interval: 24h"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(math.MaxInt64) }, "first start: 292278994"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(-1) }, "first start: 1969"},
+		{func(j *jobs.Job) { j.Steps[0].Estimate = math.MaxInt64 }, "estimate: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = math.MaxInt64 }, "target: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = -1 }, "target: -1ns"},
+		{func(j *jobs.Job) { j.Steps[0].Label = strings.Repeat("x", 201) }, "label: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Rack = strings.Repeat("x", 201) }, "rack: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Image = strings.Repeat("x", 201) }, "image: 201 bytes"},
+		{func(j *jobs.Job) { j.Repetitions, j.Steps[0].Count = 10_000, 4096 }, "tasks: 41160000 in 20000 steps"},
+		{func(j *jobs.Job) { j.Steps = slices.Repeat(j.Steps[:1], 64); j.Repetitions = 1000 }, "tasks: 192000 in 64000 steps"},
 	} {
 		j := sample()
 		tt.change(&j)
