Computed demands stay within their types

Cause: an estimated wait and a pool's demand were converted from floating point without a bound. Beyond the range of the type, the result depends on the processor: the largest value on arm64, the smallest on amd64, where a job that waits for years counts as one that need not wait.

Change: both are bounded before the conversion.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -26,6 +26,9 @@
 	millicores int     // available to batch tasks
 }
 
+// maxBacklog is the longest estimated wait. A longer one might overflow as a duration.
+const maxBacklog = 100 * 365 * 24 * time.Hour
+
 // CannotFinishInTime reports whether the backlog keeps a job from finishing before it
 // expires, and after how long its caller should retry. It is always false for a
 // job that a worker has free capacity for.
@@ -39,7 +42,7 @@
 	if b.admission.millicores == 0 {
 		return false, 0
 	}
-	wait := time.Duration(b.admission.work / float64(b.admission.millicores) * float64(time.Second))
+	wait := time.Duration(min(b.admission.work/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
 	factor := b.estimates.factor(j.Queue)
 	criticalPath := time.Duration(factor * float64(slices.Max(j.CriticalPaths())))
 	maxWait := expiryFactor*j.Objective(0, criticalPath).Sub(j.Submitted) - criticalPath
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -55,11 +55,11 @@
 		}
 		l.Workers = append(l.Workers, load)
 	}
-	l.Rate = int(b.arrivals.at(now))
+	l.Rate = toMillicores(b.arrivals.at(now))
 	slices.SortFunc(l.Workers, func(x, y WorkerLoad) int { return strings.Compare(x.ID, y.ID) })
 	for _, e := range b.pending.unfinished {
 		if e.job.Repetitions == 0 {
-			l.Density += int(e.requiredMillicores(0, b.estimates.factor(e.job.Queue), now))
+			l.Density += toMillicores(e.requiredMillicores(0, b.estimates.factor(e.job.Queue), now))
 		}
 		for _, s := range e.job.Steps {
 			l.Spread = max(l.Spread, minWorkers(s))
@@ -79,6 +79,14 @@
 	return l
 }
 
+// maxDemand is the largest demand that a computation gives, in millicores. Sums of it over
+// all jobs of a pool do not overflow.
+const maxDemand = 1e12
+
+// toMillicores rounds a computed demand down. The result of a conversion out of the range of
+// int depends on the processor.
+func toMillicores(demand float64) int { return int(min(demand, maxDemand)) }
+
 // minWorkers returns the minimum number of workers for a long-running step. One that
 // has several tasks gets at least 2, to survive the loss of a worker.
 func minWorkers(s jobs.Step) int {
