Progress that does not fit into a row holds nobody up

Cause: the progress of a job with some 900 checkpoints, or with one of 50 KB that a worker lists, is longer than row_bytes; the store refuses the transaction with all that is in it, the owner takes the store for lost, and nothing of the pool is stored any more. An error of the encoder left the job clean, so that ends were acknowledged whose effect was not stored.

Change: checkpoints that do not fit are left out, the longest first: they save work and are not needed. Failures are always stored. If they do not fit either (some 1,300 tasks of one job that have failed and are not done), the job stays dirty, its ends are not acknowledged, the other jobs go on, and the error is logged once.

--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -124,7 +127,8 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
-// Encode returns the stored form of the progress.
+// Encode returns the stored form of the progress. Checkpoints that do not fit into a row are
+// left out, the longest first. It returns an error if the rest does not fit either.
 func (p *Progress) Encode() ([]byte, error) {
 	row := progressRow{State: string(p.Final), Begun: p.Begun}
 	if p.Final == "" {
@@ -136,9 +140,35 @@
 		}
 	}
 	data, err := json.Marshal(row)
+	if excess := len(data) - MaxRow; excess > 0 {
+		row.dropCheckpoints(excess)
+		data, err = json.Marshal(row)
+	}
+	if len(data) > MaxRow {
+		return nil, errors.Newf("progress of job %s: %d bytes, allowed: up to %d", p.job.ID, len(data), MaxRow)
+	}
 	return data, errors.Wrap(err, "encode progress")
 }
 
+// dropCheckpoints drops checkpoints that take at least a number of bytes, or all.
+func (r *progressRow) dropCheckpoints(excess int) {
+	slices.SortFunc(r.Tries, func(x, y taskRow) int {
+		return cmp.Or(cmp.Compare(len(y.Checkpoint), len(x.Checkpoint)), strings.Compare(x.Task, y.Task))
+	})
+	for i := range r.Tries {
+		if excess <= 0 {
+			break
+		}
+		t := &r.Tries[i]
+		excess -= len(t.Checkpoint)
+		if len(t.Failed) == 0 {
+			excess -= len(t.Task) + len(`{"task":"","checkpoint":""}`)
+		}
+		t.Checkpoint = ""
+	}
+	r.Tries = slices.DeleteFunc(r.Tries, func(t taskRow) bool { return t.Checkpoint == "" && len(t.Failed) == 0 })
+}
+
 // DecodeProgress decodes the stored form of a job's progress.
 func DecodeProgress(j Job, data []byte) (*Progress, error) {
 	var row progressRow
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -109,3 +109,40 @@
 		}
 	})
 }
+
+// Guards against a job whose progress the store does not take: the transactions of its pool
+// fail then. Checkpoints are left out as far as they do not fit, failures never.
+func TestLongProgressFitsIntoARow(t *testing.T) {
+	j := sample()
+	j.Steps[0].Count = 4000
+	p := jobs.NewProgress(j)
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		p.Save(task, "0123456789abcdef")
+		if i < 300 {
+			p.MarkFailed(task, i)
+		}
+	}
+	p.Save(jobs.Task{Job: j.ID, Index: 3500}, strings.Repeat("\x00", jobs.MaxSpec))
+	data, err := p.Encode()
+	if err != nil || len(data) > jobs.MaxRow {
+		t.Fatalf("%d bytes, error %v, want up to %d", len(data), err, jobs.MaxRow)
+	}
+	have, err := jobs.DecodeProgress(j, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := 0
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		if want := p.Failures(task); have.Failures(task) != want {
+			t.Errorf("%v: %d failures, want %d", task, have.Failures(task), want)
+		}
+		if have.Checkpoint(task) != "" {
+			kept++
+		}
+	}
+	if kept < 300 {
+		t.Errorf("%d checkpoints kept of 3000, want 300", kept)
+	}
+}
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -202,9 +202,14 @@
 		}
 		data, state, err := o.board.EncodeProgress(id)
 		if err != nil {
-			o.log.WithField("job", id).WithError(err).Error("can't encode the progress of a job")
+			o.board.WriteFailed(id) // its ends must not be acknowledged
+			if !o.unstorable[id] {
+				o.unstorable[id] = true
+				o.log.WithField("job", id).WithError(err).Error("can't encode the progress of a job")
+			}
 			continue
 		}
+		delete(o.unstorable, id)
 		c.states[id] = state
 		c.rows = append(c.rows, platform.Row{Table: tableProgress, Part: o.name, Key: string(id), Value: data})
 		size += len(data)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -152,6 +152,7 @@
 	retention      time.Duration
 	expired        []jobs.ID        // jobs whose rows are to be removed
 	removing       map[jobs.ID]bool // those, and jobs whose rows are being removed
+	unstorable     map[jobs.ID]bool // jobs whose progress can't be encoded
 	registrations  []registration   // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
 	registrationsStale  bool
@@ -233,7 +234,7 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{}, unstorable: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
