A worker whose entry turns odd gets no new work until the entry is whole

Cause: a malformed entry took its worker from the list, like one that is missing after an outage of the store, which is waited for 2.5 s. New tasks were started there meanwhile, though such an entry names no worker to use. An entry with another pool in the same lifetime, which no move of a host gives, made the owner of that pool call the worker with its own fencing token: it stopped the tasks there, and the owner of the worker's pool was deposed.

Change: the owner is told at once which workers' entries are malformed; they get no starts, queued ones included, and what runs there stays. The worker serves again with its next whole entry. An entry that names another pool in the same lifetime counts as malformed. A fault of an entry is logged once, not for each version or reading of the table, of up to 1,000 entries; papayarudder_malformed_entries_total counts all. TestOwnersAreToldOncePerAnswer moved a worker to another pool in the same lifetime, which the platform does not do; the moved one has a new lifetime now, and the test is otherwise unchanged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,7 @@
 	heartbeats    map[string]*heartbeat           // of owners that this process can't reach, by pool
 	claiming      map[string]bool                 // pools with a claim in progress
 	workers       map[string]platform.WorkerEntry // by worker id
+	oddEntries    map[string]oddEntry             // malformed entries, by worker id
 	outdated      map[*pool.Owner]bool            // owners that are being passed workers; true if newer ones wait
 	waves         map[int]platform.Wave
 	configFetch   configFetch
@@ -84,7 +85,7 @@
 		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{},
 		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers, setGCPercent: debug.SetGCPercent,
-		workers: map[string]platform.WorkerEntry{}, workersSignal: make(chan struct{}, 1), waves: map[int]platform.Wave{},
+		workers: map[string]platform.WorkerEntry{}, oddEntries: map[string]oddEntry{}, workersSignal: make(chan struct{}, 1), waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
 		d.advisor = platform.NewAdvisor(settings.Advice)
--- a/internal/daemon/odd_test.go
+++ b/internal/daemon/odd_test.go
@@ -1,11 +1,13 @@
 package daemon_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/seeds"
 	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
@@ -38,3 +40,59 @@
 	s.waitState(p, "/labels/"+id(99), "complete", 5*time.Second)
 	s.check()
 }
+
+// Guards against new work on a worker whose entry has become odd, against the loss of what runs
+// there, and against a worker that is not used again once its entry is.
+func TestEntryTurnsOddAndBack(t *testing.T) {
+	for _, tt := range []struct {
+		name, entry string
+		odd         time.Duration // for which it is odd; after 2.5 s the worker counts as removed
+	}{
+		{"deeply nested, for a moment", string(seeds.Nested(20_000)), 500 * time.Millisecond},
+		{"port out of range, for long", `{"service":"p1","address":"127.0.0.1:70000","zone":"z1","state":"ready","capacity":{"cpu":8000,"mem_mb":16000},"labels":["a","r0"],"born":%d}`, 3500 * time.Millisecond},
+		{"another pool in the same life", `{"service":"p2","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":8000,"mem_mb":16000},"labels":["a","r0"],"born":%d}`, 500 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, 2, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 2}, {Name: "p2", Hosts: 1}}})
+			p := s.processes[0]
+			s.submit(p, "/labels/"+id(1), `{"spec":"6s","steps":[{"count":5,"cpu":1500,"estimate_ms":6000}]}`) // leaves 500 of one worker
+			s.waitFor("the tasks to run", 3*time.Second, func() bool { return len(s.platform.Runs()) == 5 })
+			odd := s.platform.Working()
+			if len(odd) != 1 {
+				t.Fatalf("tasks on %d workers, want 1", len(odd))
+			}
+			submit := func(n int) (worker string) { // of a task that fits best into the 500
+				s.submit(p, "/labels/"+id(n), `{"spec":"50ms","steps":[{"count":1,"cpu":500,"estimate_ms":50}]}`)
+				s.waitState(p, "/labels/"+id(n), "complete", 5*time.Second)
+				for _, r := range s.platform.Runs() {
+					if strings.HasPrefix(r.Task, id(n)) {
+						worker = r.Worker
+					}
+				}
+				return worker
+			}
+			entry := tt.entry
+			switch strings.Count(entry, "%") {
+			case 1:
+				entry = fmt.Sprintf(entry, odd[0].Born())
+			case 2:
+				entry = fmt.Sprintf(entry, odd[0].Addr(), odd[0].Born())
+			}
+			odd[0].Garble(entry)
+			time.Sleep(tt.odd) // long enough for the owner to read the entry
+			if w := submit(2); w == odd[0].ID {
+				t.Errorf("a task was started on %s while its entry was odd", w)
+			}
+			odd[0].Show()
+			time.Sleep(500 * time.Millisecond)
+			if w := submit(3); w != odd[0].ID {
+				t.Errorf("a task was started on %s, want %s, whose entry is whole again", w, odd[0].ID)
+			}
+			s.waitState(p, "/labels/"+id(1), "complete", 10*time.Second)
+			if n := len(s.platform.Runs()); n != 7 {
+				t.Errorf("%d runs, want 7", n)
+			}
+			s.check()
+		})
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -224,7 +225,7 @@
 	if len(d.owners) > 0 || len(d.claiming) > 0 || now.Before(d.workersUntil) {
 		return false
 	}
-	d.workers, d.workersRead = map[string]platform.WorkerEntry{}, false
+	d.workers, d.oddEntries, d.workersRead = map[string]platform.WorkerEntry{}, map[string]oddEntry{}, false
 	select {
 	case <-d.workersSignal: // of a need that has passed
 	default:
@@ -253,14 +254,31 @@
 		return 0, err
 	}
 	d.recordStoreAnswer()
-	workers := map[string]platform.WorkerEntry{}
-	for _, r := range rows {
-		if e, err := platform.DecodeWorker(r); err == nil {
-			workers[e.ID] = e
-		}
+	entries := make([]platform.WorkerEntry, len(rows))
+	faults := make([]error, len(rows))
+	for i, r := range rows {
+		entries[i], faults[i] = platform.DecodeWorker(r)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	last := d.oddEntries
+	d.oddEntries = map[string]oddEntry{}
+	workers := map[string]platform.WorkerEntry{}
+	for i, r := range rows {
+		known, ok := d.workers[r.Key]
+		if !ok {
+			known = last[r.Key].last
+		}
+		e, err := entries[i], faults[i]
+		if err == nil {
+			err = checkPool(e, known)
+		}
+		if err != nil {
+			d.recordOddEntry(r.Key, known, last[r.Key].fault, err)
+			continue
+		}
+		workers[e.ID] = e
+	}
 	d.workers = workers
 	d.workersRead = true
 	for _, o := range d.owners {
@@ -269,6 +287,39 @@
 	return version, nil
 }
 
+// oddEntry is a worker's entry that can't be decoded.
+type oddEntry struct {
+	last  platform.WorkerEntry // that could be, zero if there was none
+	fault string               // as logged
+}
+
+// maxOddEntries is how many malformed entries are told apart. Further ones are counted only.
+const maxOddEntries = 1000
+
+var metricOddEntries = metrics.NewCounter("papayarudder_malformed_entries_total")
+
+// checkPool compares an entry with the last one of the worker. A worker is one life of a
+// host, and stays in its pool: an entry that says otherwise comes from another writer.
+func checkPool(e, known platform.WorkerEntry) error {
+	if known.Born == e.Born && known.Pool != e.Pool {
+		return errors.Wrapf(platform.ErrMalformed, "worker %.60q: pool %.60q, was %.60q in the same lifetime", e.ID, e.Pool, known.Pool)
+	}
+	return nil
+}
+
+// recordOddEntry records an entry that can't be decoded. A fault is logged once, however
+// often the entry is written or read. The caller holds d.mu.
+func (d *Daemon) recordOddEntry(key string, last platform.WorkerEntry, logged string, err error) {
+	metricOddEntries.Inc()
+	if last.ID == "" && len(d.oddEntries) >= maxOddEntries {
+		return
+	}
+	d.oddEntries[key] = oddEntry{last, err.Error()}
+	if err.Error() != logged {
+		d.log.WithError(err).Info("decoding a worker entry failed")
+	}
+}
+
 // applyWorkerRows applies changes of workers' entries, then tells the owners of the pools
 // that the workers left or joined, each once. A malformed entry removes the worker that it
 // replaced.
@@ -277,16 +328,25 @@
 	defer d.mu.Unlock()
 	changed := map[string]bool{}
 	for _, r := range rows {
-		if old, ok := d.workers[r.Key]; ok {
-			changed[old.Pool] = true
+		odd := d.oddEntries[r.Key]
+		known, ok := d.workers[r.Key]
+		if !ok {
+			known = odd.last
+		}
+		if known.ID != "" {
+			changed[known.Pool] = true
 		}
 		delete(d.workers, r.Key)
+		delete(d.oddEntries, r.Key)
 		if r.Deleted {
 			continue
 		}
 		e, err := platform.DecodeWorker(r)
+		if err == nil {
+			err = checkPool(e, known)
+		}
 		if err != nil {
-			d.log.WithError(err).Info("decoding a worker entry failed")
+			d.recordOddEntry(r.Key, known, odd.fault, err)
 			continue
 		}
 		d.workers[r.Key] = e
@@ -322,8 +382,17 @@
 		}
 		d.outdated[o] = false
 		entries := d.poolWorkers(o.Name())
+		var unreadable []string
+		for id, odd := range d.oddEntries {
+			if odd.last.Pool == o.Name() {
+				unreadable = append(unreadable, id)
+			}
+		}
 		d.mu.Unlock()
 		d.sendWorkers(o, entries)
+		if len(unreadable) > 0 {
+			o.SetUnreadable(unreadable)
+		}
 	}
 }
 
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -77,6 +79,8 @@
 func TestOwnersAreToldOncePerAnswer(t *testing.T) {
 	gone := platform.Row{Table: platform.TableWorkers, Key: "w1", Deleted: true}
 	malformed := platform.Row{Table: platform.TableWorkers, Key: "w2", Value: []byte("{")}
+	moved := workerRow("w1", "p2")
+	moved.Value = bytes.Replace(moved.Value, []byte(`"born":5`), []byte(`"born":6`), 1) // a host in another pool has a new lifetime
 	for _, tt := range []struct {
 		name  string
 		in    []platform.Row // while w1 and w2 are in p1 and w3 in p2
@@ -84,7 +88,7 @@
 		want  map[string][]string // of the owners that are told
 	}{
 		{"many join", []platform.Row{workerRow("w4", "p1"), workerRow("w5", "p1"), workerRow("w6", "p1")}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w1", "w2", "w4", "w5", "w6"}}},
-		{"one moves", []platform.Row{workerRow("w1", "p2")}, map[string]int{"p1": 1, "p2": 1}, map[string][]string{"p1": {"w2"}, "p2": {"w1", "w3"}}},
+		{"one moves", []platform.Row{moved}, map[string]int{"p1": 1, "p2": 1}, map[string][]string{"p1": {"w2"}, "p2": {"w1", "w3"}}},
 		{"one leaves", []platform.Row{gone}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w2"}}},
 		{"an entry becomes malformed", []platform.Row{malformed}, map[string]int{"p1": 1}, map[string][]string{"p1": {"w1"}}},
 		{"joins a pool owned elsewhere", []platform.Row{workerRow("w4", "p3")}, map[string]int{}, map[string][]string{}},
@@ -119,3 +123,39 @@
 		t.Errorf("%d workers after %d calls, want 9 after 2", n, sent.calls["p1"])
 	}
 }
+
+// Guards against a log line for each poll or version of an odd entry, and against ones that
+// nobody counts: one is logged for each fault of an entry.
+func TestOddEntryIsLoggedOnce(t *testing.T) {
+	logger, hook := test.NewNullLogger()
+	d := New(platform.Settings{Node: "self"}, logrus.NewEntry(logger))
+	odd := func(key, value string, version uint64) platform.Row {
+		return platform.Row{Table: platform.TableWorkers, Key: key, Value: []byte(value), Version: version}
+	}
+	before := metricOddEntries.Get()
+	d.applyWorkerRows([]platform.Row{workerRow("w1", "p1"), odd("w2", "{", 2)})
+	for n := range uint64(20) {
+		d.applyWorkerRows([]platform.Row{odd("w2", "{", 3+n)})
+	}
+	d.applyWorkerRows([]platform.Row{odd("w2", "[]", 30)})
+	if n := len(hook.AllEntries()); n != 2 {
+		t.Errorf("%d lines for two faults of one entry, want 2", n)
+	}
+	hook.Reset()
+	for n := range 2 * maxOddEntries {
+		d.applyWorkerRows([]platform.Row{odd(fmt.Sprint("x", n), strings.Repeat("[", 50_000), 40)})
+	}
+	size := 0
+	for _, e := range hook.AllEntries() {
+		size += len(fmt.Sprint(e.Data[logrus.ErrorKey]))
+	}
+	if n := len(hook.AllEntries()); n >= maxOddEntries || size > 500*n {
+		t.Errorf("%d lines with %d bytes, want fewer than %d of 500", n, size, maxOddEntries)
+	}
+	if n := metricOddEntries.Get() - before; n != 22+2*maxOddEntries {
+		t.Errorf("%d malformed entries counted, want %d", n, 22+2*maxOddEntries)
+	}
+	if len(d.workers) != 1 {
+		t.Errorf("workers %v, want w1", d.workers)
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -105,6 +105,7 @@
 	Draining bool // is leaving
 	Silent   bool // does not answer
 	Vacate   bool // its host is needed elsewhere: no new tasks, long-running ones move
+	Closed   bool // gets no new tasks; those that it has stay
 }
 
 // worker is a Worker with its attempts and scheduling state.
@@ -140,7 +141,7 @@
 }
 
 // acceptsTasks reports whether the worker may get new tasks.
-func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate }
+func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate && !w.Closed }
 
 func (w *worker) hasLabel(label string) bool {
 	if label == "" {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -96,6 +96,7 @@
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
+	unreadable    bool                 // its entry became malformed, and has not been whole since
 	handledEnd    uint64               // highest number of an end that has been handled
 	unstored      []pendingEnd         // handled ends whose effect is not known to be durable, by number
 	durableEnd    uint64               // highest number of an end whose effect is durable
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -57,6 +57,23 @@
 	})
 }
 
+// SetUnreadable sets that the entries of workers have become malformed. Unlike other missing
+// ones, which may come back after an outage, they name no worker to use: it gets no new
+// tasks until its entry is whole again. What it runs stays there.
+func (o *Owner) SetUnreadable(ids []string) {
+	o.post(func() {
+		for _, id := range ids {
+			for _, a := range o.lifetimes[id] {
+				if !a.unreadable {
+					a.unreadable = true
+					o.log.WithField("worker", a.key).Info("worker's entry is malformed: it gets no new tasks")
+					o.syncAgent(a)
+				}
+			}
+		}
+	})
+}
+
 // addAgent creates the agent of a worker, or updates it. It ignores a lifetime that
 // ended by an order for its host, as the entry may stay for some seconds.
 func (o *Owner) addAgent(e platform.WorkerEntry) {
@@ -77,7 +94,7 @@
 		o.registrationsStale = true
 	}
 	a.entry = e
-	a.missingSince = time.Time{}
+	a.missingSince, a.unreadable = time.Time{}, false
 	o.syncAgent(a)
 }
 
@@ -129,10 +146,10 @@
 	}
 	_, vacate := o.vacateUntil[a.entry.ID]
 	gone := !a.missingSince.IsZero() && time.Since(a.missingSince) > missingTimeout
-	a.setLeaving(a.entry.Draining || gone || vacate)
+	a.setLeaving(a.entry.Draining || gone || vacate || a.unreadable)
 	o.board.SetWorker(place.Worker{
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
-		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate,
+		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate, Closed: a.unreadable,
 	})
 }
 
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -133,6 +133,7 @@
 	Draining     bool     `json:"draining,omitempty"`
 	Silent       bool     `json:"silent,omitempty"`
 	Vacate       bool     `json:"vacate,omitempty"`
+	Closed       bool     `json:"closed,omitempty"`
 }
 
 type runningWire struct {
@@ -200,7 +201,7 @@
 	if s.Kind == place.StepWorker {
 		p := s.Worker
 		w.Worker = &placeWorkerWire{
-			p.Key, p.ID, p.Rack, p.Labels, p.Size.Millicores, p.Size.MemoryMB, p.Size.Accelerators, p.Draining, p.Silent, p.Vacate,
+			p.Key, p.ID, p.Rack, p.Labels, p.Size.Millicores, p.Size.MemoryMB, p.Size.Accelerators, p.Draining, p.Silent, p.Vacate, p.Closed,
 		}
 	}
 	for _, r := range s.Running {
@@ -275,7 +276,7 @@
 	if p := w.Worker; p != nil {
 		s.Worker = place.Worker{
 			Key: p.Key, ID: p.ID, Rack: p.Rack, Labels: p.Labels, Size: jobs.Resources{Millicores: p.Millicores, MemoryMB: p.MemoryMB, Accelerators: p.Accelerators},
-			Draining: p.Draining, Silent: p.Silent, Vacate: p.Vacate,
+			Draining: p.Draining, Silent: p.Silent, Vacate: p.Vacate, Closed: p.Closed,
 		}
 	}
 	for _, o := range w.Running {
