--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -104,11 +104,15 @@
 func (d *Daemon) pollFeed(ctx context.Context, table string, after uint64, apply func([]platform.Row)) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedAnswerMargin)
 	defer cancel()
+	began := time.Now()
 	page, err := d.store.Feed(ctx, table, after, feedWait)
 	if err != nil {
 		return after, err
 	}
 	d.recordStoreAnswer()
+	if len(page.Rows) == 0 {
+		sleep(ctx, batchPause-time.Since(began)) // in case the store does not wait for a change
+	}
 	apply(page.Rows)
 	return max(after, page.Version), nil
 }
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -5,9 +5,13 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +163,30 @@
 		t.Errorf("workers %v, want w1", d.workers)
 	}
 }
+
+// Guards against a table that is asked for without a pause while its answers are odd.
+func TestOddAnswersOfAFeedArePaced(t *testing.T) {
+	const page = `{"rows":[],"ver":7,"now_ms":1}`
+	for _, feed := range []string{
+		``, `{"rows":[]}`, page, `{"rows":[{"table":"op","part":"","key":"x","value":"e30=","ver":7}],"ver":7,"now_ms":1}`, strings.Repeat("[", 200_000),
+	} {
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			answer := page
+			if strings.HasSuffix(r.URL.Path, "feed") {
+				answer = feed
+			}
+			_, _ = w.Write([]byte(answer))
+		}))
+		logger, hook := test.NewNullLogger()
+		d := New(platform.Settings{Node: "self", Store: platform.StoreSettings{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}}, logrus.NewEntry(logger))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		_ = d.watch(platform.TableOperator, d.readOperator, eachRow(d.applyOperatorRow))(ctx) // ends with ctx
+		cancel()
+		server.Close()
+		if n, lines := calls.Load(), len(hook.AllEntries()); n > 20 || lines > 20 {
+			t.Errorf("%.80q: %d calls and %d lines in 1 s, want up to 20", feed, n, lines)
+		}
+	}
+}
