One odd machine hides no others

Cause: one entry of the machine API's list with a field of another type made the whole list unreadable, so that no host moved and no wave went on. Capacities were not bounded. An entry that is left out would make its wave seem complete, or let one host more go down than the wave allows.

Change: such a host is listed by its name, in an unknown state: it gets no orders, and its wave counts it as open and as possibly down. An entry without a name makes the list malformed as before. The fault is logged once.

Measured: 8 of 10 entries of TestOneOddMachine were judged wrongly, for example capacity.cpu 1e99: no hosts and an error; now none. TestWaveWithAnOddHost without the change in package upkeep: maintenance of the second host was ordered.

--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -88,6 +88,7 @@
 	mu sync.Mutex // guards the planner while orders are sent concurrently
 	*Planner
 	listRequestedAt  time.Time
+	oddHosts         map[string]string // faults of hosts that can't be decoded, by name
 	loadsRequestedAt time.Time
 	lastLoads        map[string]loadAnswer // by pool
 	orderSentBy      map[string]time.Time  // by host: time by which its newest order has been sent
@@ -196,9 +197,25 @@
 		return
 	}
 	k.listRequestedAt = now
+	k.logOddHosts(hosts)
 	k.SetHosts(hosts, now)
 }
 
+// logOddHosts logs which hosts can't be decoded, once for each fault.
+func (k *Keeper) logOddHosts(hosts []platform.Host) {
+	odd := map[string]string{}
+	for _, h := range hosts {
+		if h.Fault == nil {
+			continue
+		}
+		odd[h.Name] = h.Fault.Error()
+		if k.oddHosts[h.Name] != odd[h.Name] {
+			k.log.WithField("host", h.Name).WithError(h.Fault).Error("decoding a host failed; it gets no orders")
+		}
+	}
+	k.oddHosts = odd
+}
+
 // loadAnswer is an owner's answer to a request for its pool's load.
 type loadAnswer struct {
 	load place.Load
--- a/internal/upkeep/wave_plan.go
+++ b/internal/upkeep/wave_plan.go
@@ -196,7 +196,7 @@
 // mayBeDown reports whether a host counts toward the wave's limit of hosts that are
 // down.
 func (p *wavePlan) mayBeDown(policy WavePolicy, hp *hostPlan, h platform.Host, listedAt, now time.Time) bool {
-	if h.State == platform.HostMaintenance {
+	if h.State == platform.HostMaintenance || h.State == platform.HostUnknown {
 		return true
 	}
 	if hp.orderedAt.IsZero() {
