Odd rows of processes, deadlines and advice are bounded

Cause: a process's row with a processor time of 1e300 made it the best owner of every pool, and one with port 0 could not be called. A caller's deadline beyond 292 years overflowed and was refused at once, one of years held its request for as long.

Change: bounds at each of these decoders. Stored progress of a task that its job does not have is left out; a stored state that does not exist is an error.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -23,6 +23,7 @@
 
 const (
 	defaultCallerTimeout = 3 * time.Second        // for callers that send no deadline
+	maxCallerTimeout     = time.Minute            // a request is not held for longer, whatever the caller says; the platform's callers wait seconds
 	answerMargin         = 150 * time.Millisecond // the answer is sent this long before the caller gives up
 	ownerRetryDelay      = 40 * time.Millisecond  // between attempts to reach a pool's owner
 	defaultMaxBodyBytes  = 256 << 10              // if the configuration sets no limit
@@ -107,7 +108,7 @@
 	if err != nil || ms <= 0 {
 		return defaultCallerTimeout - answerMargin
 	}
-	limit := time.Duration(ms) * time.Millisecond
+	limit := min(jobs.Milliseconds(int64(ms)), maxCallerTimeout)
 	return max(limit/2, limit-answerMargin)
 }
 
--- a/internal/daemon/liveness.go
+++ b/internal/daemon/liveness.go
@@ -23,6 +23,8 @@
 	Processor float64 `json:"processor,omitempty"` // as in Status
 }
 
+const maxProcessor = 100_000 // cores of a host
+
 // register writes this process's row to the store and retries until that succeeds.
 func (d *Daemon) register(ctx context.Context) error {
 	value, err := json.Marshal(memberRow{d.self.Addr, d.self.Life, d.settings.Limits.Processor})
@@ -52,7 +54,10 @@
 	var w memberRow
 	err := json.Unmarshal(r.Value, &w)
 	addr, addrErr := netip.ParseAddrPort(w.Addr)
-	if err = errors.CombineErrors(err, addrErr); err != nil {
+	if err = errors.CombineErrors(err, addrErr); err == nil && (addr.Port() == 0 || w.Life == "" || w.Processor < 0 || w.Processor > maxProcessor) {
+		err = errors.Wrapf(platform.ErrMalformed, "address %v, life %.60q, processor %v, allowed: a port, a life, 0 to %d", addr, w.Life, w.Processor, maxProcessor)
+	}
+	if err != nil {
 		d.log.WithField("member", r.Key).WithError(err).Error("decoding a member row failed")
 		return
 	}
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -178,6 +178,9 @@
 	p := NewProgress(j)
 	p.Final = State(row.State)
 	p.Begun = row.Begun
+	if p.Final != "" && !p.Final.Final() {
+		return nil, errors.Newf("stored progress of job %s: state %.40q", j.ID, row.State)
+	}
 	if len(row.Done) > len(p.done) {
 		return nil, errors.Newf("stored progress of job %s: %d steps, the job has %d", j.ID, len(row.Done), len(p.done))
 	}
@@ -191,6 +194,9 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
 		}
+		if !p.Has(t) || t.Job != j.ID {
+			continue // it would be stored again and again
+		}
 		p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
 	}
 	return p, nil
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -82,12 +82,19 @@
 	Life  string `json:"life"`
 }
 
+// maxToken is the highest fencing token. The numbers of attempts follow from it and stay below
+// the largest whole number that every reader of JSON keeps.
+const maxToken = 1 << 43
+
 // DecodeOwnership decodes a row of [TableOwner].
 func DecodeOwnership(r platform.Row) (Ownership, error) {
 	var w ownerRow
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return Ownership{}, errors.Wrapf(platform.ErrMalformed, "owner of %s: %v", r.Part, err)
 	}
+	if w.Token == 0 || w.Token > maxToken {
+		return Ownership{}, errors.Wrapf(platform.ErrMalformed, "owner of %s: token %d, allowed: 1 to %d", r.Part, w.Token, uint64(maxToken))
+	}
 	return Ownership{r.Part, w.Token, Identity{w.Node, w.Addr, w.Life}, r.Version}, nil
 }
 
--- a/internal/upkeep/renew.go
+++ b/internal/upkeep/renew.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -117,7 +118,7 @@
 	}
 	now, clock := time.Now(), k.Store.Clock()
 	for h, by := range row.By {
-		sent := now.Add(time.Duration(by)*time.Millisecond - clock)
+		sent := now.Add(min(jobs.Milliseconds(by)-clock, k.leaseShare(orderLeaseShare))) // the latest that an order may be sent
 		k.orderSentBy[h] = sent
 		k.blockedUntil[h] = sent.Add(k.orderSeparation())
 	}
