A failure with the highest number can be refuted

Cause: a report of a process's failure with the sequence 2^62 was accepted; the process refutes it with the next number, which the others ignore, and counts as failed for good. Only a faulty process could send it.

Change: a failure needs a lower number.

Measured: FuzzApply with that seed failed with "the process can't refute its failure"; it passes.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -36,12 +36,12 @@
 )
 
 const (
-	maxNeighbours = 8  // with no more others than this, all are probed in each period
-	nearTargets   = 2  // next processes on the ring that are probed in each period
-	failedPeriod  = 4  // in periods, between probes of failed processes
-	maxNews       = 48 // updates in a message, when many processes fail at once
-	newsFactor    = 2  // an update is sent this many times the logarithm of the number of processes
-	maxSequence   = 1 << 62
+	maxNeighbours = 8       // with no more others than this, all are probed in each period
+	nearTargets   = 2       // next processes on the ring that are probed in each period
+	failedPeriod  = 4       // in periods, between probes of failed processes
+	maxNews       = 48      // updates in a message, when many processes fail at once
+	newsFactor    = 2       // an update is sent this many times the logarithm of the number of processes
+	maxSequence   = 1 << 62 // highest number of a state; a failure must have a lower one, or it could not be refuted
 )
 
 // Update is the state of one process, as it said itself or as one that probed it reports.
@@ -147,7 +147,7 @@
 func (v *View) Apply(news []Update) (changed []string) {
 	for _, u := range news {
 		m := v.members[u.Node]
-		if m == nil || u.Sequence > maxSequence || u.Incarnation > m.Incarnation {
+		if m == nil || u.Sequence > maxSequence || u.Failed && u.Sequence == maxSequence || u.Incarnation > m.Incarnation {
 			continue // a life that is not registered yet: its row is on the way
 		}
 		if u.Node == v.self {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -167,6 +167,7 @@
 func FuzzApply(f *testing.F) {
 	f.Add("entry-1", uint64(10), uint64(0), true, true)
 	f.Add("entry-0", uint64(10), uint64(math.MaxUint64), true, false)
+	f.Add("entry-0", uint64(10), uint64(1)<<62, true, false) // the highest number that counts
 	f.Add("", uint64(0), uint64(0), false, false)
 	f.Fuzz(func(t *testing.T, node string, incarnation, sequence uint64, failed, ready bool) {
 		v := fleet(12)
