--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -182,7 +182,7 @@
 	var bestCost int64
 	for _, w := range b.pending.vacated {
 		b.examined++
-		if w.Draining || w.Silent || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
+		if w.Draining || w.Silent || w.Closed || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
 			continue
 		}
 		if cost := b.placementCost(e, step, t, w); best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -115,6 +115,7 @@
 	Draining bool // is leaving
 	Silent   bool // does not answer
 	Vacate   bool // its host is needed elsewhere: no new tasks, long-running ones move
+	Closed   bool // gets no new tasks; those that it has stay
 }
 
 // worker is a Worker with its attempts and scheduling state.
@@ -168,7 +169,7 @@
 }
 
 // acceptsTasks reports whether the worker may get new tasks.
-func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate }
+func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate && !w.Closed }
 
 // isLeaving reports whether its long-running tasks are to move elsewhere.
 func (w *worker) isLeaving() bool { return w.Draining || w.Vacate }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -17,6 +17,9 @@
 // lifetimeKey returns the key of one lifetime of a worker.
 func lifetimeKey(e platform.WorkerEntry) string { return fmt.Sprintf("%s@%d", e.ID, e.Born) }
 
+// lifetimeID returns the id of the worker in the key of a lifetime.
+func lifetimeID(key string) string { return key[:max(0, strings.LastIndexByte(key, '@'))] }
+
 // SetWorkers sets the current worker entries of the pool. Workers without an entry
 // count as missing.
 func (o *Owner) SetWorkers(entries []platform.WorkerEntry) {
@@ -39,7 +42,7 @@
 		}
 		o.entries = next
 		for key := range o.retiredAt {
-			if id, _, _ := strings.Cut(key, "@"); next[id].ID == "" || lifetimeKey(next[id]) != key {
+			if id := lifetimeID(key); next[id].ID == "" || lifetimeKey(next[id]) != key {
 				delete(o.retiredAt, key)
 			}
 		}
@@ -54,6 +57,23 @@
 	})
 }
 
+// SetUnreadable sets that the entries of workers have become malformed. Unlike other missing
+// ones, which may come back after an outage, they name no worker to use: it gets no new
+// tasks until its entry is whole again. What it runs stays there.
+func (o *Owner) SetUnreadable(ids []string) {
+	o.post(func() {
+		for _, id := range ids {
+			for _, a := range o.lifetimes[id] {
+				if !a.unreadable {
+					a.unreadable = true
+					o.log.WithField("worker", a.key).Info("worker's entry is malformed: it gets no new tasks")
+					o.syncAgent(a)
+				}
+			}
+		}
+	})
+}
+
 // addAgent creates the agent of a worker, or updates it. It ignores a lifetime that
 // ended by an order for its host, as the entry may stay for some seconds.
 func (o *Owner) addAgent(e platform.WorkerEntry) {
@@ -74,7 +94,7 @@
 		o.registrationsStale = true
 	}
 	a.entry = e
-	a.missingSince = time.Time{}
+	a.missingSince, a.unreadable = time.Time{}, false
 	o.syncAgent(a)
 }
 
@@ -99,7 +119,7 @@
 			continue
 		}
 		delete(o.retiredAt, key)
-		id, _, _ := strings.Cut(key, "@")
+		id := lifetimeID(key)
 		if e, ok := o.entries[id]; ok && lifetimeKey(e) == key && o.jobsLoaded {
 			o.log.WithField("worker", key).Info("retired worker is still running")
 			o.addAgent(e)
@@ -126,10 +146,10 @@
 	}
 	_, vacate := o.vacateUntil[a.entry.ID]
 	gone := !a.missingSince.IsZero() && time.Since(a.missingSince) > missingTimeout
-	a.setLeaving(a.entry.Draining || gone, vacate)
+	a.setLeaving(a.entry.Draining || gone || a.unreadable, vacate)
 	o.board.SetWorker(place.Worker{
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
-		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate,
+		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate, Closed: a.unreadable,
 	})
 	for _, s := range o.board.StartsBeyondCapacity(a.key) {
 		a.withdrawStart(s)
