pool: a tick and an ended worker cost no look at all workers

Every 50 ms, and once more for each worker that was ordered elsewhere (hundreds a second in a wave), an owner went through all agents to see whether their workers had tasks and were lost: 2 to 4% of its processor time at 925 workers. The board now tells whose first attempt was added or last one removed (TakeIdleChanges), the owner keeps the agents that are silent, missing or ended, and Retire looks at its own worker; the others are found at the next tick, as before.

TestTickCost counts looks: 896 with 896 workers and 112 with 112 if all agents are looked at, now one or none. TestRetirementLooksAtOneWorker, TestLostWorkersAreFound and TestAgentsKnowWhetherTheirWorkersHaveTasks fail if a reason to look at a worker is dropped.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -55,8 +55,9 @@
 	dirty            map[jobs.ID]*jobEntry
 	dirtied          uint64 // how often a job became dirty
 	pending          pendingWork
-	reservations     []*worker  // by the last decision
-	rejected         rejections // by the present decision
+	reservations     []*worker           // by the last decision
+	rejected         rejections          // by the present decision
+	idleChanged      map[string]struct{} // workers whose first attempt was added or last one removed
 	admission        admissionEstimate
 	startLimit       int       // batch tasks that a decision may start, see SetStartLimit
 	startsLeft       int       // of startLimit, for the present decision
@@ -73,7 +74,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), advisedQueues: map[string]bool{},
 	}
 }
 
@@ -396,6 +397,7 @@
 	b.removeAttempts(key, now)
 	if w := b.workers[key]; w != nil {
 		b.pending.removeWorker(w)
+		delete(b.idleChanged, key)
 		delete(b.workers, key)
 	}
 }
@@ -419,6 +421,17 @@
 	return w == nil || len(w.attempts) == 0
 }
 
+// TakeIdleChanges returns the keys of the workers for which Idle may have changed since the
+// last call.
+func (b *Board) TakeIdleChanges() []string {
+	if len(b.idleChanged) == 0 {
+		return nil
+	}
+	keys := slices.Collect(maps.Keys(b.idleChanged))
+	clear(b.idleChanged)
+	return keys
+}
+
 // Attempts returns the attempts at a worker, sorted by task.
 func (b *Board) Attempts(key string) []*Attempt {
 	w := b.workers[key]
@@ -453,6 +466,9 @@
 	a.worker = w
 	a.Pace = 100
 	w.attempts[a.Task] = a
+	if len(w.attempts) == 1 {
+		b.idleChanged[w.Key] = struct{}{}
+	}
 	w.count(a.step, 1)
 	b.setUsed(w, w.used.Add(a.step.Claim()))
 	b.pending.attemptAdded(a)
@@ -466,6 +482,9 @@
 	w := a.worker
 	if w.attempts[a.Task] == a {
 		delete(w.attempts, a.Task)
+		if len(w.attempts) == 0 {
+			b.idleChanged[w.Key] = struct{}{}
+		}
 		w.count(a.step, -1)
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
 		b.pending.paceable(w)
--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -280,6 +281,123 @@
 	}
 }
 
+// Guards against an owner that runs out of processor time because each tick, and each order for
+// a host that was carried out, looks at all workers of the pool.
+func TestTickCost(t *testing.T) {
+	const workers = 112
+	for _, tt := range []struct {
+		name  string
+		event func(o *Owner, a *agent)
+	}{
+		{"nothing happens", func(*Owner, *agent) {}},
+		{"a worker becomes idle", func(o *Owner, a *agent) { o.board.ExpireLeases(a.key, time.Now()) }},
+		{"a worker falls silent", func(o *Owner, a *agent) {
+			a.failedCallAt = time.Now()
+			o.holdFailed(a, platform.ErrOutcomeUnknown, 0)
+		}},
+		{"a worker is retired", func(o *Owner, a *agent) {
+			o.Retire(a.key)
+			(<-o.posts)()
+		}},
+	} {
+		looks := func(workers int) uint64 {
+			o, entries := benchOwner(workers, 0)
+			now := time.Now()
+			o.tick(now)
+			before := o.examined
+			a := o.agents[lifetimeKey(entries[0])]
+			a.worker = &fakeWorker{}
+			tt.event(o, a)
+			o.tick(now)
+			return o.examined - before
+		}
+		if small, large := looks(workers), looks(8*workers); large > 2*small {
+			t.Errorf("%s: a tick looked at %d with %d workers, at %d with %d", tt.name, large, 8*workers, small, workers)
+		}
+	}
+}
+
+// Guards against an order for a host that costs a look at all workers that do not answer.
+func TestRetirementLooksAtOneWorker(t *testing.T) {
+	o, entries := benchOwner(20, 0)
+	for _, e := range entries {
+		a := o.agents[lifetimeKey(e)]
+		a.worker, a.failedCallAt = &fakeWorker{}, time.Now()
+		o.holdFailed(a, platform.ErrOutcomeUnknown, 0)
+	}
+	before := o.examined
+	o.Retire(lifetimeKey(entries[0]))
+	(<-o.posts)()
+	if o.agents[lifetimeKey(entries[0])] != nil || len(o.agents) != 19 {
+		t.Errorf("%d workers after one was retired, want the 19 others", len(o.agents))
+	}
+	if looks := o.examined - before; looks != 1 {
+		t.Errorf("looked at %d workers for one that was retired, want 1", looks)
+	}
+}
+
+// Guards against a worker that is lost but never found to be, since the owner looks only at
+// those that it has reason to suspect.
+func TestLostWorkersAreFound(t *testing.T) {
+	const wait = 2 * missingTimeout
+	for _, tt := range []struct {
+		name string
+		lose func(o *Owner, a *agent)
+		want func(o *Owner, a *agent) bool // after wait
+	}{
+		{"it is silent, and its leases end", func(o *Owner, a *agent) {
+			a.leasesExpireAt, a.failedCallAt = time.Now().Add(wait/2), time.Now()
+			o.holdFailed(a, platform.ErrOutcomeUnknown, 0)
+		}, func(o *Owner, a *agent) bool { return o.board.Idle(a.key) && o.agents[a.key] == a }},
+		{"its entry is gone", func(o *Owner, _ *agent) {
+			o.SetWorkers(nil)
+			(<-o.posts)()
+		}, func(o *Owner, a *agent) bool { return o.board.Summary(time.Now()).Draining == 1 && o.agents[a.key] == a }},
+		{"it has started anew", func(o *Owner, a *agent) { o.endLifetime(a, "") }, func(o *Owner, a *agent) bool { return o.agents[a.key] == nil }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o, entries := benchOwner(1, 0)
+			a := o.agents[lifetimeKey(entries[0])]
+			a.worker = &fakeWorker{}
+			o.tick(time.Now())
+			tt.lose(o, a)
+			for range wait / tickPeriod {
+				time.Sleep(tickPeriod)
+				o.tick(time.Now())
+			}
+			if !tt.want(o, a) {
+				t.Errorf("%s: the owner did not notice", tt.name)
+			}
+		})
+	}
+}
+
+// Guards against an agent that renews leases as if its worker had tasks, or as if it had none,
+// because the owner does not learn of a change.
+func TestAgentsKnowWhetherTheirWorkersHaveTasks(t *testing.T) {
+	o, entries := benchOwner(3, 0)
+	check := func(when string) {
+		t.Helper()
+		o.tick(time.Now())
+		for _, a := range o.agents {
+			if a.busy == o.board.Idle(a.key) {
+				t.Errorf("%s: %s is idle: %v, its agent knows it as busy: %v", when, a.key, o.board.Idle(a.key), a.busy)
+			}
+		}
+	}
+	check("tasks run")
+	key := lifetimeKey(entries[1])
+	o.board.ExpireLeases(key, time.Now())
+	check("its leases expired")
+	o.dispatch(time.Now())
+	o.decideAfter = time.Time{}
+	check("tasks were placed")
+	for _, a := range o.board.Attempts(key) {
+		o.board.Refused(key, a.Task, a.Number, time.Now())
+	}
+	check("starts were refused")
+}
+
 func TestRegistrationRowSize(t *testing.T) {
 	for _, w := range []int{85, 350, 2400, 2800} {
 		o, _ := benchOwner(w, 0)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -133,6 +133,8 @@
 	board          *place.Board
 	agents         map[string]*agent    // by lifetime
 	lifetimes      map[string][]*agent  // by worker id
+	suspected      map[*agent]bool      // agents that are silent or ended or lack an entry, and some that were
+	examined       uint64               // how many agents ticks and retirements have looked at
 	newEnds        map[*agent]bool      // agents with handled ends that are not acknowledged yet
 	vacateUntil    map[string]time.Time // workers to vacate, by id, and until when
 	queue          []*submission
@@ -235,7 +237,7 @@
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), calls: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
-		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, suspected: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
@@ -443,22 +445,35 @@
 // removeLostWorkers reschedules the tasks of workers whose leases have expired or
 // whose lifetimes have ended, and removes workers that are gone.
 func (o *Owner) removeLostWorkers(now time.Time) {
-	for _, a := range o.agents {
-		o.updateBusy(a)
-		gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
-		if a.silent && a.expireLeases(now) || a.lifetimeEnded {
-			if !o.board.Idle(a.key) {
-				metricLapses.Inc()
-				o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
-			}
-			o.board.ExpireLeases(a.key, now)
-		}
-		if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
-			o.board.RemoveWorker(a.key, now)
-			o.removeAgent(a)
-		} else if gone {
-			o.syncAgent(a)
+	for _, key := range o.board.TakeIdleChanges() {
+		o.examined++
+		o.updateBusy(o.agents[key])
+	}
+	for a := range o.suspected {
+		o.removeIfLost(a, now)
+	}
+}
+
+// removeIfLost does for one worker what removeLostWorkers does for all.
+func (o *Owner) removeIfLost(a *agent, now time.Time) {
+	o.examined++
+	if o.agents[a.key] != a || !a.silent && a.missingSince.IsZero() && !a.lifetimeEnded {
+		delete(o.suspected, a)
+		return
+	}
+	gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
+	if a.silent && a.expireLeases(now) || a.lifetimeEnded {
+		if !o.board.Idle(a.key) {
+			metricLapses.Inc()
+			o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
 		}
+		o.board.ExpireLeases(a.key, now)
+	}
+	if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
+		o.board.RemoveWorker(a.key, now)
+		o.removeAgent(a)
+	} else if gone {
+		o.syncAgent(a)
 	}
 }
 
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -251,7 +251,7 @@
 		o.registrationsStale = true
 		if a := o.agents[lifetime]; a != nil {
 			o.endLifetime(a, "its host was ordered elsewhere")
-			o.removeLostWorkers(time.Now())
+			o.removeIfLost(a, time.Now())
 		}
 	})
 }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -34,6 +34,7 @@
 			if _, ok := next[id]; !ok {
 				if a := o.agents[lifetimeKey(e)]; a != nil && a.missingSince.IsZero() {
 					a.missingSince = now
+					o.suspected[a] = true
 				}
 			}
 		}
@@ -82,6 +83,7 @@
 func (o *Owner) removeAgent(a *agent) {
 	a.close()
 	delete(o.agents, a.key)
+	delete(o.suspected, a)
 	id := a.entry.ID
 	o.lifetimes[id] = slices.DeleteFunc(o.lifetimes[id], func(other *agent) bool { return other == a })
 	if len(o.lifetimes[id]) == 0 {
@@ -139,6 +141,7 @@
 		return
 	}
 	a.lifetimeEnded = true
+	o.suspected[a] = true
 	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
 	o.syncAgent(a)
@@ -205,6 +208,7 @@
 	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
+		o.suspected[a] = true
 		o.log.WithFields(logrus.Fields{"worker": a.key, "late-ms": max(0, late).Milliseconds()}).
 			WithError(err).Info("worker does not answer")
 		o.syncAgent(a)
