place: the load of a pool skips workers without long-running tasks when it adds up their claims

Load went through all attempts of the pool for the claims of the long-running ones. Workers count these already, so those without any are skipped.

--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -51,11 +51,7 @@
 			load.Idle = now.Sub(w.idleSince)
 		}
 		l.Used += load.Used
-		for _, a := range w.attempts {
-			if a.step.LongRunning {
-				l.Steady += a.step.Claim().Millicores
-			}
-		}
+		l.Steady += w.lastingClaims().Millicores
 		l.Workers = append(l.Workers, load)
 	}
 	l.Rate = int(b.arrivals.at(now))
