--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -352,7 +352,9 @@
 		{"its entry is gone", func(o *Owner, _ *agent) {
 			o.SetWorkers(nil)
 			(<-o.posts)()
-		}, func(o *Owner, a *agent) bool { return o.board.Summary(time.Now()).Draining == 1 && o.agents[a.key] == a }},
+		}, func(o *Owner, a *agent) bool {
+			return o.board.Summary(time.Now()).Draining == 1 && o.agents[a.key] == a
+		}},
 		{"it has started anew", func(o *Owner, a *agent) { o.endLifetime(a, "") }, func(o *Owner, a *agent) bool { return o.agents[a.key] == nil }},
 	} {
 		synctest.Test(t, func(t *testing.T) {
