place: whether workers may be quarantined is found out once for a decision

For each quarantined worker that was tried for a task, a decision counted all quarantined workers with failures, to see whether they are too many for the cause to be the workers. The count is kept until the time, a worker's failures or the number of workers changes.

CheckPending compares the kept answer with a new count.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -343,6 +343,7 @@
 		known = &worker{attempts: map[jobs.Task]*Attempt{}}
 		b.workers[w.Key] = known
 		b.pending.countWorker(known, 1)
+		b.pending.quarantine.known = false
 	}
 	b.changeWorker(known, func() { known.Worker = w })
 }
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -104,14 +104,17 @@
 // quarantineAllowed reports whether at most MaxQuarantinedShare of the workers are
 // quarantined. With more, the cause is probably not the workers.
 func (b *Board) quarantineAllowed(now time.Time) bool {
-	quarantined := 0
-	for _, w := range b.pending.failing {
-		b.examined++
-		if w.health.quarantined(b.policy, now) {
-			quarantined++
+	if q := &b.pending.quarantine; !q.known || !q.at.Equal(now) {
+		quarantined := 0
+		for _, w := range b.pending.failing {
+			b.examined++
+			if w.health.quarantined(b.policy, now) {
+				quarantined++
+			}
 		}
+		*q = quarantineCheck{known: true, at: now, allowed: float64(quarantined) <= b.policy.MaxQuarantinedShare*float64(len(b.workers))}
 	}
-	return float64(quarantined) <= b.policy.MaxQuarantinedShare*float64(len(b.workers))
+	return b.pending.quarantine.allowed
 }
 
 // countOnWorker returns the number of attempts of a task's step on a worker, and of tasks
--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -112,6 +112,57 @@
 	}
 }
 
+// quarantineBoard returns a board whose workers are full but for some that are quarantined,
+// and with a task that waits.
+func quarantineBoard(workers, quarantined int) *testBoard {
+	f := newTestBoard(1000, workers)
+	number := 0
+	add := func(step jobs.Step) jobs.Job {
+		number++
+		j := newJob(0, step)
+		j.ID = jobs.ID(fmt.Sprintf("%016x", number))
+		f.add(j)
+		return j
+	}
+	for i := range quarantined {
+		for range place.DefaultPolicy().QuarantineFailures {
+			j := add(batch(1, 1000))
+			f.Listed(key(i), nil, []place.Ended{{Task: jobs.Task{Job: j.ID}, Attempt: 1, Outcome: jobs.Failed}}, f.now, f.now)
+			f.Cancel(j.ID, f.now)
+		}
+	}
+	for range workers - quarantined {
+		add(batch(4, 1000))
+	}
+	f.decide()
+	add(batch(1, 1000))
+	return f
+}
+
+// Guards against decisions that cost the product of the workers with failures and of those
+// that are tried for a task.
+func TestDecisionCostWithQuarantinedWorkers(t *testing.T) {
+	const workers, quarantined, looks = 680, 200, 4
+	f := quarantineBoard(workers, quarantined)
+	if have := f.Summary(f.now).Aside; have != quarantined {
+		t.Fatalf("%d workers are quarantined, want %d", have, quarantined)
+	}
+	before := f.Examined()
+	if n := len(f.decide()); n != 0 {
+		t.Fatalf("%d tasks started on quarantined workers", n)
+	}
+	if have := f.Examined() - before; have > looks*workers {
+		t.Errorf("looked at %d for a task that waits, want at most %d", have, looks*workers)
+	}
+}
+
+func BenchmarkDecideWithQuarantinedWorkers(b *testing.B) {
+	f := quarantineBoard(680, 200)
+	for b.Loop() {
+		f.Decide(f.now)
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	for _, size := range []struct{ workers, waiting, ended int }{{85, 300, 3000}, {350, 300, 3000}, {680, 2400, 24000}} {
 		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -75,6 +75,12 @@
 	if !maps.Equal(sizes, p.sizes) {
 		return fmt.Errorf("workers by their millicores are %v, counted %v", sizes, p.sizes)
 	}
+	if q := p.quarantine; q.known {
+		p.quarantine.known = false
+		if b.quarantineAllowed(q.at) != q.allowed {
+			return fmt.Errorf("quarantine is allowed: %v, want %v", q.allowed, !q.allowed)
+		}
+	}
 	if !slices.IsSortedFunc(p.room.workers, compareRoom) {
 		return fmt.Errorf("the index of room is out of order")
 	}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -320,6 +320,7 @@
 
 func (b *Board) recordSuccess(e *jobEntry, w *worker, a *Attempt, now time.Time) {
 	w.health.recordSuccess()
+	b.pending.quarantine.known = false
 	delete(b.pending.failing, w.Key)
 	if a.step.LongRunning || e.progress.Final != "" {
 		return
@@ -355,6 +356,7 @@
 // recordFailureOn counts a failure against a worker.
 func (b *Board) recordFailureOn(w *worker, now time.Time) {
 	w.health.recordFailure(now)
+	b.pending.quarantine.known = false
 	b.pending.failing[w.Key] = w
 }
 
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -1,6 +1,10 @@
 package place
 
-import "github.com/papayarudder/papayarudder/internal/jobs"
+import (
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+)
 
 // pendingWork indexes what the next decision has to look at, so that its cost follows
 // what changed and what waits, not the size of the pool. A set may hold more than needs a
@@ -18,6 +22,7 @@
 	failing     map[string]*worker        // workers with failures
 	unanswered  map[*Attempt]struct{}     // copyable attempts whose start got no answer
 	slow        map[string]*slowIndex     // copyable attempts that are confirmed, by queue
+	quarantine  quarantineCheck           // the last one
 	room        roomIndex                 // workers that accept tasks and are not reserved
 	reserved    roomIndex                 // those that are
 	labels      map[string]int            // how many workers have a label
@@ -33,6 +38,14 @@
 	}
 }
 
+// quarantineCheck is whether workers may be quarantined at a time. It is known until a worker
+// is added or removed, or its failures change.
+type quarantineCheck struct {
+	known   bool
+	at      time.Time
+	allowed bool
+}
+
 // workerChanged records a change of what is known of a worker.
 func (p *pendingWork) workerChanged(w *worker) {
 	if w.Vacate {
@@ -123,6 +136,7 @@
 func (p *pendingWork) removeWorker(w *worker) {
 	p.roomOf(w).remove(w)
 	p.countWorker(w, -1)
+	p.quarantine.known = false
 	for _, workers := range []map[string]*worker{p.stops, p.listed, p.vacated, p.silent, p.paced, p.failing} {
 		delete(workers, w.Key)
 	}
