Room that is kept for a moving task does not keep another one of its step waiting

Found by a check that is new in the random tests: after each decision no long-running task waits while a worker has room for it, and no room is kept for a task that does not move. All kept room whose task has ended is given up before the next decision places tasks; moves are decided before that, and still see it as taken.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -59,11 +59,12 @@
 	rejected         rejections          // by the present decision
 	idleChanged      map[string]struct{} // workers whose first attempt was added or last one removed
 	admission        admissionEstimate
-	startLimit       int       // batch tasks that a decision may start, see SetStartLimit
-	startsLeft       int       // of startLimit, for the present decision
-	limitedAt        time.Time // when startLimit last held tasks back
-	trying           bool      // starts may be undone, so that a rejection does not hold
-	unconfirmedUntil time.Time // attempts of an earlier owner may be running undetected until then
+	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
+	startLimit       int         // batch tasks that a decision may start, see SetStartLimit
+	startsLeft       int         // of startLimit, for the present decision
+	limitedAt        time.Time   // when startLimit last held tasks back
+	trying           bool        // starts may be undone, so that a rejection does not hold
+	unconfirmedUntil time.Time   // attempts of an earlier owner may be running undetected until then
 	estimates        estimates
 	arrivals         arrivals
 	crashes          crashIndex
@@ -514,6 +515,9 @@
 		return
 	}
 	delete(e.attempts, a.Task)
+	if e.promises[a.Task] != nil {
+		b.arriving = append(b.arriving, a.Task)
+	}
 	b.lastingChanged(a)
 	b.requeue(e, a, now)
 }
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -289,7 +289,6 @@
 				waiting = append(waiting, t)
 				continue
 			}
-			b.releasePromise(e, t)
 			w, free := b.chooseIsolated(e, step, t, now)
 			if w != nil && free {
 				b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -255,6 +255,7 @@
 		}
 	}
 	b.reservations, b.rejected = nil, rejections{}
+	b.releaseArriving()
 	candidates := b.candidates(now)
 	if len(candidates) == 0 {
 		return
@@ -327,7 +328,6 @@
 			b.limitedAt = now
 			break
 		}
-		b.releasePromise(e, t)
 		w := b.chooseWorker(e, step, t, now)
 		if w == nil {
 			break
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
 )
@@ -183,3 +184,32 @@
 	}
 	return nil
 }
+
+// CheckPlaced returns an error if, after a decision, a long-running task waits though a worker
+// has room for it, or if room is kept for a task that does not move.
+func (b *Board) CheckPlaced(now time.Time) error {
+	for id, e := range b.jobs {
+		for t := range e.promises {
+			if len(e.attempts[t]) == 0 {
+				return fmt.Errorf("room is kept for %s, which does not move", t)
+			}
+		}
+		if e.progress.Final != "" || b.unconfirmed(e, now) || b.advisedQueues[e.job.Queue] {
+			continue
+		}
+		for key, tasks := range e.waiting {
+			step := &e.job.Steps[key.step]
+			if !step.LongRunning || step.BestEffort || step.Gang || len(tasks) == 0 {
+				continue
+			}
+			t := tasks[0]
+			for _, w := range b.workers {
+				open := w.acceptsTasks() || w.Vacate && !w.Draining && !w.Silent && !w.Closed && len(w.attempts) > 0
+				if open && step.Claim().Fits(w.free()) && b.suits(e, step, t, w, now) {
+					return fmt.Errorf("%s of %s waits, though %s has room for it", t, id, w.Key)
+				}
+			}
+		}
+	}
+	return nil
+}
--- a/internal/place/promise.go
+++ b/internal/place/promise.go
@@ -31,6 +31,17 @@
 	b.setUsed(w, w.used.Sub(e.job.Steps[t.Step].Claim()))
 }
 
+// releaseArriving gives up the room of tasks that are about to be placed. Long-running tasks
+// are placed first, and the room of one must not keep another one of its step waiting.
+func (b *Board) releaseArriving() {
+	for _, t := range b.arriving {
+		if e := b.jobs[t.Job]; e != nil {
+			b.releasePromise(e, t)
+		}
+	}
+	b.arriving = nil
+}
+
 // countPromised returns how many tasks of a task's step are about to move to a worker.
 func (e *jobEntry) countPromised(w *worker, t jobs.Task) int {
 	n := 0
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -177,6 +177,9 @@
 	if s.err == nil {
 		s.err = s.board.CheckQueued()
 	}
+	if s.err == nil {
+		s.err = s.board.CheckPlaced(s.now)
+	}
 }
 
 func take[T any](s *scanTest, from *[]T) T {
