place: test that the share of quarantined workers is not out of date

The kept answer of whether workers may be quarantined survived a dropped invalidation in all tests: a failure, a removed worker and a later time are tried now.

--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -125,11 +125,7 @@
 		return j
 	}
 	for i := range quarantined {
-		for range place.DefaultPolicy().QuarantineFailures {
-			j := add(batch(1, 1000))
-			f.Listed(key(i), nil, []place.Ended{{Task: jobs.Task{Job: j.ID}, Attempt: 1, Outcome: jobs.Failed}}, f.now, f.now)
-			f.Cancel(j.ID, f.now)
-		}
+		f.failOn(i)
 	}
 	for range workers - quarantined {
 		add(batch(4, 1000))
@@ -139,6 +135,52 @@
 	return f
 }
 
+// failOn lets a worker have as many failures as quarantine it, of jobs of their own.
+func (f *testBoard) failOn(worker int) {
+	for i := range place.DefaultPolicy().QuarantineFailures {
+		j := newJob(0, batch(1, 1000))
+		j.ID = jobs.ID(fmt.Sprintf("%08x%08x", 1+worker, i))
+		f.add(j)
+		f.Listed(key(worker), f.running(key(worker), jobs.Task{}), []place.Ended{{Task: jobs.Task{Job: j.ID}, Attempt: 1, Outcome: jobs.Failed}}, f.now, f.now)
+		f.Cancel(j.ID, f.now)
+	}
+}
+
+// Guards against a decision that goes by an earlier count of quarantined workers.
+func TestQuarantineFollowsTheShareOfWorkers(t *testing.T) {
+	const workers, quarantined = 5, 2 // at most half may be
+	for _, tt := range []struct {
+		name   string
+		change func(f *testBoard)
+		want   int // starts
+	}{
+		{"nothing changes", func(*testBoard) {}, 0},
+		{"one more has failures", func(f *testBoard) { f.failOn(quarantined) }, 1},
+		{"two others are removed", func(f *testBoard) {
+			f.RemoveWorker(key(workers-1), f.now)
+			f.RemoveWorker(key(workers-2), f.now)
+		}, 2}, // one of a removed worker's tasks too
+		{"one more has failures for some time", func(f *testBoard) {
+			f.now = f.now.Add(time.Second)
+			f.failOn(quarantined)
+			f.decide() // a task starts on the first worker
+			f.now = f.now.Add(place.DefaultPolicy().QuarantineTime - time.Millisecond)
+			var ended []place.Ended
+			for _, a := range f.Attempts(key(quarantined)) {
+				ended = append(ended, place.Ended{Task: a.Task, Attempt: a.Number, Outcome: jobs.Stopped})
+			}
+			f.Listed(key(quarantined), nil, ended, f.now, f.now)
+		}, 1}, // on a worker whose quarantine is over
+	} {
+		f := quarantineBoard(workers, quarantined)
+		f.decide()
+		tt.change(f)
+		if n := len(f.decide()); n != tt.want {
+			t.Errorf("%s: %d starts, want %d", tt.name, n, tt.want)
+		}
+	}
+}
+
 // Guards against decisions that cost the product of the workers with failures and of those
 // that are tried for a task.
 func TestDecisionCostWithQuarantinedWorkers(t *testing.T) {
