--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -23,6 +23,7 @@
 
 const (
 	defaultCallerTimeout = 3 * time.Second        // for callers that send no deadline
+	maxCallerTimeout     = time.Minute            // a request is not held for longer, whatever the caller says; the platform's callers wait seconds
 	answerMargin         = 150 * time.Millisecond // the answer is sent this long before the caller gives up
 	ownerRetryDelay      = 40 * time.Millisecond  // between attempts to reach a pool's owner
 	defaultMaxBodyBytes  = 256 << 10              // if the configuration sets no limit
@@ -107,7 +108,7 @@
 	if err != nil || ms <= 0 {
 		return defaultCallerTimeout - answerMargin
 	}
-	limit := time.Duration(ms) * time.Millisecond
+	limit := min(jobs.Milliseconds(int64(ms)), maxCallerTimeout)
 	return max(limit/2, limit-answerMargin)
 }
 
@@ -153,14 +154,14 @@
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
 		err = j.Validate()
 	}
+	var data []byte
+	if err == nil {
+		data, err = j.Encode()
+	}
 	if err != nil {
 		d.log.WithField("job", id).WithError(err).Info("job refused: invalid")
 		return d.refuse(w, http.StatusBadRequest, err.Error())
 	}
-	data, err := j.Encode()
-	if err != nil {
-		return d.refuse(w, http.StatusInternalServerError, err.Error())
-	}
 	reply := d.askOwner(ctx, q.Pool, "Peer.Submit", SubmitArgs{q.Pool, data}, func(o *pool.Owner) Reply {
 		v, after := o.Submit(ctx, j)
 		return Reply{Verdict: v, After: after}
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +49,8 @@
 	SubmittedMS int64     `json:"submitted-ms"`
 }
 
-// Encode returns the stored form of a job.
+// Encode returns the stored form of a job. The error wraps [ErrInvalid] if it does not fit
+// into a row.
 func (j Job) Encode() ([]byte, error) {
 	row := jobRow{
 		ID: string(j.ID), Spec: j.Spec, Repetitions: j.Repetitions, EveryMS: j.Every.Milliseconds(),
@@ -64,6 +68,9 @@
 		})
 	}
 	data, err := json.Marshal(row)
+	if len(data) > MaxRow {
+		return nil, errors.Wrapf(ErrInvalid, "stored form: %d bytes, allowed: up to %d", len(data), MaxRow)
+	}
 	return data, errors.Wrap(err, "encode job")
 }
 
@@ -85,9 +92,9 @@
 	}
 	j := Job{
 		ID: ID(row.ID), Spec: row.Spec, Repetitions: row.Repetitions,
-		Every:    time.Duration(row.EveryMS) * time.Millisecond,
+		Every:    Milliseconds(row.EveryMS),
 		Priority: row.Priority, MaxAttempts: row.MaxAttempts, Slack: row.Slack,
-		Target: time.Duration(row.TargetMS) * time.Millisecond,
+		Target: Milliseconds(row.TargetMS),
 		Queue:  row.Queue, Pool: row.Pool, Submitted: time.UnixMilli(row.SubmittedMS),
 	}
 	if row.Repetitions > 0 {
@@ -96,10 +103,10 @@
 	for _, s := range row.Steps {
 		j.Steps = append(j.Steps, Step{
 			Count: s.Count, Size: Resources{s.Millicores, s.MemoryMB, s.Accelerators},
-			Estimate: time.Duration(s.EstimateMS) * time.Millisecond, After: s.After,
+			Estimate: Milliseconds(s.EstimateMS), After: s.After,
 			Gang: s.Gang, RackLocal: s.RackLocal, Checkpoints: s.Checkpoints, Speculative: s.Speculative,
 			LongRunning: s.Lasting, BestEffort: s.Fills, Label: s.Label, Rack: s.Rack, MaxPerWorker: s.MaxPerWorker,
-			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: time.Duration(s.TargetMS) * time.Millisecond,
+			MaxUnavailable: s.MaxUnavailable, Image: s.Image, Target: Milliseconds(s.TargetMS),
 		})
 	}
 	return j, nil
@@ -113,14 +120,24 @@
 	Tries []taskRow `json:"tries,omitempty"`
 }
 
-// taskRow is the stored form of [Tries].
+// taskRow is the stored form of [Tries] and of the crashes under a task.
 type taskRow struct {
-	Task       string `json:"task"`
-	Failed     []int  `json:"failed,omitempty"`
-	Checkpoint string `json:"checkpoint,omitempty"`
+	Task       string     `json:"task"`
+	Failed     []int      `json:"failed,omitempty"`
+	Checkpoint string     `json:"checkpoint,omitempty"`
+	Crashes    []crashRow `json:"crashes,omitempty"`
+}
+
+// crashRow is the stored form of a [Crash].
+type crashRow struct {
+	Worker  string `json:"worker"`
+	Attempt int    `json:"attempt"`
+	Alone   bool   `json:"alone,omitempty"`
+	Settled bool   `json:"settled,omitempty"`
 }
 
-// Encode returns the stored form of the progress.
+// Encode returns the stored form of the progress. Checkpoints that do not fit into a row are
+// left out, the longest first. It returns an error if the rest does not fit either.
 func (p *Progress) Encode() ([]byte, error) {
 	row := progressRow{State: string(p.Final), Begun: p.Begun}
 	if p.Final == "" {
@@ -128,13 +145,55 @@
 			row.Done = append(row.Done, bits.encode())
 		}
 		for t, tries := range p.tries {
-			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint})
+			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint, encodeCrashes(p.crashes[t])})
+		}
+		for t, crashes := range p.crashes {
+			if _, known := p.tries[t]; !known {
+				row.Tries = append(row.Tries, taskRow{Task: t.String(), Crashes: encodeCrashes(crashes)})
+			}
 		}
 	}
 	data, err := json.Marshal(row)
+	if excess := len(data) - MaxRow; excess > 0 {
+		row.dropCheckpoints(excess)
+		data, err = json.Marshal(row)
+	}
+	if len(data) > MaxRow {
+		return nil, errors.Newf("progress of job %s: %d bytes, allowed: up to %d", p.job.ID, len(data), MaxRow)
+	}
 	return data, errors.Wrap(err, "encode progress")
 }
 
+func encodeCrashes(crashes []Crash) []crashRow {
+	var rows []crashRow
+	for _, c := range crashes {
+		rows = append(rows, crashRow(c))
+	}
+	return rows
+}
+
+// holdsOnlyCheckpoint reports whether nothing is left without the checkpoint.
+func (r taskRow) holdsOnlyCheckpoint() bool { return len(r.Failed)+len(r.Crashes) == 0 }
+
+// dropCheckpoints drops checkpoints that take at least a number of bytes, or all.
+func (r *progressRow) dropCheckpoints(excess int) {
+	slices.SortFunc(r.Tries, func(x, y taskRow) int {
+		return cmp.Or(cmp.Compare(len(y.Checkpoint), len(x.Checkpoint)), strings.Compare(x.Task, y.Task))
+	})
+	for i := range r.Tries {
+		if excess <= 0 {
+			break
+		}
+		t := &r.Tries[i]
+		excess -= len(t.Checkpoint)
+		if t.holdsOnlyCheckpoint() {
+			excess -= len(t.Task) + len(`{"task":"","checkpoint":""}`)
+		}
+		t.Checkpoint = ""
+	}
+	r.Tries = slices.DeleteFunc(r.Tries, func(t taskRow) bool { return t.Checkpoint == "" && t.holdsOnlyCheckpoint() })
+}
+
 // DecodeProgress decodes the stored form of a job's progress.
 func DecodeProgress(j Job, data []byte) (*Progress, error) {
 	var row progressRow
@@ -144,6 +203,9 @@
 	p := NewProgress(j)
 	p.Final = State(row.State)
 	p.Begun = row.Begun
+	if p.Final != "" && !p.Final.Final() {
+		return nil, errors.Newf("stored progress of job %s: state %.40q", j.ID, row.State)
+	}
 	if len(row.Done) > len(p.done) {
 		return nil, errors.Newf("stored progress of job %s: %d steps, the job has %d", j.ID, len(row.Done), len(p.done))
 	}
@@ -157,7 +219,15 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
 		}
-		p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
+		if !p.Has(t) || t.Job != j.ID {
+			continue // it would be stored again and again
+		}
+		if len(r.Failed) > 0 || r.Checkpoint != "" {
+			p.tries[t] = Tries{Failed: r.Failed, Checkpoint: r.Checkpoint}
+		}
+		for _, c := range r.Crashes {
+			p.crashes[t] = append(p.crashes[t], Crash(c))
+		}
 	}
 	return p, nil
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,7 +1,9 @@
 package jobs_test
 
 import (
+	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +47,10 @@
 	p.MarkFailed(failed, 7) // reported twice
 	p.MarkFailed(failed, 9)
 	p.Save(failed, "saved")
+	crashed := jobs.Task{Job: j.ID}
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w2@1", Attempt: 1002, Alone: true})
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w1@1", Attempt: 1})
+	p.MarkCrash(crashed, jobs.Crash{Worker: "w1@1", Attempt: 1, Settled: true})
 	data, err := p.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -56,6 +62,28 @@
 	if !have.Done(done) || have.Done(failed) || have.Failures(failed) != 2 || have.Checkpoint(failed) != "saved" || have.State() != jobs.Active {
 		t.Errorf("decoded %s", data)
 	}
+	if want := []jobs.Crash{{"w1@1", 1, false, true}, {"w2@1", 1002, true, false}}; !reflect.DeepEqual(have.Crashes(crashed), want) {
+		t.Errorf("crashes %+v, want %+v", have.Crashes(crashed), want)
+	}
+}
+
+// Guards against rows of earlier versions, which lack the crashes, and against rows that
+// outgrow the platform's table when a worker with many tasks of one job crashes.
+func TestStoredCrashes(t *testing.T) {
+	j := sample()
+	p, err := jobs.DecodeProgress(j, []byte(`{"begun":true,"tries":[{"task":"5c0e7a21d94b36f8.0.0.1","failed":[7]}]}`))
+	if err != nil || p.HasCrashes() || p.Failures(jobs.Task{Job: j.ID, Index: 1}) != 1 {
+		t.Errorf("a row without crashes: %+v, %v", p, err)
+	}
+	j.Steps = []jobs.Step{{Count: jobs.MaxTasks}}
+	p = jobs.NewProgress(j)
+	for i := range jobs.MaxTasks {
+		p.MarkCrash(jobs.Task{Job: j.ID, Index: i}, jobs.Crash{Worker: "i-462b1b21f2@1785551696737", Attempt: 123_001, Settled: true})
+	}
+	data, err := p.Encode()
+	if err != nil || len(data) > 48_000 { // a row of 64 KiB in base64
+		t.Errorf("%d bytes for a job with crashes under %d tasks, %v", len(data), jobs.MaxTasks, err)
+	}
 }
 
 func TestInvalidJobsNameFieldAndValue(t *testing.T) {
@@ -72,6 +100,18 @@
 		{func(j *jobs.Job) { j.Steps[1].After = []int{1} }, "after: 1"},
 		{func(j *jobs.Job) { j.Repetitions = -1 }, "repetitions: -1"},
 		{func(j *jobs.Job) { j.Every = -time.Second }, "interval: -1s"},
+		{func(j *jobs.Job) { j.Every = math.MaxInt64 }, "interval: 2562047h"},
+		{func(j *jobs.Job) { j.Repetitions, j.Every = 10_000, 24*time.Hour }, "interval: 24h"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(math.MaxInt64) }, "first start: 292278994"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(-1) }, "first start: 1969"},
+		{func(j *jobs.Job) { j.Steps[0].Estimate = math.MaxInt64 }, "estimate: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = math.MaxInt64 }, "target: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = -1 }, "target: -1ns"},
+		{func(j *jobs.Job) { j.Steps[0].Label = strings.Repeat("x", 201) }, "label: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Rack = strings.Repeat("x", 201) }, "rack: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Image = strings.Repeat("x", 201) }, "image: 201 bytes"},
+		{func(j *jobs.Job) { j.Repetitions, j.Steps[0].Count = 10_000, 4096 }, "tasks: 41160000 in 20000 steps"},
+		{func(j *jobs.Job) { j.Steps = slices.Repeat(j.Steps[:1], 64); j.Repetitions = 1000 }, "tasks: 192000 in 64000 steps"},
 	} {
 		j := sample()
 		tt.change(&j)
@@ -95,3 +135,40 @@
 		}
 	})
 }
+
+// Guards against a job whose progress the store does not take: the transactions of its pool
+// fail then. Checkpoints are left out as far as they do not fit, failures never.
+func TestLongProgressFitsIntoARow(t *testing.T) {
+	j := sample()
+	j.Steps[0].Count = 4000
+	p := jobs.NewProgress(j)
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		p.Save(task, "0123456789abcdef")
+		if i < 300 {
+			p.MarkFailed(task, i)
+		}
+	}
+	p.Save(jobs.Task{Job: j.ID, Index: 3500}, strings.Repeat("\x00", jobs.MaxSpec))
+	data, err := p.Encode()
+	if err != nil || len(data) > jobs.MaxRow {
+		t.Fatalf("%d bytes, error %v, want up to %d", len(data), err, jobs.MaxRow)
+	}
+	have, err := jobs.DecodeProgress(j, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := 0
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		if want := p.Failures(task); have.Failures(task) != want {
+			t.Errorf("%v: %d failures, want %d", task, have.Failures(task), want)
+		}
+		if have.Checkpoint(task) != "" {
+			kept++
+		}
+	}
+	if kept < 300 {
+		t.Errorf("%d checkpoints kept of 3000, want 300", kept)
+	}
+}
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -88,7 +88,7 @@
 
 // suits is [Board.eligible] for a worker that may be about to be vacated.
 func (b *Board) suits(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
-	if now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
+	if w.onTrial(b.policy, t, now) || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
 		return false
 	}
 	if step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker {
@@ -185,7 +185,7 @@
 	var bestCost int64
 	for _, w := range b.pending.vacated {
 		b.examined++
-		if w.Draining || w.Silent || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
+		if w.Draining || w.Silent || w.Closed || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
 			continue
 		}
 		if cost := b.placementCost(e, step, t, w); best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -38,6 +38,8 @@
 	ReserveShare        float64       // share of the largest worker; a waiting task larger than this may reserve a worker
 	MaxQuarantinedShare float64       // share of the pool's workers that may be quarantined
 	StartTimeout        time.Duration // a long-running task that is not available after this long is restarted
+	CrashWindow         time.Duration // a crash counts against attempts that have not run this long
+	TrialTime           time.Duration // after the start of a task that may crash its worker, how long no other starts there
 	UnavailableAfter    time.Duration // a long-running task that is not available for this long counts as unavailable
 }
 
@@ -53,6 +55,8 @@
 		ReserveShare:        0.25,
 		MaxQuarantinedShare: 0.5,
 		StartTimeout:        4 * time.Second,
+		CrashWindow:         time.Second,             // plays show 6 to 10 ms; answers of a busy worker or owner come later
+		TrialTime:           150 * time.Millisecond,  // plays show 6 to 10 ms, and 20 ms more until the owner notices
 		UnavailableAfter:    4500 * time.Millisecond, // the platform's notice_ms
 	}
 }
@@ -88,10 +92,11 @@
 
 	step          *jobs.Step
 	worker        *worker
-	stopRequested bool // a stop order is due
-	reschedule    bool // its task may be queued again without a backoff
-	stalled       bool // stopped because its percentage did not change
-	awaitsListing bool // its start was not answered; the next listing shows whether it runs
+	shownAt       time.Time // when the newest listing that shows it was requested
+	stopRequested bool      // a stop order is due
+	reschedule    bool      // its task may be queued again without a backoff
+	stalled       bool      // stopped because its percentage did not change
+	awaitsListing bool      // its start was not answered; the next listing shows whether it runs
 
 	copyable  bool       // a copy of its task may be started
 	slow      *slowIndex // that holds it, nil if none does
@@ -110,6 +115,7 @@
 	Draining bool // is leaving
 	Silent   bool // does not answer
 	Vacate   bool // its host is needed elsewhere: no new tasks, long-running ones move
+	Closed   bool // gets no new tasks; those that it has stay
 }
 
 // worker is a Worker with its attempts and scheduling state.
@@ -117,11 +123,14 @@
 	Worker
 	used     jobs.Resources
 	attempts map[jobs.Task]*Attempt
-	lasting  int // attempts of long-running tasks
-	filling  int // attempts of best-effort tasks
-	promised int // long-running tasks about to move here, whose claims are part of used
-	health   health
-	reserved bool // by the current decision, for a task that does not fit yet
+	// unexpected is the part of used for listed attempts that should not run here.
+	unexpected jobs.Resources
+	lasting    int // attempts of long-running tasks
+	filling    int // attempts of best-effort tasks
+	promised   int // long-running tasks about to move here, whose claims are part of used
+	health     health
+	trial      *Attempt // latest start of a task with recorded crashes
+	reserved   bool     // by the current decision, for a task that does not fit yet
 
 	pausedUntil time.Time // after it refused a start
 	listedAt    time.Time // when its newest listing was requested
@@ -160,7 +169,7 @@
 }
 
 // acceptsTasks reports whether the worker may get new tasks.
-func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate }
+func (w *worker) acceptsTasks() bool { return !w.Draining && !w.Silent && !w.Vacate && !w.Closed }
 
 // isLeaving reports whether its long-running tasks are to move elsewhere.
 func (w *worker) isLeaving() bool { return w.Draining || w.Vacate }
--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -355,7 +355,7 @@
 		}, func(o *Owner, a *agent) bool {
 			return o.board.Summary(time.Now()).Draining == 1 && o.agents[a.key] == a
 		}},
-		{"it has started anew", func(o *Owner, a *agent) { o.endLifetime(a, "") }, func(o *Owner, a *agent) bool { return o.agents[a.key] == nil }},
+		{"it has started anew", func(o *Owner, a *agent) { o.endLifetime(a, lifetimeOrdered, "") }, func(o *Owner, a *agent) bool { return o.agents[a.key] == nil }},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			o, entries := benchOwner(1, 0)
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -27,11 +27,8 @@
 			registrationRow, err = o.store.ReadRow(ctx, tableRegistrations, o.name, keyRegistrations)
 		}
 		cancel()
-		var registrations []registration
-		if err == nil {
-			registrations, err = decodeRegistrations(registrationRow.Value)
-		}
 		if err == nil {
+			registrations := decodeRegistrations(registrationRow.Value)
 			o.post(func() { o.addStoredJobs(jobRows, progressRows, registrations, began) })
 			return
 		}
@@ -68,6 +65,11 @@
 	for _, e := range o.entries {
 		o.addAgent(e)
 	}
+	for _, key := range o.board.SuspectedWorkers() {
+		if _, unseen := o.unseenUntil[key]; !unseen && o.agents[key] == nil {
+			o.reportCrash(key) // the earlier owner had removed it
+		}
+	}
 	o.log.WithFields(logrus.Fields{
 		"jobs": len(jobRows), "workers": len(o.agents), "ms": now.Sub(began).Milliseconds(),
 	}).Info("pool loaded")
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -82,12 +82,19 @@
 	Life  string `json:"life"`
 }
 
+// maxToken is the highest fencing token. The numbers of attempts follow from it and stay below
+// the largest whole number that every reader of JSON keeps.
+const maxToken = 1 << 43
+
 // DecodeOwnership decodes a row of [TableOwner].
 func DecodeOwnership(r platform.Row) (Ownership, error) {
 	var w ownerRow
 	if err := json.Unmarshal(r.Value, &w); err != nil {
 		return Ownership{}, errors.Wrapf(platform.ErrMalformed, "owner of %s: %v", r.Part, err)
 	}
+	if w.Token == 0 || w.Token > maxToken {
+		return Ownership{}, errors.Wrapf(platform.ErrMalformed, "owner of %s: token %d, allowed: 1 to %d", r.Part, w.Token, uint64(maxToken))
+	}
 	return Ownership{r.Part, w.Token, Identity{w.Node, w.Addr, w.Life}, r.Version}, nil
 }
 
@@ -156,6 +163,7 @@
 	retention      time.Duration
 	expired        []jobs.ID        // jobs whose rows are to be removed
 	removing       map[jobs.ID]bool // those, and jobs whose rows are being removed
+	unstorable     map[jobs.ID]bool // jobs whose progress can't be encoded
 	registrations  []registration   // as stored
 	// registrationsStale means that something changed on which registrationsDue depends.
 	registrationsStale  bool
@@ -238,7 +246,7 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, suspected: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{}, unstorable: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
 	}
@@ -467,9 +475,15 @@
 			metricLapses.Inc()
 			o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
 		}
+		if !a.lifetimeEnded {
+			o.board.SuspectCrash(a.key, now)
+		}
 		o.board.ExpireLeases(a.key, now)
 	}
 	if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
+		if !a.lifetimeEnded {
+			o.settleCrash(a) // its entry is gone too
+		}
 		o.board.RemoveWorker(a.key, now)
 		o.removeAgent(a)
 	} else if gone {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -17,6 +17,9 @@
 // lifetimeKey returns the key of one lifetime of a worker.
 func lifetimeKey(e platform.WorkerEntry) string { return fmt.Sprintf("%s@%d", e.ID, e.Born) }
 
+// lifetimeID returns the id of the worker in the key of a lifetime.
+func lifetimeID(key string) string { return key[:max(0, strings.LastIndexByte(key, '@'))] }
+
 // SetWorkers sets the current worker entries of the pool. Workers without an entry
 // count as missing.
 func (o *Owner) SetWorkers(entries []platform.WorkerEntry) {
@@ -40,7 +43,7 @@
 		}
 		o.entries = next
 		for key := range o.retiredAt {
-			if id, _, _ := strings.Cut(key, "@"); next[id].ID == "" || lifetimeKey(next[id]) != key {
+			if id := lifetimeID(key); next[id].ID == "" || lifetimeKey(next[id]) != key {
 				delete(o.retiredAt, key)
 			}
 		}
@@ -55,6 +58,23 @@
 	})
 }
 
+// SetUnreadable sets that the entries of workers have become malformed. Unlike other missing
+// ones, which may come back after an outage, they name no worker to use: it gets no new
+// tasks until its entry is whole again. What it runs stays there.
+func (o *Owner) SetUnreadable(ids []string) {
+	o.post(func() {
+		for _, id := range ids {
+			for _, a := range o.lifetimes[id] {
+				if !a.unreadable {
+					a.unreadable = true
+					o.log.WithField("worker", a.key).Info("worker's entry is malformed: it gets no new tasks")
+					o.syncAgent(a)
+				}
+			}
+		}
+	})
+}
+
 // addAgent creates the agent of a worker, or updates it. It ignores a lifetime that
 // ended by an order for its host, as the entry may stay for some seconds.
 func (o *Owner) addAgent(e platform.WorkerEntry) {
@@ -64,7 +84,7 @@
 	}
 	for _, a := range o.lifetimes[e.ID] {
 		if a.key != key && !a.lifetimeEnded {
-			o.endLifetime(a, "it has started anew")
+			o.endLifetime(a, lifetimeCrashed, "it has started anew")
 		}
 	}
 	a := o.agents[key]
@@ -75,7 +95,7 @@
 		o.registrationsStale = true
 	}
 	a.entry = e
-	a.missingSince = time.Time{}
+	a.missingSince, a.unreadable = time.Time{}, false
 	o.syncAgent(a)
 }
 
@@ -101,7 +121,7 @@
 			continue
 		}
 		delete(o.retiredAt, key)
-		id, _, _ := strings.Cut(key, "@")
+		id := lifetimeID(key)
 		if e, ok := o.entries[id]; ok && lifetimeKey(e) == key && o.jobsLoaded {
 			o.log.WithField("worker", key).Info("retired worker is still running")
 			o.addAgent(e)
@@ -128,15 +148,26 @@
 	}
 	_, vacate := o.vacateUntil[a.entry.ID]
 	gone := !a.missingSince.IsZero() && time.Since(a.missingSince) > missingTimeout
-	a.setLeaving(a.entry.Draining || gone, vacate)
+	a.setLeaving(a.entry.Draining || gone || a.unreadable, vacate)
 	o.board.SetWorker(place.Worker{
 		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
-		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate,
+		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate, Closed: a.unreadable,
 	})
+	for _, s := range o.board.StartsBeyondCapacity(a.key) {
+		a.withdrawStart(s)
+	}
 }
 
+// lifetimeEnd is the way in which a worker's lifetime ended.
+type lifetimeEnd int
+
+const (
+	lifetimeCrashed lifetimeEnd = iota // unless it was about to leave
+	lifetimeOrdered                    // by an order for its host
+)
+
 // endLifetime records that a worker's lifetime has ended.
-func (o *Owner) endLifetime(a *agent, cause string) {
+func (o *Owner) endLifetime(a *agent, how lifetimeEnd, cause string) {
 	if a.lifetimeEnded {
 		return
 	}
@@ -144,6 +175,11 @@
 	o.suspected[a] = true
 	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
+	if how == lifetimeCrashed && o.agents[a.key] == a {
+		o.settleCrash(a)
+	} else {
+		o.board.WorkerLeft(a.key)
+	}
 	o.syncAgent(a)
 	a.cancel()
 }
@@ -203,9 +239,12 @@
 		return
 	}
 	if isLifetimeOver(err) {
-		o.endLifetime(a, "another lifetime answers")
+		o.endLifetime(a, lifetimeCrashed, "another lifetime answers")
 		return
 	}
+	if errors.Is(err, platform.ErrConnectionRefused) && !a.lifetimeEnded && o.agents[a.key] == a {
+		o.board.SuspectCrash(a.key, time.Now()) // stored at once, in case this owner is lost too
+	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
 		o.suspected[a] = true
@@ -225,7 +264,7 @@
 	case errors.Is(err, platform.ErrFenced):
 		o.depose("a worker has seen a higher token")
 	case isLifetimeOver(err):
-		o.endLifetime(a, "another lifetime answers")
+		o.endLifetime(a, lifetimeCrashed, "another lifetime answers")
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		if o.board.StartUnanswered(a.key, s.Task, s.Attempt) {
 			metricUnknown.Inc()
@@ -246,7 +285,7 @@
 	case errors.Is(err, platform.ErrFenced):
 		o.depose("a worker has seen a higher token")
 	case isLifetimeOver(err):
-		o.endLifetime(a, "another lifetime answers")
+		o.endLifetime(a, lifetimeCrashed, "another lifetime answers")
 	default:
 		o.board.StopFailed(a.key, s.Task, s.Attempt)
 	}
