--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -69,14 +69,8 @@
 func (b *Board) batchCapacity() int {
 	millicores := 0
 	for _, w := range b.workers {
-		if !w.acceptsTasks() {
-			continue
-		}
-		millicores += w.Size.Millicores
-		for _, a := range w.attempts {
-			if a.step.LongRunning {
-				millicores -= a.step.Claim().Millicores
-			}
+		if w.acceptsTasks() {
+			millicores += w.Size.Sub(w.lastingClaims()).Millicores
 		}
 	}
 	return millicores
--- a/internal/place/cost_test.go
+++ b/internal/place/cost_test.go
@@ -315,6 +315,15 @@
 	}
 }
 
+func BenchmarkAdmissionInTurn(b *testing.B) {
+	s := newTurn(900, 400, 1, 300, turnCopied)
+	j := newJob(0, batch(1, 3500))
+	for b.Loop() {
+		s.now = s.now.Add(time.Second) // later than the sums are used
+		s.CannotFinishInTime(j, s.now)
+	}
+}
+
 func BenchmarkDecideInTurn(b *testing.B) {
 	for _, workers := range []int{112, 900} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
