--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -196,8 +196,13 @@
 func BenchmarkVacate(b *testing.B) {
 	forWorkers(b, func(b *testing.B, o *Owner, entries []platform.WorkerEntry) {
 		go func() {
-			for f := range o.posts {
-				f()
+			for {
+				select {
+				case f := <-o.calls:
+					f()
+				case <-b.Context().Done():
+					return
+				}
 			}
 		}()
 		i := 0
