--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,7 +1,9 @@
 package jobs_test
 
 import (
+	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +74,18 @@
 		{func(j *jobs.Job) { j.Steps[1].After = []int{1} }, "after: 1"},
 		{func(j *jobs.Job) { j.Repetitions = -1 }, "repetitions: -1"},
 		{func(j *jobs.Job) { j.Every = -time.Second }, "interval: -1s"},
+		{func(j *jobs.Job) { j.Every = math.MaxInt64 }, "interval: 2562047h"},
+		{func(j *jobs.Job) { j.Repetitions, j.Every = 10_000, 24*time.Hour }, "interval: 24h"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(math.MaxInt64) }, "first start: 292278994"},
+		{func(j *jobs.Job) { j.FirstAt = time.UnixMilli(-1) }, "first start: 1969"},
+		{func(j *jobs.Job) { j.Steps[0].Estimate = math.MaxInt64 }, "estimate: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = math.MaxInt64 }, "target: 2562047h"},
+		{func(j *jobs.Job) { j.Steps[0].Target = -1 }, "target: -1ns"},
+		{func(j *jobs.Job) { j.Steps[0].Label = strings.Repeat("x", 201) }, "label: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Rack = strings.Repeat("x", 201) }, "rack: 201 bytes"},
+		{func(j *jobs.Job) { j.Steps[0].Image = strings.Repeat("x", 201) }, "image: 201 bytes"},
+		{func(j *jobs.Job) { j.Repetitions, j.Steps[0].Count = 10_000, 4096 }, "tasks: 41160000 in 20000 steps"},
+		{func(j *jobs.Job) { j.Steps = slices.Repeat(j.Steps[:1], 64); j.Repetitions = 1000 }, "tasks: 192000 in 64000 steps"},
 	} {
 		j := sample()
 		tt.change(&j)
@@ -95,3 +109,40 @@
 		}
 	})
 }
+
+// Guards against a job whose progress the store does not take: the transactions of its pool
+// fail then. Checkpoints are left out as far as they do not fit, failures never.
+func TestLongProgressFitsIntoARow(t *testing.T) {
+	j := sample()
+	j.Steps[0].Count = 4000
+	p := jobs.NewProgress(j)
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		p.Save(task, "0123456789abcdef")
+		if i < 300 {
+			p.MarkFailed(task, i)
+		}
+	}
+	p.Save(jobs.Task{Job: j.ID, Index: 3500}, strings.Repeat("\x00", jobs.MaxSpec))
+	data, err := p.Encode()
+	if err != nil || len(data) > jobs.MaxRow {
+		t.Fatalf("%d bytes, error %v, want up to %d", len(data), err, jobs.MaxRow)
+	}
+	have, err := jobs.DecodeProgress(j, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := 0
+	for i := range 3000 {
+		task := jobs.Task{Job: j.ID, Index: i}
+		if want := p.Failures(task); have.Failures(task) != want {
+			t.Errorf("%v: %d failures, want %d", task, have.Failures(task), want)
+		}
+		if have.Checkpoint(task) != "" {
+			kept++
+		}
+	}
+	if kept < 300 {
+		t.Errorf("%d checkpoints kept of 3000, want 300", kept)
+	}
+}
