A test with odd entries among those of the workers

Cause: other operators report that processes end, or stop following the list, by one odd entry.

Change: TestOddEntriesAmongThoseOfTheWorkers puts all odd entries of package seeds (deep nesting, numbers too large, ports out of range, missing fields and other types), odd keys and a copy of a worker's entry into the table, while jobs run, an owner is killed and the table is read anew.

--- a/internal/daemon/odd_test.go
+++ b/internal/daemon/odd_test.go
@@ -96,3 +96,38 @@
 		})
 	}
 }
+
+// Guards against the report of other operators: odd entries among those of the workers end the
+// processes that read the list, or stop them from following it. Entries of workers that do not
+// exist, and copies of one under another id, take no tasks.
+func TestOddEntriesAmongThoseOfTheWorkers(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	lost := s.owner("p1")
+	p := s.other(lost)
+	worker := s.platform.Workers()[0]
+	whole := fmt.Sprintf(`{"service":"p1","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":8,"state":"ready","capacity":{"cpu":8000,"mem_mb":16000,"gpu":0},"labels":["a","r0"],"sequence":1,"born":%d}`, worker.Born())
+	copied := strings.Replace(whole, "127.0.0.1:9", worker.Addr(), 1)
+	rows := seeds.Odd(whole)
+	for i, row := range rows {
+		s.platform.Store.Put("servers", "", fmt.Sprintf("odd-%d", i), row)
+	}
+	for _, key := range []string{"a b", "a\nb", "a@1@2", "", "i-\u2028", "copy"} {
+		s.platform.Store.Put("servers", "", key, []byte(copied))
+	}
+	s.submit(p, "/labels/"+id(1), `{"spec":"200ms","steps":[{"count":12,"cpu":1000,"estimate_ms":200}]}`)
+	s.waitState(p, "/labels/"+id(1), "complete", 10*time.Second)
+	s.kill(lost) // the next owner reads the whole table, registrations included
+	s.submit(p, "/labels/"+id(2), oneStep)
+	s.waitState(p, "/labels/"+id(2), "complete", 10*time.Second)
+	s.platform.Store.Forget() // the whole table is read again
+	newcomer := s.platform.Workers()[1]
+	newcomer.Hide()
+	time.Sleep(500 * time.Millisecond)
+	newcomer.Show()
+	s.submit(p, "/labels/"+id(3), `{"spec":"200ms","steps":[{"count":24,"cpu":1000,"estimate_ms":200}]}`)
+	s.waitState(p, "/labels/"+id(3), "complete", 10*time.Second)
+	s.check()
+	if n := strings.Count(p.log.String(), "decoding a worker entry failed"); n == 0 || n > 2*len(rows) {
+		t.Errorf("%d lines about %d odd entries", n, len(rows))
+	}
+}
