Short seeds for fuzz targets

Cause: seeds nested up to 200,000 deep are mutated slowly.

Change: seeds.Add leaves variants over 2 KiB out; tables of tests have them.

--- a/internal/seeds/seeds.go
+++ b/internal/seeds/seeds.go
@@ -4,8 +4,9 @@
 // # Usage
 //
 //	for _, data := range seeds.Odd(`{"port":80,"names":["a"]}`) {
-//		f.Add(data)
+//		decode(data) // must not panic
 //	}
+//	seeds.Add(f, `{"port":80,"names":["a"]}`) // to the corpus of a fuzz target
 package seeds
 
 import (
@@ -13,6 +14,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"testing"
 )
 
 // Depths of nested values. encoding/json refuses more than 10,000 levels.
@@ -53,6 +55,18 @@
 	return all
 }
 
+// maxSeed is the longest seed of a fuzz target, in bytes: mutations of long ones are slow.
+const maxSeed = 2 << 10
+
+// Add adds the short variants of a message to the corpus of a fuzz target.
+func Add(f *testing.F, whole string) {
+	for _, data := range Odd(whole) {
+		if len(data) <= maxSeed {
+			f.Add(data)
+		}
+	}
+}
+
 // vary calls emit with variants of a value.
 func vary(value any, emit func(any)) {
 	for _, odd := range oddValues {
