Names of tasks are parsed without a list of parts

Cause: strings.Split was 12% of the processor time of a hold call's benchmark with 60 rows.

Change: the parts are cut from the name.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -294,10 +294,14 @@
 
 // ParseTask parses a task's name as returned by String.
 func ParseTask(name string) (Task, error) {
-	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
+	if strings.Count(name, ".") != 3 {
 		return Task{}, errors.Wrapf(ErrInvalid, "task %.60q: want four parts", name)
 	}
+	var parts [4]string // an owner parses thousands a second; strings.Split would allocate
+	rest := name
+	for i := range parts {
+		parts[i], rest, _ = strings.Cut(rest, ".")
+	}
 	id, err := ParseID(parts[0])
 	if err != nil {
 		return Task{}, err
