Red test: a long-running task that moves takes the room of one that is down

moveLongRunning runs before placeTasks and promises the room of a new worker to a running task; the waiting one starts nothing. Seen: no start, one stop "to run elsewhere".

--- a/internal/place/lasting_test.go
+++ b/internal/place/lasting_test.go
@@ -113,3 +113,20 @@
 	}
 	t.Error("the long-running task did not start while batch tasks kept ending on the one worker that can have room for it")
 }
+
+// Guards against a running long-running task that moves into the room that one that is down
+// could take.
+func TestDownTaskComesBeforeOneThatMoves(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 5000)), newJob(2, lasting(1, 5000)))
+	f.decide()
+	f.add(newJob(3, lasting(1, 5000)))
+	f.decide() // no room
+	f.SetVacate(key(0), true)
+	f.decide()
+	f.SetWorker(worker(2))
+	starts := f.decide()
+	if len(starts) != 1 || starts[0].Task.Job != newJob(3).ID {
+		t.Errorf("started %v and stopped %v, want the task that is down started on the new worker", starts, f.orders.Stops)
+	}
+}
