Red test: promised room that nobody takes

The waiting tasks of a step are tried in order, and placeStep ends at the first one without room. A moved task behind it is not tried, though room is kept for it on a worker. Seen: nothing runs on the new worker after 10 s, two tasks are down.

--- a/internal/place/lasting_test.go
+++ b/internal/place/lasting_test.go
@@ -130,3 +130,28 @@
 		t.Errorf("started %v and stopped %v, want the task that is down started on the new worker", starts, f.orders.Stops)
 	}
 }
+
+// Guards against a task that was stopped to move and waits behind another one of its step
+// that has no room: its own room stays unused.
+func TestMovedTaskStartsBehindAWaitingOne(t *testing.T) {
+	f := newTestBoard(0, 2)
+	j := newJob(1, lasting(3, 5000))
+	f.add(j)
+	f.decide() // the third has no room
+	f.SetVacate(key(0), true)
+	f.decide()
+	f.SetWorker(worker(2))
+	f.decide()
+	for _, s := range f.orders.Stops {
+		f.StopAnswered(s.Worker, s.Task, s.Attempt, f.now)
+		f.endAttempt(place.StartOrder{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt}, jobs.Stopped)
+	}
+	for range 100 {
+		f.decide()
+		if len(f.Attempts(key(2))) > 0 {
+			return
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	t.Error("no task runs on the new worker after 10s, while two are down")
+}
