Red test: room promised to a member of a long-running gang is never released

placeGang does not release promises, and the kept room is not given to the gang itself. Seen: both members stay down, and one task counts on a worker that runs none.

--- a/internal/place/lasting_test.go
+++ b/internal/place/lasting_test.go
@@ -155,3 +155,33 @@
 	}
 	t.Error("no task runs on the new worker after 10s, while two are down")
 }
+
+// Guards against room that is kept for ever for a member of a gang that moved.
+func TestPromiseOfAGangIsReleased(t *testing.T) {
+	f := newTestBoard(0, 3)
+	step := lasting(2, 5000)
+	step.Gang = true
+	f.add(newJob(1, step))
+	starts := f.decide()
+	f.SetVacate(starts[0].Worker, true)
+	f.decide()
+	if len(f.orders.Stops) == 0 {
+		t.Skip("a gang does not move")
+	}
+	for _, s := range starts {
+		f.endAttempt(s, jobs.Stopped)
+	}
+	f.now = f.now.Add(time.Second)
+	again := f.decide()
+	if err := f.CheckPending(); err != nil {
+		t.Fatal(err)
+	}
+	attempts, counted := 0, 0
+	for _, w := range f.Load(f.now).Workers {
+		counted += w.Tasks
+	}
+	attempts = len(f.allAttempts())
+	if counted != attempts {
+		t.Errorf("%d tasks count on the workers, %d run (%v)", counted, attempts, again)
+	}
+}
