--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -297,3 +297,46 @@
 	}
 	return all
 }
+
+// Guards against a long-running task without a worker that starves in a pool full of batch
+// tasks because a worker has crashed under it: nothing is reserved for it.
+func TestSuspectedLongRunningTaskGetsAReservedWorker(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		f := newTestBoard(0, 3)
+		f.t = t
+		j := newJob(1, jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 3500, MemoryMB: 100}, LongRunning: true})
+		f.add(j)
+		first := f.decide()[0]
+		f.add(newJob(2, jobs.Step{Count: 2000, Size: jobs.Resources{Millicores: 1000, MemoryMB: 100}, Estimate: time.Second}))
+		f.decide()
+		if crashed {
+			f.now = f.now.Add(300 * time.Millisecond)
+			f.SuspectCrash(first.Worker, f.now)
+			f.WorkerCrashed(first.Worker, f.now)
+		}
+		f.RemoveWorker(first.Worker, f.now)
+		f.gone[first.Worker] = true
+		down := f.now
+		for f.now.Sub(down) < 15*time.Second {
+			for _, s := range f.decide() {
+				if s.Task.Job == j.ID {
+					down = time.Time{}
+				}
+			}
+			if down.IsZero() {
+				break
+			}
+			// tasks run for 1 to 1.35 s, so that their ends are apart
+			for _, a := range f.allAttempts() {
+				if f.now.Sub(a.ConfirmedAt) > time.Second+time.Duration(a.Task.Index%8)*50*time.Millisecond {
+					f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+					break
+				}
+			}
+			f.now = f.now.Add(10 * time.Millisecond)
+		}
+		if !down.IsZero() {
+			t.Errorf("crashed %v: the long-running task is not started within 15s", crashed)
+		}
+	}
+}
