--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -340,3 +340,33 @@
 		}
 	}
 }
+
+// Guards against a suspected long-running task that stays down though a worker that is to be
+// vacated has room, which an unsuspected one would get.
+func TestSuspectedLongRunningTaskStartsOnAVacatedWorker(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		f := newTestBoard(0, 2)
+		f.add(newJob(1, lasting(1, 3000)))
+		vacated := f.decide()[0].Worker
+		f.SetVacate(vacated, true)
+		f.add(newJob(2, lasting(1, 4500)))
+		lost := f.decide()[0]
+		f.now = f.now.Add(100 * time.Millisecond)
+		if crashed {
+			f.SuspectCrash(lost.Worker, f.now)
+			f.WorkerCrashed(lost.Worker, f.now)
+		}
+		f.RemoveWorker(lost.Worker, f.now)
+		f.gone[lost.Worker] = true
+		started := false
+		for range 100 {
+			for _, s := range f.decide() {
+				started = started || s.Task == lost.Task
+			}
+			f.now = f.now.Add(100 * time.Millisecond)
+		}
+		if !started {
+			t.Errorf("crashed %v: not started within 10s", crashed)
+		}
+	}
+}
