Red test: a long-running task waits until all suspects have been tried

placeSuspects comes first in each decision and takes each worker whose trial has just ended. Seen: 40 suspects on two workers hold a long-running task up for 3 s, though both workers have room.

--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -370,3 +370,38 @@
 		}
 	}
 }
+
+// Guards against a long-running task that waits behind many suspects, each of which keeps a
+// worker to itself.
+func TestSuspectsDoNotHoldUpLongRunningTasks(t *testing.T) {
+	f := newTestBoard(0, 3)
+	f.t = t
+	f.add(newJob(1, batch(40, 100)))
+	first := f.decide()
+	for _, s := range first {
+		if s.Worker != first[0].Worker {
+			t.Fatalf("started %v, want all on one worker", first)
+		}
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.SuspectCrash(first[0].Worker, f.now)
+	f.WorkerCrashed(first[0].Worker, f.now)
+	f.RemoveWorker(first[0].Worker, f.now)
+	f.gone[first[0].Worker] = true
+	j := newJob(2, lasting(1, 100))
+	f.decide()
+	f.add(j)
+	added := f.now
+	for f.now.Sub(added) < 10*time.Second {
+		for _, s := range f.decide() {
+			if s.Task.Job == j.ID {
+				if waited := f.now.Sub(added); waited > time.Second {
+					t.Errorf("the long-running task waited for %v on a pool with room for it", waited)
+				}
+				return
+			}
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	t.Error("the long-running task is not started within 10s on a pool with room for it")
+}
