Red test: a long-running task waits for the end of a quarantine

A quarantined worker is left out even if no other one has room. Seen: started after 3.0 s, and later by as much as further failures of batch tasks there are apart.

--- a/internal/place/lasting_test.go
+++ b/internal/place/lasting_test.go
@@ -185,3 +185,42 @@
 		t.Errorf("%d tasks count on the workers, %d run (%v)", counted, attempts, again)
 	}
 }
+
+// Guards against a long-running task that stays down because the only worker with room for
+// it is quarantined.
+func TestQuarantineDoesNotKeepALongRunningTaskDown(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 6000)))
+	occupied := f.decide()[0].Worker
+	j := newJob(2, jobs.Step{Count: 8, Size: jobs.Resources{Millicores: 400, MemoryMB: 500}, Estimate: 20 * time.Second})
+	j.MaxAttempts = 20
+	f.add(j)
+	var running []place.StartOrder
+	for _, s := range f.decide() {
+		if s.Worker != occupied {
+			running = append(running, s)
+		}
+	}
+	f.add(newJob(3, lasting(1, 3000)))
+	for _, s := range running[:2] {
+		f.endAttempt(s, jobs.Failed)
+	}
+	down := f.now
+	running = running[2:]
+	for f.now.Sub(down) < 15*time.Second {
+		for _, s := range f.decide() {
+			if s.Task.Job == newJob(3).ID {
+				if waited := f.now.Sub(down); waited > 2500*time.Millisecond {
+					t.Errorf("the long-running task waited for %v on a pool with room for it", waited)
+				}
+				return
+			}
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+		if len(running) > 0 && int(f.now.Sub(down)/time.Millisecond)/1000 > 8-2-len(running) {
+			f.endAttempt(running[0], jobs.Failed)
+			running = running[1:]
+		}
+	}
+	t.Error("the long-running task is not started within 15s")
+}
