Red test: a suspect returns to the host that has just crashed

The lifetime that settles a crash is the emptiest worker, which chooseIsolated prefers. Seen: the suspect starts there, while three others have room.

--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -405,3 +405,34 @@
 	}
 	t.Error("the long-running task is not started within 10s on a pool with room for it")
 }
+
+// Guards against an innocent job that is given up for the crashes of one host, to which its
+// task returns since it is empty.
+func TestSuspectIsNotStartedOnTheHostThatCrashed(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.t = t
+	f.add(newJob(1, batch(4, 2000)))
+	f.decide()
+	j := newJob(2, batch(1, 1000))
+	f.add(j)
+	s := f.decide()[0]
+	f.now = f.now.Add(50 * time.Millisecond)
+	f.SuspectCrash(s.Worker, f.now)
+	f.now = f.now.Add(3 * time.Second)
+	var w place.Worker
+	for i := range 4 {
+		if key(i) == s.Worker {
+			w = worker(i)
+		}
+	}
+	again := w
+	again.Key = w.ID + "@2"
+	f.WorkerCrashed(s.Worker, f.now)
+	f.RemoveWorker(s.Worker, f.now)
+	f.SetWorker(again)
+	for _, next := range f.decide() {
+		if next.Task.Job == j.ID && next.Worker == again.Key {
+			t.Errorf("%v is started on the host that has just crashed, others have room for it", next.Task)
+		}
+	}
+}
