Red test: an innocent job is given up for the crashes of one host

Crashes are counted by lifetime, so that two crashes of one faulty host, 0.3 s after each start, are two workers. Seen: the job is given up.

--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -436,3 +436,41 @@
 		}
 	}
 }
+
+// Guards against an innocent job that is given up for one faulty host, which crashes some
+// 0.3 s after each of its starts: it is the emptiest worker, and so it gets the suspect again.
+func TestOneFaultyHostDoesNotEndAnInnocentJob(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.t = t
+	f.add(newJob(1, jobs.Step{Count: 4, Size: jobs.Resources{Millicores: 2000, MemoryMB: 100}, LongRunning: true, MaxPerWorker: 1}))
+	f.decide()
+	f.now = f.now.Add(2 * time.Second)
+	for i := range 4 {
+		f.Listed(key(i), f.running(key(i), jobs.Task{}), nil, f.now, f.now)
+	}
+	j := newJob(2, batch(1, 500))
+	f.add(j)
+	host := f.decide()[0].Worker
+	faulty := worker(0)
+	for i := range 4 {
+		if key(i) == host {
+			faulty = worker(i)
+		}
+	}
+	for life := byte('2'); life < '5'; life++ {
+		f.now = f.now.Add(300 * time.Millisecond)
+		crashed := faulty.Key
+		f.SuspectCrash(crashed, f.now)
+		f.now = f.now.Add(3 * time.Second)
+		f.WorkerCrashed(crashed, f.now)
+		f.RemoveWorker(crashed, f.now)
+		f.gone[crashed] = true
+		faulty.Key = faulty.ID + "@" + string(life)
+		f.SetWorker(faulty)
+		f.decide()
+	}
+	f.flush(t)
+	if state, _ := f.State(j.ID); state == jobs.Aborted {
+		t.Errorf("the job is given up for crashes of %s alone", faulty.ID)
+	}
+}
