Red test: a start that is queued for a shrunk worker is not withdrawn

StartsBeyondCapacity takes the start of a long-running task for one that can be withdrawn; it is sent at once. Seen: only that one is returned, and the queued start of a batch task would be sent beyond the capacity.

--- a/internal/place/capacity_test.go
+++ b/internal/place/capacity_test.go
@@ -64,3 +64,25 @@
 		}
 	}
 }
+
+// Guards against a start that is sent to a worker beyond its capacity since only the start of
+// a long-running task, which does not wait to be sent, was to be withdrawn.
+func TestStartsBeyondCapacityLeaveOutTheUrgentOnes(t *testing.T) {
+	f := newTestBoard(0, 1)
+	f.add(newJob(1, batch(1, 2000)))
+	f.Decide(f.now) // waits to be sent
+	f.now = f.now.Add(10 * time.Millisecond)
+	l := lasting(1, 100)
+	l.Size.Millicores = 2000
+	f.add(newJob(2, l))
+	f.Decide(f.now) // is sent at once
+	w := worker(0)
+	w.Size.Millicores = 2000
+	f.SetWorker(w)
+	for _, s := range f.StartsBeyondCapacity(key(0)) {
+		if s.Task.Job == newJob(1).ID {
+			return
+		}
+	}
+	t.Error("the start that waits to be sent is not withdrawn")
+}
