--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -184,3 +184,15 @@
 		t.Error("the load tells of a limit that no longer holds tasks back")
 	}
 }
+
+// Guards against a pool that gets no hosts although it is full, since its decision has started
+// as many tasks as it may.
+func TestFullPoolIsNotStartLimited(t *testing.T) {
+	f := newTestBoard(0, 1)
+	f.add(newJob(1, batch(10, 1000)))
+	f.SetStartLimit(4)
+	f.decide()
+	if f.Load(f.now).StartLimited {
+		t.Error("the tasks are said to wait for their owner; no worker has room for them")
+	}
+}
