Red test: a pool that is full by memory gets few hosts

Need is computed from millicores alone, and a waiting long-running task asks for one host more than work, however many tasks wait. Seen: 3 hosts for 10 waiting tasks of which one fits on a host.

--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -426,3 +426,35 @@
 		t.Errorf("%d hosts move, %d of them to the pool with the long-running task, want 5 and 1", len(moves), count(moves, "b"))
 	}
 }
+
+// Guards against a pool that is full by memory and gets hosts for a few of its waiting tasks
+// at a time, as the processor time that they want would fit on few.
+func TestPoolFullByMemoryGetsHostsForAllItsWaitingTasks(t *testing.T) {
+	for _, longRunning := range []bool{true, false} {
+		const workers, waiting = 20, 10
+		size := jobs.Resources{Millicores: hostSize, MemoryMB: 8000}
+		now := time.Unix(1_700_000_000, 0)
+		b := place.NewBoard(place.DefaultPolicy(), 0)
+		hosts := append(hostsOf("a", workers), hostsOf("spare", 40)...)
+		for i := range hosts {
+			hosts[i].Size = size
+		}
+		for i := range workers {
+			id := fmt.Sprintf("w-a%d", i)
+			b.SetWorker(place.Worker{Key: id + "@1", ID: id, Labels: []string{"k"}, Size: size})
+		}
+		j := jobs.Job{
+			ID: "0000000000000001", Spec: "spec", Queue: "q", Pool: "a", Submitted: now, Slack: 1.6, Target: time.Second,
+			Steps: []jobs.Step{{Count: workers + waiting, Size: jobs.Resources{Millicores: 500, MemoryMB: 5000}, Estimate: time.Second, LongRunning: longRunning}},
+		}
+		b.Add(j, jobs.NewProgress(j), now)
+		for _, s := range b.Decide(now).Starts {
+			b.Started(s.Worker, s.Task, s.Attempt, now)
+		}
+		l := b.Load(now)
+		moves := planMoves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": l, "b": {}}, func(string) bool { return false })
+		if n := count(moves, "a"); n < waiting {
+			t.Errorf("long-running %v: %d tasks wait, one fits on a host, and the pool gets %d hosts (wanted %d millicores)", longRunning, waiting, n, l.Wanted)
+		}
+	}
+}
