Red test: idle shrunk workers count as hosts for a task that does not fit there

setTarget asks for one host more than work; idle ones count, whatever fits on them. Seen: no host for a long-running task that fits on none of six idle workers.

--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -458,3 +458,38 @@
 		}
 	}
 }
+
+// Guards against a long-running task that stays without a worker because idle workers that
+// have shrunk, on which it does not fit, count as hosts for it.
+func TestShrunkWorkersDoNotCountAsRoomForALongRunningTask(t *testing.T) {
+	for _, shrunk := range []jobs.Resources{{Millicores: hostSize, MemoryMB: 1000}, {Millicores: 400, MemoryMB: 8000}} {
+		size := jobs.Resources{Millicores: hostSize, MemoryMB: 8000}
+		now := time.Unix(1_700_000_000, 0)
+		b := place.NewBoard(place.DefaultPolicy(), 0)
+		hosts := append(hostsOf("a", 8), hostsOf("spare", 40)...)
+		for i := range hosts {
+			hosts[i].Size = size
+		}
+		for i := range 8 {
+			id := fmt.Sprintf("w-a%d", i)
+			w := place.Worker{Key: id + "@1", ID: id, Labels: []string{"k"}, Size: size}
+			if i >= 2 {
+				w.Size = shrunk
+			}
+			b.SetWorker(w)
+		}
+		j := jobs.Job{
+			ID: "0000000000000001", Spec: "spec", Queue: "q", Pool: "a", Submitted: now,
+			Steps: []jobs.Step{{Count: 3, Size: jobs.Resources{Millicores: 500, MemoryMB: 5000}, LongRunning: true}},
+		}
+		b.Add(j, jobs.NewProgress(j), now)
+		if n := len(b.Decide(now).Starts); n != 2 {
+			t.Fatalf("%d starts, want 2", n)
+		}
+		l := b.Load(now)
+		moves := planMoves(DefaultMovePolicy(), true, testPools, hosts, map[string]place.Load{"a": l, "b": {}}, func(string) bool { return false })
+		if n := count(moves, "a"); n < 1 {
+			t.Errorf("shrunk to %+v: the pool gets %d hosts for the task that fits on none of its workers", shrunk, n)
+		}
+	}
+}
