Red test: more starts may wait than an overloaded owner sends in time

minStartQueue is 256 however low the rate is. 128 slots that are held for 0.55 s each, the timeout of a start and the list read after it, send 230 a second, so that a start waits for 1.1 s, more than maxStartAge.

--- a/internal/pool/overload_test.go
+++ b/internal/pool/overload_test.go
@@ -74,3 +74,55 @@
 		end()
 	})
 }
+
+// Guards against starts that grow too old to be sent although few may wait: an owner that
+// is short of processor time sends fewer in maxStartAge than always may wait.
+func TestFewStartsWaitIfTheyAreSentSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			workers  = 400
+			list     = 250 * time.Millisecond // until a worker's list is read; no start is answered in time
+			duration = 5 * time.Second
+		)
+		o, end := idleOwner(t)
+		var sent atomic.Int64
+		w := &fakeWorker{rate: 1, began: time.Now()}
+		w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+			time.Sleep(max(r.Wait, list))
+			return platform.Listing{Clock: w.clock(), ReadAt: time.Now()}, nil
+		}
+		w.start = func(ctx context.Context, _ platform.StartRequest) (time.Duration, error) {
+			sent.Add(1)
+			<-ctx.Done()
+			return 0, platform.ErrOutcomeUnknown
+		}
+		o.post(func() {
+			for i := range workers {
+				e := benchEntry(i)
+				a := newAgent(o.ctx, o, e, w)
+				a.answered, a.registered = true, true
+				o.agents[a.key], o.lifetimes[e.ID], o.entries[e.ID] = a, []*agent{a}, e
+				o.syncAgent(a)
+			}
+			o.started, o.inFlight = true, &commit{} // nothing is stored
+			for j := range 20 {
+				job := benchJob(j, 800, time.Now())
+				job.Submitted = time.Now()
+				o.board.Add(job, jobs.NewProgress(job), time.Now())
+			}
+		})
+		time.Sleep(time.Second) // until the workers have answered
+		began, refused := time.Now(), metricRefused.Get()
+		for time.Since(began) < duration {
+			o.post(func() {
+				o.startRate.update(o.startsSent.Load(), time.Now())
+				o.dispatch(time.Now())
+			})
+			time.Sleep(tickPeriod)
+		}
+		if n := metricRefused.Get() - refused; n > 0 {
+			t.Errorf("%d starts were given back as too old, %d were sent", n, sent.Load())
+		}
+		end()
+	})
+}
