--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -297,3 +297,180 @@
 	}
 	return all
 }
+
+// Guards against a long-running task without a worker that starves in a pool full of batch
+// tasks because a worker has crashed under it: nothing is reserved for it.
+func TestSuspectedLongRunningTaskGetsAReservedWorker(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		f := newTestBoard(0, 3)
+		f.t = t
+		j := newJob(1, jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 3500, MemoryMB: 100}, LongRunning: true})
+		f.add(j)
+		first := f.decide()[0]
+		f.add(newJob(2, jobs.Step{Count: 2000, Size: jobs.Resources{Millicores: 1000, MemoryMB: 100}, Estimate: time.Second}))
+		f.decide()
+		if crashed {
+			f.now = f.now.Add(300 * time.Millisecond)
+			f.SuspectCrash(first.Worker, f.now)
+			f.WorkerCrashed(first.Worker, f.now)
+		}
+		f.RemoveWorker(first.Worker, f.now)
+		f.gone[first.Worker] = true
+		down := f.now
+		for f.now.Sub(down) < 15*time.Second {
+			for _, s := range f.decide() {
+				if s.Task.Job == j.ID {
+					down = time.Time{}
+				}
+			}
+			if down.IsZero() {
+				break
+			}
+			// tasks run for 1 to 1.35 s, so that their ends are apart
+			for _, a := range f.allAttempts() {
+				if f.now.Sub(a.ConfirmedAt) > time.Second+time.Duration(a.Task.Index%8)*50*time.Millisecond {
+					f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+					break
+				}
+			}
+			f.now = f.now.Add(10 * time.Millisecond)
+		}
+		if !down.IsZero() {
+			t.Errorf("crashed %v: the long-running task is not started within 15s", crashed)
+		}
+	}
+}
+
+// Guards against a suspected long-running task that stays down though a worker that is to be
+// vacated has room, which an unsuspected one would get.
+func TestSuspectedLongRunningTaskStartsOnAVacatedWorker(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		f := newTestBoard(0, 2)
+		f.add(newJob(1, lasting(1, 3000)))
+		vacated := f.decide()[0].Worker
+		f.SetVacate(vacated, true)
+		f.add(newJob(2, lasting(1, 4500)))
+		lost := f.decide()[0]
+		f.now = f.now.Add(100 * time.Millisecond)
+		if crashed {
+			f.SuspectCrash(lost.Worker, f.now)
+			f.WorkerCrashed(lost.Worker, f.now)
+		}
+		f.RemoveWorker(lost.Worker, f.now)
+		f.gone[lost.Worker] = true
+		started := false
+		for range 100 {
+			for _, s := range f.decide() {
+				started = started || s.Task == lost.Task
+			}
+			f.now = f.now.Add(100 * time.Millisecond)
+		}
+		if !started {
+			t.Errorf("crashed %v: not started within 10s", crashed)
+		}
+	}
+}
+
+// Guards against a long-running task that waits behind many suspects, each of which keeps a
+// worker to itself.
+func TestSuspectsDoNotHoldUpLongRunningTasks(t *testing.T) {
+	f := newTestBoard(0, 3)
+	f.t = t
+	f.add(newJob(1, batch(40, 100)))
+	first := f.decide()
+	for _, s := range first {
+		if s.Worker != first[0].Worker {
+			t.Fatalf("started %v, want all on one worker", first)
+		}
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.SuspectCrash(first[0].Worker, f.now)
+	f.WorkerCrashed(first[0].Worker, f.now)
+	f.RemoveWorker(first[0].Worker, f.now)
+	f.gone[first[0].Worker] = true
+	j := newJob(2, lasting(1, 100))
+	f.decide()
+	f.add(j)
+	added := f.now
+	for f.now.Sub(added) < 10*time.Second {
+		for _, s := range f.decide() {
+			if s.Task.Job == j.ID {
+				if waited := f.now.Sub(added); waited > time.Second {
+					t.Errorf("the long-running task waited for %v on a pool with room for it", waited)
+				}
+				return
+			}
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	t.Error("the long-running task is not started within 10s on a pool with room for it")
+}
+
+// Guards against an innocent job that is given up for the crashes of one host, to which its
+// task returns since it is empty.
+func TestSuspectIsNotStartedOnTheHostThatCrashed(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.t = t
+	f.add(newJob(1, batch(4, 2000)))
+	f.decide()
+	j := newJob(2, batch(1, 1000))
+	f.add(j)
+	s := f.decide()[0]
+	f.now = f.now.Add(50 * time.Millisecond)
+	f.SuspectCrash(s.Worker, f.now)
+	f.now = f.now.Add(3 * time.Second)
+	var w place.Worker
+	for i := range 4 {
+		if key(i) == s.Worker {
+			w = worker(i)
+		}
+	}
+	again := w
+	again.Key = w.ID + "@2"
+	f.WorkerCrashed(s.Worker, f.now)
+	f.RemoveWorker(s.Worker, f.now)
+	f.SetWorker(again)
+	for _, next := range f.decide() {
+		if next.Task.Job == j.ID && next.Worker == again.Key {
+			t.Errorf("%v is started on the host that has just crashed, others have room for it", next.Task)
+		}
+	}
+}
+
+// Guards against an innocent job that is given up for one faulty host, which crashes some
+// 0.3 s after each of its starts: it is the emptiest worker, and so it gets the suspect again.
+func TestOneFaultyHostDoesNotEndAnInnocentJob(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.t = t
+	f.add(newJob(1, jobs.Step{Count: 4, Size: jobs.Resources{Millicores: 2000, MemoryMB: 100}, LongRunning: true, MaxPerWorker: 1}))
+	f.decide()
+	f.now = f.now.Add(2 * time.Second)
+	for i := range 4 {
+		f.Listed(key(i), f.running(key(i), jobs.Task{}), nil, f.now, f.now)
+	}
+	j := newJob(2, batch(1, 500))
+	f.add(j)
+	host := f.decide()[0].Worker
+	faulty := worker(0)
+	for i := range 4 {
+		if key(i) == host {
+			faulty = worker(i)
+		}
+	}
+	for life := byte('2'); life < '5'; life++ {
+		f.now = f.now.Add(300 * time.Millisecond)
+		crashed := faulty.Key
+		f.SuspectCrash(crashed, f.now)
+		f.now = f.now.Add(3 * time.Second)
+		f.WorkerCrashed(crashed, f.now)
+		f.RemoveWorker(crashed, f.now)
+		f.gone[crashed] = true
+		faulty.Key = faulty.ID + "@" + string(life)
+		f.SetWorker(faulty)
+		f.decide()
+	}
+	f.flush(t)
+	if state, _ := f.State(j.ID); state == jobs.Aborted {
+		t.Errorf("the job is given up for crashes of %s alone", faulty.ID)
+	}
+}
--- a/internal/place/lasting_test.go
+++ b/internal/place/lasting_test.go
@@ -113,3 +113,114 @@
 	}
 	t.Error("the long-running task did not start while batch tasks kept ending on the one worker that can have room for it")
 }
+
+// Guards against a running long-running task that moves into the room that one that is down
+// could take.
+func TestDownTaskComesBeforeOneThatMoves(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 5000)), newJob(2, lasting(1, 5000)))
+	f.decide()
+	f.add(newJob(3, lasting(1, 5000)))
+	f.decide() // no room
+	f.SetVacate(key(0), true)
+	f.decide()
+	f.SetWorker(worker(2))
+	starts := f.decide()
+	if len(starts) != 1 || starts[0].Task.Job != newJob(3).ID {
+		t.Errorf("started %v and stopped %v, want the task that is down started on the new worker", starts, f.orders.Stops)
+	}
+}
+
+// Guards against a task that was stopped to move and waits behind another one of its step
+// that has no room: its own room stays unused.
+func TestMovedTaskStartsBehindAWaitingOne(t *testing.T) {
+	f := newTestBoard(0, 2)
+	j := newJob(1, lasting(3, 5000))
+	f.add(j)
+	f.decide() // the third has no room
+	f.SetVacate(key(0), true)
+	f.decide()
+	f.SetWorker(worker(2))
+	f.decide()
+	for _, s := range f.orders.Stops {
+		f.StopAnswered(s.Worker, s.Task, s.Attempt, f.now)
+		f.endAttempt(place.StartOrder{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt}, jobs.Stopped)
+	}
+	for range 100 {
+		f.decide()
+		if len(f.Attempts(key(2))) > 0 {
+			return
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	t.Error("no task runs on the new worker after 10s, while two are down")
+}
+
+// Guards against room that is kept for ever for a member of a gang that moved.
+func TestPromiseOfAGangIsReleased(t *testing.T) {
+	f := newTestBoard(0, 3)
+	step := lasting(2, 5000)
+	step.Gang = true
+	f.add(newJob(1, step))
+	starts := f.decide()
+	f.SetVacate(starts[0].Worker, true)
+	f.decide()
+	if len(f.orders.Stops) == 0 {
+		t.Skip("a gang does not move")
+	}
+	for _, s := range starts {
+		f.endAttempt(s, jobs.Stopped)
+	}
+	f.now = f.now.Add(time.Second)
+	again := f.decide()
+	if err := f.CheckPending(); err != nil {
+		t.Fatal(err)
+	}
+	attempts, counted := 0, 0
+	for _, w := range f.Load(f.now).Workers {
+		counted += w.Tasks
+	}
+	attempts = len(f.allAttempts())
+	if counted != attempts {
+		t.Errorf("%d tasks count on the workers, %d run (%v)", counted, attempts, again)
+	}
+}
+
+// Guards against a long-running task that stays down because the only worker with room for
+// it is quarantined.
+func TestQuarantineDoesNotKeepALongRunningTaskDown(t *testing.T) {
+	f := newTestBoard(0, 2)
+	f.add(newJob(1, lasting(1, 6000)))
+	occupied := f.decide()[0].Worker
+	j := newJob(2, jobs.Step{Count: 8, Size: jobs.Resources{Millicores: 400, MemoryMB: 500}, Estimate: 20 * time.Second})
+	j.MaxAttempts = 20
+	f.add(j)
+	var running []place.StartOrder
+	for _, s := range f.decide() {
+		if s.Worker != occupied {
+			running = append(running, s)
+		}
+	}
+	f.add(newJob(3, lasting(1, 3000)))
+	for _, s := range running[:2] {
+		f.endAttempt(s, jobs.Failed)
+	}
+	down := f.now
+	running = running[2:]
+	for f.now.Sub(down) < 15*time.Second {
+		for _, s := range f.decide() {
+			if s.Task.Job == newJob(3).ID {
+				if waited := f.now.Sub(down); waited > 2500*time.Millisecond {
+					t.Errorf("the long-running task waited for %v on a pool with room for it", waited)
+				}
+				return
+			}
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+		if len(running) > 0 && int(f.now.Sub(down)/time.Millisecond)/1000 > 8-2-len(running) {
+			f.endAttempt(running[0], jobs.Failed)
+			running = running[1:]
+		}
+	}
+	t.Error("the long-running task is not started within 15s")
+}
