Long-running tasks that are down are placed before others move, and before suspects

A decision now places long-running tasks that are down, then suspects, then moves long-running tasks, but not to reserved workers, then places batch tasks.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -62,6 +62,7 @@
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
 	startLimit       int         // batch tasks that a decision may start, see SetStartLimit
 	startsLeft       int         // of startLimit, for the present decision
+	reservationsLeft int         // of maxBatchReservations, for the present decision
 	limitedAt        time.Time   // when startLimit last held tasks back
 	trying           bool        // starts may be undone, so that a rejection does not hold
 	unconfirmedUntil time.Time   // attempts of an earlier owner may be running undetected until then
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -135,7 +135,7 @@
 // chooseWorker returns the worker with the lowest placement cost for a task, nil if
 // none fits.
 func (b *Board) chooseWorker(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
-	best := b.chooseOpen(e, step, t, now)
+	best := b.chooseOpen(e, step, t, step.LongRunning && !step.BestEffort, now)
 	switch {
 	case best != nil:
 	case step.LongRunning && !step.BestEffort:
@@ -146,15 +146,16 @@
 	return best
 }
 
-// chooseOpen is [Board.chooseWorker] among the workers that accept tasks.
-func (b *Board) chooseOpen(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
+// chooseOpen is [Board.chooseWorker] among the workers that accept tasks, with those that
+// are reserved or without.
+func (b *Board) chooseOpen(e *jobEntry, step *jobs.Step, t jobs.Task, reserved bool, now time.Time) *worker {
 	claim := step.Claim()
 	if !step.LongRunning && b.rejected.covers(claim) || !b.hasLabel(step.Label) {
 		return nil
 	}
 	tightest := !step.LongRunning && step.Rack == "" && !step.RackLocal // the first that fits costs least
 	rooms := []*roomIndex{&b.pending.room}
-	if step.LongRunning && !step.BestEffort {
+	if reserved {
 		rooms = append(rooms, &b.pending.reserved)
 	}
 	var best *worker
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -14,11 +14,10 @@
 func (b *Board) Decide(now time.Time) Orders {
 	var o Orders
 	b.enqueueReadySteps(now)
-	b.moveLongRunning(now)
 	b.stopStalled(now)
-	b.orderStops(&o)
 	b.speculate(now)
 	b.placeTasks(&o, now)
+	b.orderStops(&o)
 	b.adjustPaces(&o, now)
 	if b.Record != nil {
 		b.recordStep(Step{Kind: StepDecide, At: now, Orders: o})
@@ -214,7 +213,7 @@
 			continue
 		}
 		e := b.jobs[a.Task.Job]
-		if to := b.chooseOpen(e, a.step, a.Task, now); to != nil {
+		if to := b.chooseOpen(e, a.step, a.Task, false, now); to != nil {
 			a.reschedule = true
 			b.requestStop(a)
 			b.promise(e, a.Task, to)
@@ -227,12 +226,10 @@
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
 	e := b.jobs[a.Task.Job]
 	claim := a.step.Claim()
-	for _, room := range []*roomIndex{&b.pending.room, &b.pending.reserved} {
-		for _, w := range room.atLeast(claim.Millicores) {
-			b.examined++
-			if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
-				return true
-			}
+	for _, w := range b.pending.room.atLeast(claim.Millicores) {
+		b.examined++
+		if w.Key != a.Worker && claim.Fits(w.free()) && b.eligible(e, a.step, a.Task, w, now) {
+			return true
 		}
 	}
 	return false
@@ -247,7 +244,8 @@
 	classExpired // worthless to the caller, but accepted jobs are still run
 )
 
-// placeTasks starts waiting tasks on workers with free capacity.
+// placeTasks starts waiting tasks on workers with free capacity, and moves long-running
+// ones. Those that are down come before those that move, and both before batch tasks.
 func (b *Board) placeTasks(o *Orders, now time.Time) {
 	for _, w := range b.reservations {
 		if b.workers[w.Key] == w {
@@ -257,13 +255,23 @@
 	b.reservations, b.rejected = nil, rejections{}
 	b.releaseArriving()
 	candidates := b.candidates(now)
-	if len(candidates) == 0 {
-		return
+	b.startsLeft, b.reservationsLeft = b.startLimit, maxBatchReservations
+	lasting := 0
+	for lasting < len(candidates) && candidates[lasting].class == classLongRunning {
+		lasting++
 	}
-	largest := b.pending.largestWorkerMillicores()
-	reservations := 1
-	b.startsLeft = b.startLimit
+	b.placeCandidates(o, candidates[:lasting], now)
 	b.placeSuspects(o, candidates, now)
+	b.moveLongRunning(now)
+	b.placeCandidates(o, candidates[lasting:], now)
+}
+
+// maxBatchReservations limits the workers that a decision reserves for large batch tasks.
+const maxBatchReservations = 1
+
+// placeCandidates starts the tasks of steps on workers with free capacity.
+func (b *Board) placeCandidates(o *Orders, candidates []candidate, now time.Time) {
+	largest := b.pending.largestWorkerMillicores()
 	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
 		if !step.LongRunning && b.startsLeft <= 0 {
@@ -282,9 +290,9 @@
 			continue
 		}
 		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(largest)
-		if step.LongRunning && !step.BestEffort || large && reservations > 0 && c.class == classOnTime {
+		if step.LongRunning && !step.BestEffort || large && b.reservationsLeft > 0 && c.class == classOnTime {
 			b.reserveWorker(c, step, now)
-			reservations--
+			b.reservationsLeft--
 		}
 	}
 }
