A long-running task starts on a quarantined worker if no other has room

The class is that of vacated workers: an intention of ours that withholds room from a task that is down.

TestQuarantineDoesNotKeepALongRunningTaskDown failed before ("waited for 3s on a pool with room for it").

--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -88,7 +88,12 @@
 
 // suits is [Board.eligible] for a worker that may be about to be vacated.
 func (b *Board) suits(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
-	if w.onTrial(b.policy, t, now) || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil || w.health.quarantined(b.policy, now) && b.quarantineAllowed(now) {
+	return !(w.health.quarantined(b.policy, now) && b.quarantineAllowed(now)) && b.suitsSick(e, step, t, w, now)
+}
+
+// suitsSick is [Board.suits] for a worker that may be quarantined.
+func (b *Board) suitsSick(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
+	if w.onTrial(b.policy, t, now) || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil {
 		return false
 	}
 	if step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker {
@@ -139,7 +144,7 @@
 	switch {
 	case best != nil:
 	case step.LongRunning && !step.BestEffort:
-		return b.chooseVacated(e, step, t, now)
+		return b.chooseLastResort(e, step, t, now)
 	case b.rejectsAll(e, step, t):
 		b.rejected.add(step.Claim())
 	}
@@ -178,21 +183,32 @@
 	return best
 }
 
-// chooseVacated returns the worker with the lowest placement cost among those that are to be
-// vacated but still run tasks. A long-running task that has room nowhere else is better
-// off there, to be moved later, than down. An empty one may be ordered away at any moment.
-func (b *Board) chooseVacated(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
+// chooseLastResort returns the worker with the lowest placement cost for a long-running task
+// among those that are spared as long as others have room: workers that are to be vacated
+// but still run tasks, and quarantined ones. The task is better off there than down. An
+// empty vacated worker may be ordered away at any moment.
+func (b *Board) chooseLastResort(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
 	var best *worker
 	var bestCost int64
-	for _, w := range b.pending.vacated {
+	consider := func(w *worker) {
 		b.examined++
-		if w.Draining || w.Silent || w.Closed || len(w.attempts) == 0 || !step.Claim().Fits(w.free()) || !b.suits(e, step, t, w, now) {
-			continue
+		if !step.Claim().Fits(w.free()) || !b.suitsSick(e, step, t, w, now) {
+			return
 		}
 		if cost := b.placementCost(e, step, t, w); best == nil || cost < bestCost || cost == bestCost && w.Key < best.Key {
 			best, bestCost = w, cost
 		}
 	}
+	for _, w := range b.pending.vacated {
+		if !w.Draining && !w.Silent && !w.Closed && len(w.attempts) > 0 {
+			consider(w)
+		}
+	}
+	for _, w := range b.pending.failing {
+		if w.acceptsTasks() {
+			consider(w)
+		}
+	}
 	return best
 }
 
