A long-running task under suspicion gets a reserved or a vacated worker like any other

TestSuspectedLongRunningTaskGetsAReservedWorker and TestSuspectedLongRunningTaskStartsOnAVacatedWorker failed before.

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -290,12 +290,19 @@
 				continue
 			}
 			w, free := b.chooseIsolated(e, step, t, now)
+			if w == nil && step.LongRunning && !step.BestEffort {
+				w = b.chooseLastResort(e, step, t, now)
+				free = w != nil
+			}
 			if w != nil && free {
 				b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
 				continue
 			}
 			waiting = append(waiting, t)
 			unplaced++
+			if w == nil && step.LongRunning && !step.BestEffort && len(waiting) == 1 {
+				b.reserveWorker(c, step, now)
+			}
 			if w != nil && held <= len(b.workers)/heldShare {
 				held++
 				b.pending.setReserved(w, true)
