A suspect is not started on the host that has just crashed, and one faulty host ends no job

Other hosts come first now, and two crashes give a task up only if two hosts crashed. Three crashes do in any case, which keeps the bound of the rule on a pool of one host.

TestSuspectIsNotStartedOnTheHostThatCrashed and TestOneFaultyHostDoesNotEndAnInnocentJob failed before.

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -182,7 +182,8 @@
 		if len(settled) == 0 {
 			continue
 		}
-		alone := settled[len(settled)-1].Alone
+		last := settled[len(settled)-1]
+		alone := last.Alone && slices.ContainsFunc(settled, func(c jobs.Crash) bool { return hostOf(c.Worker) != hostOf(last.Worker) })
 		if len(settled) >= crashesAtMost || len(settled) >= crashesAlone && alone {
 			blamed = append(blamed, evidence{t, alone, len(settled)})
 		}
@@ -201,6 +202,13 @@
 	}).task, true
 }
 
+// hostOf returns the id of the worker in the key of one of its lifetimes.
+func hostOf(key string) string { return key[:max(0, strings.LastIndexByte(key, '@'))] }
+
+// costSameHost is the placement cost of a worker whose earlier lifetime crashed under the
+// same task: the host may be at fault.
+const costSameHost = 1 << 30
+
 // giveUp ends the job of a task that crashes its workers as failed, and clears all other
 // tasks of these crashes.
 func (b *Board) giveUp(t jobs.Task, now time.Time) GivenUp {
@@ -348,6 +356,9 @@
 		}
 		isFree := !w.hasYoung(b.policy, now)
 		cost := b.placementCost(e, step, t, w)
+		if slices.ContainsFunc(e.progress.Crashes(t), func(c jobs.Crash) bool { return hostOf(c.Worker) == w.ID }) {
+			cost += costSameHost
+		}
 		if !step.LongRunning {
 			cost += int64(len(w.attempts))*costSameStep + int64(w.lasting)*costOtherRack
 		}
