--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -86,13 +86,13 @@
 
 // StartsBeyondCapacity returns the attempts whose start order has no answer yet and that do
 // not fit a worker any more because its capacity has shrunk, the latest first. A start that
-// was not sent yet need not be.
+// was not sent yet need not be; those of long-running tasks are sent at once.
 func (b *Board) StartsBeyondCapacity(key string) []StopOrder {
 	w := b.workers[key]
 	if w == nil || w.used.Fits(w.Size) {
 		return nil
 	}
-	starting := slices.DeleteFunc(b.Attempts(key), func(a *Attempt) bool { return a.Phase != Starting })
+	starting := slices.DeleteFunc(b.Attempts(key), func(a *Attempt) bool { return a.Phase != Starting || a.step.LongRunning })
 	slices.SortStableFunc(starting, func(x, y *Attempt) int { return y.OrderedAt.Compare(x.OrderedAt) })
 	var starts []StopOrder
 	used := w.used
