--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -275,7 +275,7 @@
 	for _, c := range candidates {
 		step := &c.entry.job.Steps[c.key.step]
 		if !step.LongRunning && b.startsLeft <= 0 {
-			b.limitedAt = now
+			b.noteLimit(step, now)
 			continue
 		}
 		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c, now) {
@@ -297,6 +297,18 @@
 	}
 }
 
+// noteLimit records that the start limit holds a step's tasks back, unless they have no room
+// anyway.
+func (b *Board) noteLimit(step *jobs.Step, now time.Time) {
+	if b.limitedAt.Equal(now) {
+		return
+	}
+	claim := step.Claim()
+	if slices.ContainsFunc(b.pending.room.atLeast(claim.Millicores), func(w *worker) bool { return claim.Fits(w.free()) }) {
+		b.limitedAt = now
+	}
+}
+
 // reserveWorker reserves the worker with the most free millicores for a step that
 // does not fit anywhere yet, among those where it will fit once their batch tasks end.
 func (b *Board) reserveWorker(c candidate, step *jobs.Step, now time.Time) {
@@ -333,7 +345,7 @@
 		}
 		t := tasks[0]
 		if !step.LongRunning && b.startsLeft <= 0 {
-			b.limitedAt = now
+			b.noteLimit(step, now)
 			break
 		}
 		w := b.chooseWorker(e, step, t, now)
