A crash counts though its worker is vacated after it

Only empty hosts are ordered away, and the owner is told of the order, so no exception is needed.

TestCrashCountsThoughTheWorkerIsVacatedAfterIt failed before (0 tasks with a crash, want 1).

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -17,9 +17,10 @@
 const maxLoggedSuspects = 20
 
 // settleCrash records that a worker's lifetime ended without an order of ours, as far as is
-// known: a worker that drains or is being vacated was about to leave.
+// known: a worker that drains was about to leave. One that is being vacated is ordered away
+// only once it is empty, and the order is told.
 func (o *Owner) settleCrash(a *agent) {
-	if _, vacating := o.vacateUntil[a.entry.ID]; a.entry.Draining || vacating {
+	if a.entry.Draining {
 		o.board.WorkerLeft(a.key)
 		return
 	}
