--- a/internal/pool/start_rate.go
+++ b/internal/pool/start_rate.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	minStartQueue  = 2 * maxStartsInFlight  // starts that may wait to be sent, however few were sent lately
+	minStartQueue  = maxStartsInFlight      // starts that may wait to be sent, however few were sent lately: as many as are sent at once
 	startQueueTime = maxStartAge / 4        // in which the starts that wait are sent at the present rate; the rest of maxStartAge is for workers with several of them
 	startRateDecay = 500 * time.Millisecond // time constant of the mean rate: some ten decisions
 )
