A pool whose waiting tasks lack memory gets the hosts that they need

The load now tells how many empty hosts the waiting tasks need of which memory limits how many fit on one.

--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -25,10 +25,13 @@
 	Wanted  int // millicores of tasks that are ready to start but have no worker
 	Largest int // millicores of the largest such task
 	Lasting int // long-running tasks without a worker
-	Spread  int // minimum number of workers for the long-running tasks, by their steps' limits and to survive the loss of one
-	Steady  int // millicores claimed by long-running attempts
-	Rate    int // millicores needed to keep up with the jobs of about the last second
-	Density int // millicores that all jobs together need to meet their objectives
+	// MemoryHosts is the number of empty hosts that the waiting tasks need of which fewer fit
+	// on a host by memory than by processor time.
+	MemoryHosts float64
+	Spread      int // minimum number of workers for the long-running tasks, by their steps' limits and to survive the loss of one
+	Steady      int // millicores claimed by long-running attempts
+	Rate        int // millicores needed to keep up with the jobs of about the last second
+	Density     int // millicores that all jobs together need to meet their objectives
 	// StartLimited means that batch tasks wait for their owner, which starts as many as it
 	// can, and not for a worker: more hosts would not help them.
 	StartLimited bool
@@ -38,6 +41,7 @@
 // Load returns the load of the pool and of each worker.
 func (b *Board) Load(now time.Time) Load {
 	l := Load{StartLimited: b.startsLimited(now)}
+	var largest jobs.Resources
 	for _, w := range b.workers {
 		if len(w.attempts) > 0 {
 			w.idleSince = time.Time{}
@@ -53,6 +57,7 @@
 		}
 		l.Used += load.Used
 		l.Steady += w.lastingClaims().Millicores
+		largest.Millicores, largest.MemoryMB = max(largest.Millicores, w.Size.Millicores), max(largest.MemoryMB, w.Size.MemoryMB)
 		l.Workers = append(l.Workers, load)
 	}
 	l.Rate = toMillicores(b.arrivals.at(now))
@@ -72,6 +77,7 @@
 			if step.LongRunning && !step.BestEffort {
 				l.Lasting += len(tasks)
 			}
+			l.MemoryHosts += memoryHosts(step.Claim(), len(tasks), largest)
 			l.Wanted += len(tasks) * step.Claim().Millicores
 			l.Largest = max(l.Largest, step.Claim().Millicores)
 		}
@@ -79,6 +85,16 @@
 	return l
 }
 
+// memoryHosts returns how many hosts of a size a number of tasks need if memory limits how
+// many fit on one, 0 if processor time does.
+func memoryHosts(claim jobs.Resources, tasks int, size jobs.Resources) float64 {
+	byMemory := size.MemoryMB / max(1, claim.MemoryMB)
+	if byMemory == 0 || claim.Millicores > 0 && size.Millicores/claim.Millicores <= byMemory {
+		return 0 // one that does not fit at all gets none
+	}
+	return float64(tasks) / float64(byMemory)
+}
+
 // limitedTime is how long a decision whose start limit held tasks back counts: a few
 // decisions, which are up to 50 ms apart.
 const limitedTime = 200 * time.Millisecond
--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -257,6 +258,9 @@
 	if v.load.Lasting > 0 || v.load.Largest > 0 && v.hostCount == working {
 		minHosts = max(minHosts, working+1) // a waiting task fits on none of the working hosts
 	}
+	if v.load.MemoryHosts > 0 && !v.load.StartLimited {
+		minHosts = max(minHosts, working+int(math.Ceil(v.load.MemoryHosts)))
+	}
 	v.neededHosts = max(policy.Floor, max(hosts, minHosts)+draining)
 	v.targetHosts = max(policy.Floor, max(hosts, minHosts)+draining+policy.Ready)
 }
