Idle workers on which a waiting long-running task does not fit are no hosts for it

A task that waits beside idle workers fits on none of them.

TestShrunkWorkersDoNotCountAsRoomForALongRunningTask failed before (0 hosts).

--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -244,10 +244,12 @@
 		need = min(need, float64(v.load.Used))
 	}
 	hosts := int((need+float64(v.lacking))/(policy.Fill*float64(v.hostMillicores))) + 1
-	working, draining := 0, 0
+	working, idle, draining := 0, 0, 0
 	for _, w := range v.load.Workers {
 		if w.Tasks > 0 {
 			working++
+		} else if w.Open {
+			idle++
 		}
 		if w.Lasting > 0 && !w.Open {
 			draining++
@@ -255,6 +257,9 @@
 		}
 	}
 	minHosts := v.load.Spread
+	if v.load.Lasting > 0 {
+		working += idle // a long-running task fits on none of the idle hosts either, or it would not wait
+	}
 	if v.load.Lasting > 0 || v.load.Largest > 0 && v.hostCount == working {
 		minHosts = max(minHosts, working+1) // a waiting task fits on none of the working hosts
 	}
