--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -17,10 +17,10 @@
 // been unreachable only, or whose host was ordered elsewhere, are dropped.
 
 const (
-	crashesAlone  = 2 // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
-	crashesAtMost = 3 // crashes after which a task is given up in any case; the platform forbids three starts more
-	heldShare     = 8 // one in this many workers may be kept free for suspects that find no worker of their own
-	maxUnplaced   = 32
+	crashesAlone  = 2  // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
+	crashesAtMost = 3  // crashes after which a task is given up in any case; the platform forbids three starts more
+	heldShare     = 8  // one in this many workers may be kept free for suspects that find no worker of their own; each loses up to 150 ms of starts
+	maxUnplaced   = 32 // suspects without a worker of their own after which a decision tries no more, as each looks at all workers with room
 )
 
 // Suspect is an attempt that may have crashed its worker.
--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -138,6 +139,8 @@
 func TestInnocentTasksOutliveADeadlyOne(t *testing.T) {
 	f := newTestBoard(0, 4)
 	innocent, deadly := newJob(1, batch(8, 400)), newJob(2, batch(1, 400))
+	var steps []place.Step
+	f.Record = func(s place.Step) { steps = append(steps, s) }
 	f.add(innocent, deadly)
 	crashes := 0
 	for range 200 {
@@ -160,6 +163,12 @@
 	if crashes > 2 {
 		t.Errorf("%d workers crashed, want at most 2", crashes)
 	}
+	again := newTestBoard(0, 4)
+	for i, s := range steps {
+		if orders, _, err := again.Replay(s); err != nil || !reflect.DeepEqual(orders, s.Orders) {
+			t.Fatalf("step %d, %s: replayed to %+v, %v, recorded %+v", i, s.Kind, orders, err, s.Orders)
+		}
+	}
 }
 
 // Guards against tasks that are started together again after the crash of their worker, so
