Losses of a rack and late crashes are not a task's fault

Cause: of an attempt was known only what the last listing showed, up to a second before the crash, so that a task that had run for most of a second could look like the cause of its worker's crash; and of the tasks on several workers of a lost rack each could look like the only suspect.

Change: a call under way that breaks off tells until when the worker ran; an attempt that was there when another worker of its rack was lost within half a second is not the only suspect of its worker's crash.

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -17,10 +17,15 @@
 // been unreachable only, or whose host was ordered elsewhere, are dropped.
 
 const (
-	crashesAlone  = 2  // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
-	crashesAtMost = 3  // crashes after which a task is given up in any case; the platform forbids three starts more
-	heldShare     = 8  // one in this many workers may be kept free for suspects that find no worker of their own; each loses up to 150 ms of starts
-	maxUnplaced   = 32 // suspects without a worker of their own after which a decision tries no more, as each looks at all workers with room
+	crashesAlone  = 2 // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
+	crashesAtMost = 3 // crashes after which a task is given up in any case; the platform forbids three starts more
+
+	// rackWindow is the time in which all workers of a lost rack are noticed, as each is
+	// called every 150 ms once it has not answered.
+	rackWindow = 500 * time.Millisecond
+
+	heldShare   = 8  // one in this many workers may be kept free for suspects that find no worker of their own; each loses up to 150 ms of starts
+	maxUnplaced = 32 // suspects without a worker of their own after which a decision tries no more, as each looks at all workers with room
 )
 
 // Suspect is an attempt that may have crashed its worker.
@@ -59,10 +64,15 @@
 }
 
 // SuspectCrash records that a worker may have crashed, and under which attempts: its
-// connections are refused, or its leases have expired.
-func (b *Board) SuspectCrash(key string, now time.Time) {
-	b.recordStep(Step{Kind: StepSuspectCrash, Key: key, At: now})
+// connections are refused, or its leases have expired. It is known to have run until alive,
+// as far as that is later than its last listing; alive may be zero.
+func (b *Board) SuspectCrash(key string, alive, now time.Time) {
+	b.recordStep(Step{Kind: StepSuspectCrash, Key: key, Until: alive, At: now})
+	if w := b.workers[key]; w != nil && alive.After(w.aliveUntil) {
+		w.aliveUntil = alive
+	}
 	b.markSuspects(key)
+	b.compareRack(key, now)
 }
 
 // WorkerCrashed records that a worker's lifetime has ended although it was not ordered
@@ -70,6 +80,7 @@
 func (b *Board) WorkerCrashed(key string, now time.Time) CrashReport {
 	b.recordStep(Step{Kind: StepCrashed, Key: key, At: now})
 	b.markSuspects(key)
+	b.compareRack(key, now)
 	var report CrashReport
 	for _, t := range b.crashes.tasks(key) {
 		e := b.jobs[t.Job]
@@ -132,15 +143,38 @@
 	}
 }
 
-// survived reports whether a listing shows that an attempt has run for this long.
+// compareRack finds out, when a worker is first suspected to have crashed, whether another one
+// of its rack crashed at about the same time: then the rack is a likelier cause than a task.
+func (b *Board) compareRack(key string, now time.Time) {
+	w := b.workers[key]
+	if w == nil || !w.suspectedAt.IsZero() || len(b.crashes[key]) == 0 {
+		return
+	}
+	w.suspectedAt = now
+	for _, o := range b.workers {
+		if o == w || o.Rack != w.Rack || o.Rack == "" || o.suspectedAt.IsZero() || now.Sub(o.suspectedAt) > rackWindow {
+			continue
+		}
+		for _, lost := range []*worker{w, o} {
+			lost.rackLostAt = o.suspectedAt
+			b.markSuspects(lost.Key)
+		}
+	}
+}
+
+// survived reports whether an attempt is known to have run for this long.
 func (a *Attempt) survived(d time.Duration) bool {
-	return !a.ConfirmedAt.IsZero() && !a.shownAt.Before(a.ConfirmedAt.Add(d))
+	if a.ConfirmedAt.IsZero() {
+		return false
+	}
+	end := a.ConfirmedAt.Add(d)
+	return !a.shownAt.Before(end) || a.Phase == Live && !a.worker.aliveUntil.Before(end)
 }
 
 // isOnlySuspect reports whether no other attempt at its worker can have caused a crash: the
-// others had run for TrialTime before this one was started.
+// others had run for TrialTime before this one was started, and the rest of the rack is there.
 func (b *Board) isOnlySuspect(w *worker, a *Attempt) bool {
-	if a.survived(b.policy.TrialTime) {
+	if !w.rackLostAt.IsZero() && !a.OrderedAt.After(w.rackLostAt) || a.survived(b.policy.TrialTime) {
 		return false
 	}
 	for _, o := range w.attempts {
--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
@@ -12,7 +13,7 @@
 
 // crash crashes a worker. The worker is back later as a new lifetime.
 func (f *testBoard) crash(key string) place.CrashReport {
-	f.SuspectCrash(key, f.now)
+	f.SuspectCrash(key, f.now, f.now)
 	f.now = f.now.Add(3 * time.Second)
 	return f.proveCrash(key)
 }
@@ -35,7 +36,7 @@
 func (f *testBoard) lapse(key string) {
 	f.SetSilent(key, true)
 	f.now = f.now.Add(4 * time.Second)
-	f.SuspectCrash(key, f.now)
+	f.SuspectCrash(key, time.Time{}, f.now)
 	f.ExpireLeases(key, f.now)
 }
 
@@ -72,7 +73,7 @@
 			f.takeOver()
 		}, 2},
 		{"owner lost between the crash and its proof", alone, func(f *testBoard, s place.StartOrder) {
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 			f.takeOver()
 			f.proveCrash(s.Worker)
 		}, 2},
@@ -92,7 +93,7 @@
 			f.Listed(s.Worker, nil, nil, f.now, f.now)
 		}, 0},
 		{"ordered elsewhere", alone, func(f *testBoard, s place.StartOrder) {
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 			f.WorkerLeft(s.Worker)
 			f.replaceWorker(s.Worker)
 		}, 0},
@@ -235,7 +236,7 @@
 		for _, s := range f.decide() {
 			crashed = append(crashed, s.Worker)
 			f.SetSilent(s.Worker, true)
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 		}
 		f.now = f.now.Add(100 * time.Millisecond)
 	}
@@ -306,3 +307,41 @@
 	}
 	return all
 }
+
+// Guards against giving jobs up because the workers of a rack crash again and again, whatever
+// they run: of some 600 losses of a rack two may look like the fault of a task.
+func TestJobsAreHardlyEverGivenUpForLostRacks(t *testing.T) {
+	given := 0
+	for seed := range uint64(20) {
+		f := newTestBoard(0, 8)
+		random := rand.New(rand.NewPCG(seed, 0))
+		for n := range 1200 { // a minute
+			if n%8 == 0 {
+				f.add(newJob(byte(n/8), batch(6, 600)))
+			}
+			f.decide()
+			for _, a := range f.allAttempts() {
+				if f.now.Sub(a.ConfirmedAt) > 600*time.Millisecond {
+					f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+				}
+			}
+			if random.IntN(40) == 0 { // a rack, every 2 s on average
+				first := random.IntN(4) * 2
+				var lost []string
+				for i := range f.workers {
+					if !f.gone[key(i)] && i%8/2 == first/2 {
+						lost = append(lost, key(i))
+						f.SuspectCrash(key(i), f.now, f.now)
+					}
+				}
+				for _, key := range lost {
+					given += len(f.proveCrash(key).GivenUp)
+				}
+			}
+			f.now = f.now.Add(50 * time.Millisecond)
+		}
+	}
+	if given > 2 {
+		t.Errorf("%d jobs given up, want at most 2", given)
+	}
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -127,6 +127,7 @@
 	b.pending.listed[key] = w
 	b.pending.paceable(w)
 	b.dropCrashes(key) // it was only unreachable
+	w.suspectedAt, w.rackLostAt = time.Time{}, time.Time{}
 	for _, e := range ended {
 		b.applyEnd(w, e, now)
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -125,6 +125,9 @@
 	trial      *Attempt // latest start of a task with recorded crashes
 	reserved   bool     // by the current decision, for a task that does not fit yet
 
+	aliveUntil  time.Time // it is known to have run until then, zero if it has not been found dead
+	suspectedAt time.Time // when it was first suspected to have crashed under a task, zero if it was not
+	rackLostAt  time.Time // when another worker of its rack was, if at about the same time
 	pausedUntil time.Time // after it refused a start
 	listedAt    time.Time // when its newest listing was requested
 	silentSince time.Time // since when it has not answered, zero if it does
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -121,7 +121,7 @@
 	case StepStarted:
 		b.Started(s.Key, s.Task, s.Attempt, s.At)
 	case StepSuspectCrash:
-		b.SuspectCrash(s.Key, s.At)
+		b.SuspectCrash(s.Key, s.Until, s.At)
 	case StepStopAnswered:
 		b.StopAnswered(s.Key, s.Task, s.Attempt, s.At)
 	case StepStopFailed:
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -92,6 +92,7 @@
 	busy           bool              // it has tasks
 	leaving        bool              // it gets no new tasks: it drains, or its host is wanted elsewhere
 	answeredCallAt time.Time         // when the latest hold call that was answered was sent
+	brokenAt       time.Time         // when a hold call under way last broke off: the worker may have crashed then
 	failedCallAt   time.Time         // when the latest hold call that failed should have been answered
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
@@ -309,6 +310,9 @@
 				return
 			}
 			immediate = true
+			if errors.Is(err, platform.ErrConnectionBroken) {
+				a.setBroken(time.Now())
+			}
 			late := time.Since(requestedAt) - o.Wait - answerTimeout
 			if timedOutLate(err, late) && lateCalls < maxLateCalls {
 				lateCalls++
@@ -398,6 +402,19 @@
 	}
 }
 
+func (a *agent) setBroken(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.brokenAt = at
+}
+
+// lastBroken returns when a hold call under way last broke off, zero if none did.
+func (a *agent) lastBroken() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.brokenAt
+}
+
 // callFailed records that a hold call failed that should have been answered by dueAt.
 func (a *agent) callFailed(dueAt time.Time) {
 	if now := time.Now(); now.Before(dueAt) {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -447,7 +447,7 @@
 				o.log.WithFields(logrus.Fields{"worker": a.key, "left": a.lifetimeEnded}).Info("worker lost: its tasks are rescheduled")
 			}
 			if !a.lifetimeEnded {
-				o.board.SuspectCrash(a.key, now)
+				o.board.SuspectCrash(a.key, a.lastBroken(), now)
 			}
 			o.board.ExpireLeases(a.key, now)
 		}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -220,7 +220,7 @@
 		return
 	}
 	if errors.Is(err, platform.ErrConnectionRefused) && !a.lifetimeEnded && o.agents[a.key] == a {
-		o.board.SuspectCrash(a.key, time.Now()) // stored at once, in case this owner is lost too
+		o.board.SuspectCrash(a.key, a.lastBroken(), time.Now()) // stored at once, in case this owner is lost too
 	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
