A late report on a removed worker does not undo its crash

Cause: an agent whose worker had been removed, with its crash settled, could still report that another lifetime answers, which counted as the worker's leaving and dropped the crash.

TestHowALifetimeEndsDecidesWhetherItIsACrash covers the eight ways in which a lifetime can end; its case 'entry gone and silent' failed before.

--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -152,10 +152,11 @@
 	a.lifetimeEnded = true
 	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
-	if how == lifetimeCrashed && o.agents[a.key] == a {
-		o.settleCrash(a)
-	} else {
+	switch {
+	case how == lifetimeOrdered:
 		o.board.WorkerLeft(a.key)
+	case o.agents[a.key] == a: // otherwise it was settled when the worker was removed
+		o.settleCrash(a)
 	}
 	o.syncAgent(a)
 	a.cancel()
