--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -11,7 +13,7 @@
 
 // crash crashes a worker. The worker is back later as a new lifetime.
 func (f *testBoard) crash(key string) place.CrashReport {
-	f.SuspectCrash(key, f.now)
+	f.SuspectCrash(key, f.now, f.now)
 	f.now = f.now.Add(3 * time.Second)
 	return f.proveCrash(key)
 }
@@ -34,7 +36,7 @@
 func (f *testBoard) lapse(key string) {
 	f.SetSilent(key, true)
 	f.now = f.now.Add(4 * time.Second)
-	f.SuspectCrash(key, f.now)
+	f.SuspectCrash(key, time.Time{}, f.now)
 	f.ExpireLeases(key, f.now)
 }
 
@@ -71,7 +73,7 @@
 			f.takeOver()
 		}, 2},
 		{"owner lost between the crash and its proof", alone, func(f *testBoard, s place.StartOrder) {
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 			f.takeOver()
 			f.proveCrash(s.Worker)
 		}, 2},
@@ -91,7 +93,7 @@
 			f.Listed(s.Worker, nil, nil, f.now, f.now)
 		}, 0},
 		{"ordered elsewhere", alone, func(f *testBoard, s place.StartOrder) {
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 			f.WorkerLeft(s.Worker)
 			f.replaceWorker(s.Worker)
 		}, 0},
@@ -138,6 +140,8 @@
 func TestInnocentTasksOutliveADeadlyOne(t *testing.T) {
 	f := newTestBoard(0, 4)
 	innocent, deadly := newJob(1, batch(8, 400)), newJob(2, batch(1, 400))
+	var steps []place.Step
+	f.Record = func(s place.Step) { steps = append(steps, s) }
 	f.add(innocent, deadly)
 	crashes := 0
 	for range 200 {
@@ -160,6 +164,12 @@
 	if crashes > 2 {
 		t.Errorf("%d workers crashed, want at most 2", crashes)
 	}
+	again := newTestBoard(0, 4)
+	for i, s := range steps {
+		if orders, _, err := again.Replay(s); err != nil || !reflect.DeepEqual(orders, s.Orders) {
+			t.Fatalf("step %d, %s: replayed to %+v, %v, recorded %+v", i, s.Kind, orders, err, s.Orders)
+		}
+	}
 }
 
 // Guards against tasks that are started together again after the crash of their worker, so
@@ -226,7 +236,7 @@
 		for _, s := range f.decide() {
 			crashed = append(crashed, s.Worker)
 			f.SetSilent(s.Worker, true)
-			f.SuspectCrash(s.Worker, f.now)
+			f.SuspectCrash(s.Worker, f.now, f.now)
 		}
 		f.now = f.now.Add(100 * time.Millisecond)
 	}
@@ -311,7 +321,7 @@
 		f.decide()
 		if crashed {
 			f.now = f.now.Add(300 * time.Millisecond)
-			f.SuspectCrash(first.Worker, f.now)
+			f.SuspectCrash(first.Worker, f.now, f.now)
 			f.WorkerCrashed(first.Worker, f.now)
 		}
 		f.RemoveWorker(first.Worker, f.now)
@@ -353,7 +363,7 @@
 		lost := f.decide()[0]
 		f.now = f.now.Add(100 * time.Millisecond)
 		if crashed {
-			f.SuspectCrash(lost.Worker, f.now)
+			f.SuspectCrash(lost.Worker, f.now, f.now)
 			f.WorkerCrashed(lost.Worker, f.now)
 		}
 		f.RemoveWorker(lost.Worker, f.now)
@@ -384,7 +394,7 @@
 		}
 	}
 	f.now = f.now.Add(100 * time.Millisecond)
-	f.SuspectCrash(first[0].Worker, f.now)
+	f.SuspectCrash(first[0].Worker, f.now, f.now)
 	f.WorkerCrashed(first[0].Worker, f.now)
 	f.RemoveWorker(first[0].Worker, f.now)
 	f.gone[first[0].Worker] = true
@@ -417,7 +427,7 @@
 	f.add(j)
 	s := f.decide()[0]
 	f.now = f.now.Add(50 * time.Millisecond)
-	f.SuspectCrash(s.Worker, f.now)
+	f.SuspectCrash(s.Worker, f.now, f.now)
 	f.now = f.now.Add(3 * time.Second)
 	var w place.Worker
 	for i := range 4 {
@@ -460,7 +470,7 @@
 	for life := byte('2'); life < '5'; life++ {
 		f.now = f.now.Add(300 * time.Millisecond)
 		crashed := faulty.Key
-		f.SuspectCrash(crashed, f.now)
+		f.SuspectCrash(crashed, f.now, f.now)
 		f.now = f.now.Add(3 * time.Second)
 		f.WorkerCrashed(crashed, f.now)
 		f.RemoveWorker(crashed, f.now)
@@ -474,3 +484,41 @@
 		t.Errorf("the job is given up for crashes of %s alone", faulty.ID)
 	}
 }
+
+// Guards against giving jobs up because the workers of a rack crash again and again, whatever
+// they run: of some 600 losses of a rack two may look like the fault of a task.
+func TestJobsAreHardlyEverGivenUpForLostRacks(t *testing.T) {
+	given := 0
+	for seed := range uint64(20) {
+		f := newTestBoard(0, 8)
+		random := rand.New(rand.NewPCG(seed, 0))
+		for n := range 1200 { // a minute
+			if n%8 == 0 {
+				f.add(newJob(byte(n/8), batch(6, 600)))
+			}
+			f.decide()
+			for _, a := range f.allAttempts() {
+				if f.now.Sub(a.ConfirmedAt) > 600*time.Millisecond {
+					f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+				}
+			}
+			if random.IntN(40) == 0 { // a rack, every 2 s on average
+				first := random.IntN(4) * 2
+				var lost []string
+				for i := range f.workers {
+					if !f.gone[key(i)] && i%8/2 == first/2 {
+						lost = append(lost, key(i))
+						f.SuspectCrash(key(i), f.now, f.now)
+					}
+				}
+				for _, key := range lost {
+					given += len(f.proveCrash(key).GivenUp)
+				}
+			}
+			f.now = f.now.Add(50 * time.Millisecond)
+		}
+	}
+	if given > 2 {
+		t.Errorf("%d jobs given up, want at most 2", given)
+	}
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -175,10 +175,11 @@
 	o.suspected[a] = true
 	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
-	if how == lifetimeCrashed && o.agents[a.key] == a {
-		o.settleCrash(a)
-	} else {
+	switch {
+	case how == lifetimeOrdered:
 		o.board.WorkerLeft(a.key)
+	case o.agents[a.key] == a: // otherwise it was settled when the worker was removed
+		o.settleCrash(a)
 	}
 	o.syncAgent(a)
 	a.cancel()
@@ -243,7 +244,7 @@
 		return
 	}
 	if errors.Is(err, platform.ErrConnectionRefused) && !a.lifetimeEnded && o.agents[a.key] == a {
-		o.board.SuspectCrash(a.key, time.Now()) // stored at once, in case this owner is lost too
+		o.board.SuspectCrash(a.key, a.lastBroken(), time.Now()) // stored at once, in case this owner is lost too
 	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
