--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -124,13 +124,14 @@
 	used     jobs.Resources
 	attempts map[jobs.Task]*Attempt
 	// unexpected is the part of used for listed attempts that should not run here.
-	unexpected jobs.Resources
-	lasting    int // attempts of long-running tasks
-	filling    int // attempts of best-effort tasks
-	promised   int // long-running tasks about to move here, whose claims are part of used
-	health     health
-	trial      *Attempt // latest start of a task with recorded crashes
-	reserved   bool     // by the current decision, for a task that does not fit yet
+	unexpected     jobs.Resources
+	lasting        int            // attempts of long-running tasks
+	filling        int            // attempts of best-effort tasks
+	promised       int            // long-running tasks about to move here
+	promisedClaims jobs.Resources // of those; part of used
+	health         health
+	trial          *Attempt // latest start of a task with recorded crashes
+	reserved       bool     // by the current decision, for a task that does not fit yet
 
 	aliveUntil  time.Time // it is known to have run until then, zero if it has not been found dead
 	suspectedAt time.Time // when it was first suspected to have crashed under a task, zero if it was not
@@ -144,9 +145,10 @@
 
 func (w *worker) free() jobs.Resources { return w.Size.Sub(w.used) }
 
-// lastingClaims returns what the long-running tasks at the worker claim.
+// lastingClaims returns what the long-running tasks claim that are at the worker or about to
+// move there.
 func (w *worker) lastingClaims() jobs.Resources {
-	var claims jobs.Resources
+	claims := w.promisedClaims
 	if w.lasting == 0 {
 		return claims
 	}
--- a/internal/place/promise.go
+++ b/internal/place/promise.go
@@ -13,8 +13,10 @@
 		e.promises = map[jobs.Task]*worker{}
 	}
 	e.promises[t] = w
+	claim := e.job.Steps[t.Step].Claim()
 	w.promised++
-	b.setUsed(w, w.used.Add(e.job.Steps[t.Step].Claim()))
+	w.promisedClaims = w.promisedClaims.Add(claim)
+	b.setUsed(w, w.used.Add(claim))
 }
 
 // releasePromise gives up the room that is kept for a task, if there is any.
@@ -27,8 +29,10 @@
 	if b.workers[w.Key] != w {
 		return // removed meanwhile
 	}
+	claim := e.job.Steps[t.Step].Claim()
 	w.promised--
-	b.setUsed(w, w.used.Sub(e.job.Steps[t.Step].Claim()))
+	w.promisedClaims = w.promisedClaims.Sub(claim)
+	b.setUsed(w, w.used.Sub(claim))
 }
 
 // releaseArriving gives up the room of tasks that are about to be placed. Long-running tasks
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -492,7 +492,7 @@
 }
 
 const (
-	handoverDelay  = 250 * time.Millisecond // without the store before others are requestedAt to take over
+	handoverDelay  = 250 * time.Millisecond // without the store before others are asked to take over
 	handoverPeriod = time.Second            // between offers to other processes
 )
 
