--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -292,7 +292,7 @@
 	Queued    State = "queued"
 	Active    State = "active"
 	Complete  State = "complete"
-	Aborted   State = "failed" // a task used up its attempts
+	Aborted   State = "failed" // a task used up its attempts, or crashes its workers
 	Cancelled State = "cancelled"
 )
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -13,7 +13,9 @@
 //
 // The caller reports the result of a start order with Started, StartUnanswered or Refused,
 // that of a stop order with StopAnswered or StopFailed, the listing of a worker with
-// Listed, and the expiry of a worker's leases with ExpireLeases. Dirty returns the jobs
+// Listed, and the expiry of a worker's leases with ExpireLeases. It reports that a worker may
+// have crashed with SuspectCrash, and how its lifetime ended with WorkerCrashed or WorkerLeft,
+// before it removes the worker. Dirty returns the jobs
 // whose progress has changed and is yet to be written to storage.
 //
 // An attempt is held from its start order until it is known to have ended. A task
