--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -116,7 +116,7 @@
 				for _, s := range o.board.Decide(time.Now()).Starts {
 					o.board.Started(s.Worker, s.Task, s.Attempt, time.Now())
 				}
-				a.failedCallAt = time.Now()
+				a.callFailed(time.Now())
 				o.holdFailed(a, errors.Wrap(platform.ErrConnectionRefused, "test"), 0)
 				if vacate {
 					o.vacate(e.ID, time.Now())
