A long-running job is not given up for workers that were lost by chance

Cause: a task of the job lost two workers within a second of its starts, by a reused address and a dark rack; nobody knows when a dark worker crashed, and the task was the only suspect there, as suspects start apart. The job was given up and its five running tasks were stopped.

A long-running task is given up after four crashes only: the rule forbids the third start after three, so that one unnoticed crash is still allowed for.

TestLongRunningJobOutlivesLostWorkers failed before ("3 workers were lost and the job is failed").

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -17,8 +17,9 @@
 // been unreachable only, or whose host was ordered elsewhere, are dropped.
 
 const (
-	crashesAlone  = 2 // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
-	crashesAtMost = 3 // crashes after which a task is given up in any case; the platform forbids three starts more
+	crashesAlone   = 2 // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
+	crashesAtMost  = 3 // crashes after which a task is given up in any case; the platform forbids three starts more
+	crashesLasting = 4 // the same for a long-running task, the end of which stops all others of its job: chance alone can crash three workers within a second of its starts
 
 	// rackWindow is the time in which all workers of a lost rack are noticed, as each is
 	// called every 150 ms once it has not answered.
@@ -218,7 +219,11 @@
 		}
 		last := settled[len(settled)-1]
 		alone := last.Alone && slices.ContainsFunc(settled, func(c jobs.Crash) bool { return hostOf(c.Worker) != hostOf(last.Worker) })
-		if len(settled) >= crashesAtMost || len(settled) >= crashesAlone && alone {
+		blame := len(settled) >= crashesAtMost || len(settled) >= crashesAlone && alone
+		if b.jobs[t.Job].job.Steps[t.Step].LongRunning {
+			blame = len(settled) >= crashesLasting
+		}
+		if blame {
 			blamed = append(blamed, evidence{t, alone, len(settled)})
 		}
 	}
