--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -31,7 +31,7 @@
 		{"entry gone and silent", func(o *Owner, a *agent) {
 			a.silent, a.missingSince = true, time.Now().Add(-2*missingTimeout)
 			a.leasesExpireAt = time.Time{}
-			o.suspected[a] = true
+			o.mayBeLost[a] = true
 			o.removeLostWorkers(time.Now())
 			if o.agents[a.key] != nil {
 				panic("the worker was not removed")
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -140,7 +140,7 @@
 	board          *place.Board
 	agents         map[string]*agent    // by lifetime
 	lifetimes      map[string][]*agent  // by worker id
-	suspected      map[*agent]bool      // agents that are silent or ended or lack an entry, and some that were
+	mayBeLost      map[*agent]bool      // agents that are silent or ended or lack an entry, and some that were
 	examined       uint64               // how many agents ticks and retirements have looked at
 	newEnds        map[*agent]bool      // agents with handled ends that are not acknowledged yet
 	vacateUntil    map[string]time.Time // workers to vacate, by id, and until when
@@ -245,7 +245,7 @@
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), calls: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
-		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, suspected: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, removing: map[jobs.ID]bool{}, unstorable: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: time.Now(),
@@ -457,7 +457,7 @@
 		o.examined++
 		o.updateBusy(o.agents[key])
 	}
-	for a := range o.suspected {
+	for a := range o.mayBeLost {
 		o.removeIfLost(a, now)
 	}
 }
@@ -466,7 +466,7 @@
 func (o *Owner) removeIfLost(a *agent, now time.Time) {
 	o.examined++
 	if o.agents[a.key] != a || !a.silent && a.missingSince.IsZero() && !a.lifetimeEnded {
-		delete(o.suspected, a)
+		delete(o.mayBeLost, a)
 		return
 	}
 	gone := a.lifetimeEnded || !a.missingSince.IsZero() && (now.Sub(a.missingSince) > missingTimeout || o.board.Idle(a.key))
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -37,7 +37,7 @@
 			if _, ok := next[id]; !ok {
 				if a := o.agents[lifetimeKey(e)]; a != nil && a.missingSince.IsZero() {
 					a.missingSince = now
-					o.suspected[a] = true
+					o.mayBeLost[a] = true
 				}
 			}
 		}
@@ -103,7 +103,7 @@
 func (o *Owner) removeAgent(a *agent) {
 	a.close()
 	delete(o.agents, a.key)
-	delete(o.suspected, a)
+	delete(o.mayBeLost, a)
 	id := a.entry.ID
 	o.lifetimes[id] = slices.DeleteFunc(o.lifetimes[id], func(other *agent) bool { return other == a })
 	if len(o.lifetimes[id]) == 0 {
@@ -172,7 +172,7 @@
 		return
 	}
 	a.lifetimeEnded = true
-	o.suspected[a] = true
+	o.mayBeLost[a] = true
 	o.registrationsStale = true
 	o.log.WithFields(logrus.Fields{"worker": a.key, "cause": cause}).Info("worker's lifetime has ended")
 	switch {
@@ -248,7 +248,7 @@
 	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
-		o.suspected[a] = true
+		o.mayBeLost[a] = true
 		o.log.WithFields(logrus.Fields{"worker": a.key, "late-ms": max(0, late).Milliseconds()}).
 			WithError(err).Info("worker does not answer")
 		o.syncAgent(a)
