--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -197,7 +197,7 @@
 	writeJSON(w, http.StatusOK, map[string]any{"allowed": allowed, "validity_ms": adviceValidity.Milliseconds()})
 }
 
-// configure writes the operator's configuration.
+// configure writes the operator's configuration, with a service for each pool of machines.
 func (p *fakePlatform) configure(version int, routes []route) {
 	routeRows, serviceRows := []map[string]any{}, []map[string]any{}
 	for _, r := range routes {
@@ -211,8 +211,16 @@
 			}
 		}
 		routeRows = append(routeRows, row)
-		serviceRows = append(serviceRows, map[string]any{"name": r.service, "enforces_capacity": true, "standby": false})
 	}
+	p.mu.Lock()
+	known := map[string]bool{}
+	for _, m := range p.machines {
+		if !known[m.pool] {
+			known[m.pool] = true
+			serviceRows = append(serviceRows, map[string]any{"name": m.pool, "enforces_capacity": true, "standby": false})
+		}
+	}
+	p.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routeRows, "services": serviceRows,
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 2000, "idle_timeout_ms": 60000},
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -46,7 +46,6 @@
 	if t.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return fmt.Errorf("%w: %w", errNotRun, err)
 	}
-	t.platform.configure(1, routes)
 	number := 0
 	for _, r := range routes {
 		for range machinesPerPool {
@@ -56,6 +55,7 @@
 			number++
 		}
 	}
+	t.platform.configure(1, routes)
 	network, err := freeNetwork(daemons)
 	if err != nil {
 		return err
