--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -90,6 +90,17 @@
 	s.notify()
 }
 
+// get returns the value of a row, nil if it does not exist.
+func (s *store) get(table, part, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, err := base64.StdEncoding.DecodeString(s.rows[rowKey{table, part, key}].value)
+	if err != nil {
+		return nil
+	}
+	return value
+}
+
 func (s *store) set(r row) {
 	if r.deleted {
 		delete(s.rows, r.rowKey)
