--- a/review/standin/renewal.go
+++ b/review/standin/renewal.go
@@ -16,11 +16,13 @@
 	renewalItems    = 16
 	renewalPerWork  = 4 // work items on one worker at most
 	renewalCutOff   = 4 // workers; srv_cut has a share of 0.2
-	renewalDuration = 25 * time.Second
-	renewalCut      = 5 * time.Second // as srv_cut by default
+	renewalDuration = 12 * time.Second
+	renewalRounds   = 3
+	renewalRest     = 13 * time.Second // after a freeze, until the work items have ended
+	renewalCut      = 5 * time.Second  // as srv_cut by default
 )
 
-// renewal stops the owner of a pool for some seconds. Another daemon takes the pool over, and
+// renewal stops the owner of a pool for some seconds, three times at most. Another daemon takes the pool over, and
 // has lost its path to the four workers that run the work items. The first owner goes on meanwhile.
 func renewal(t *trial) error {
 	r := route{name: "r-items", prefix: "/items/", service: "clubdesk", maxAttempts: 3}
@@ -28,27 +30,29 @@
 		return err
 	}
 	time.Sleep(3 * time.Second) // until the owner has settled
-	s := &submission{
-		id: newID(), route: r, duration: renewalDuration, Spec: "items",
-		Steps: []step{{Count: renewalItems, CPU: 1100, MemMB: 512, EstimateMS: renewalDuration.Milliseconds(), AntiAffinity: renewalPerWork}},
-	}
-	if status := t.submit(s); status != http.StatusOK {
-		return fmt.Errorf("%w: the submission was answered %d", errNotRun, status)
-	}
-	time.Sleep(2 * time.Second)
-	owner, _, err := t.ownerOf(r.service)
-	if err != nil {
-		return err
-	}
-	if t.trouble {
-		if err := t.freezeAndCut(r, owner); err != nil {
+	for round := 1; round <= renewalRounds && len(t.broken) == 0; round++ {
+		t.record.printf("round %d", round)
+		s := &submission{
+			id: newID(), route: r, duration: renewalDuration, Spec: "items",
+			Steps: []step{{Count: renewalItems, CPU: 1100, MemMB: 512, EstimateMS: renewalDuration.Milliseconds(), AntiAffinity: renewalPerWork}},
+		}
+		if status := t.submit(s); status != http.StatusOK {
+			return fmt.Errorf("%w: the submission was answered %d", errNotRun, status)
+		}
+		time.Sleep(2 * time.Second)
+		owner, _, err := t.ownerOf(r.service)
+		if err != nil {
 			return err
 		}
+		if t.trouble {
+			if err := t.freezeAndCut(r, owner); err != nil {
+				return err
+			}
+		}
+		time.Sleep(renewalRest)
+		t.broken = twice(t.platform.copyRuns())
 	}
-	time.Sleep(8 * time.Second)
-	runs := t.platform.copyRuns()
-	t.record.runs(runs)
-	t.broken = append(t.broken, twice(runs)...)
+	t.record.runs(t.platform.copyRuns())
 	return nil
 }
 
