pool: an owner that was frozen answers nothing from memory

Callers got 410 to a cancel, or to a request for the state, of a job that ran on: an owner that was frozen woke, did not know the job that the next owner had accepted meanwhile, and said so. The holder of the fleet, too, could be told that a worker is empty on which the next owner had started tasks.

Cause: all answers come from the owner's memory, which is right only while it owns the pool.

Change: calls are answered in Owner.ask, which gives no verdict unless the ownership is known to have lasted until shortly before. The process that asked then tries again, and finds the next owner.

--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -70,6 +71,35 @@
 	}
 }
 
+// Guards against false answers to callers: an owner that was frozen told them that jobs do not
+// exist which the next owner had accepted meanwhile, and to the holder of the fleet that
+// workers are empty.
+func TestWokenOwnerAnswersNothingFromMemory(t *testing.T) {
+	t.Parallel()
+	o, entry := newOwner(t)
+	go o.Run()
+	defer o.Close()
+	const id = "0000000000000001"
+	if !completes(t, o, id, 5*time.Second) {
+		t.Fatal("the pool completes no job")
+	}
+	freeze(o, 2*maxPause)
+	claimNext(t, o)
+	verdicts := map[string]Verdict{}
+	_, verdicts["state"] = o.State(t.Context(), "0000000000000002")
+	verdicts["cancel"] = o.Cancel(t.Context(), "0000000000000002")
+	_, verdicts["pending"] = o.Pending(t.Context(), "q")
+	_, verdicts["vacate"] = o.Vacate(t.Context(), []string{entry.ID})
+	_, verdicts["load"] = o.Load(t.Context())
+	_, verdicts["views"] = o.Views(t.Context(), id)
+	verdicts["submit"], _ = o.Submit(t.Context(), jobs.Job{ID: "0000000000000002", Spec: "20ms", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 1}}})
+	for call, v := range verdicts {
+		if v != Unknown {
+			t.Errorf("%s: verdict %d, want none", call, v)
+		}
+	}
+}
+
 // Guards against work that is started, stopped or slowed down by an owner that was frozen,
 // behind the next owner's back.
 func TestPausedOwnerSendsNoOrders(t *testing.T) {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -66,6 +66,18 @@
 	return Unknown
 }
 
+// ask is [Owner.callLoop] for calls that are answered from memory: the verdict is Unknown if
+// another process may own the pool, which then knows better.
+func (o *Owner) ask(ctx context.Context, f func(reply chan Verdict)) Verdict {
+	return o.callLoop(ctx, func(reply chan Verdict) {
+		if !o.status.current(time.Now()) {
+			reply <- Unknown
+			return
+		}
+		f(reply)
+	})
+}
+
 // Submit makes a job durable. Refused and Overloaded mean that it has not run and
 // never will; the duration is then the time after which the caller should retry.
 func (o *Owner) Submit(ctx context.Context, j jobs.Job) (Verdict, time.Duration) {
@@ -74,7 +86,7 @@
 		return Refused, 0
 	}
 	var retryAfter time.Duration
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		now := time.Now()
 		switch s := o.pending[j.ID]; {
 		case !o.started:
@@ -131,7 +143,7 @@
 
 // Cancel cancels a job. Accepted means that its final state is durable.
 func (o *Owner) Cancel(ctx context.Context, id jobs.ID) Verdict {
-	return o.callLoop(ctx, func(reply chan Verdict) {
+	return o.ask(ctx, func(reply chan Verdict) {
 		switch {
 		case !o.started || o.pending[id] != nil:
 			reply <- Unknown
@@ -153,7 +165,7 @@
 // State returns a job's state. Accepted means that the state is valid.
 func (o *Owner) State(ctx context.Context, id jobs.ID) (jobs.State, Verdict) {
 	var state jobs.State
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		s, known := o.board.State(id)
 		switch {
 		case !o.started && !known || o.pending[id] != nil:
@@ -174,7 +186,7 @@
 // Pending returns how many of a queue's jobs have not started.
 func (o *Owner) Pending(ctx context.Context, queue string) (int, Verdict) {
 	n := 0
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		if !o.started {
 			reply <- Unknown
 			return
@@ -203,7 +215,7 @@
 // are asked for again and again in a turn.
 func (o *Owner) Vacate(ctx context.Context, workers []string) (map[string]Vacated, Verdict) {
 	vacated := make(map[string]Vacated, len(workers))
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		if !o.started {
 			reply <- Unknown
 			return
@@ -261,7 +273,7 @@
 // Load returns the pool's demand and capacity.
 func (o *Owner) Load(ctx context.Context) (place.Load, Verdict) {
 	var l place.Load
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		if !o.started {
 			reply <- Unknown
 			return
@@ -278,7 +290,7 @@
 // Views returns the state of one job, or of all jobs if id is empty.
 func (o *Owner) Views(ctx context.Context, id jobs.ID) ([]place.JobView, Verdict) {
 	var views []place.JobView
-	v := o.callLoop(ctx, func(reply chan Verdict) {
+	v := o.ask(ctx, func(reply chan Verdict) {
 		view, known := o.board.View(id)
 		switch {
 		case !o.started:
