place: advice is asked for about all workers

Callers saw accepted jobs stay queued for good, though idle workers were allowed to run them.

Change: a step remembers which lifetimes of workers have a ticket and which may not run it. While the workers with tickets have no room for its tasks, or for a whole gang, it asks about others: those with room first, 24 in the first request, 100, the service's limit, in later ones. An owner has at most eight requests under way. A failed one is repeated after 0.15 s, doubling up to 5 s, and its workers are then named after the others and in halves. Long-running tasks that are to move wait for tickets that are valid.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -31,7 +31,7 @@
 	waiting       map[stepKey][]jobs.Task // tasks ready to start
 	enqueuedSteps map[stepKey]bool        // steps whose tasks were added to waiting
 	backoffs      map[jobs.Task]backoff   // of long-running tasks that ended
-	advice        map[stepKey]*advice
+	advice        map[stepKey]*stepAdvice
 	promises      map[jobs.Task]*worker    // long-running tasks that are stopped in order to run there; nil if there are none
 	lasting       map[stepKey]*lastingStep // long-running steps that have or had attempts
 	firstFailedOn string                   // key of the worker where a task failed first
@@ -70,6 +70,7 @@
 	arrivals         arrivals
 	crashes          crashIndex
 	advisedQueues    map[string]bool // queues whose steps need tickets
+	adviceRequests   int             // under way
 	examined         uint64
 }
 
@@ -117,7 +118,7 @@
 		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
 		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{},
 		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
-		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*advice{}, lasting: map[stepKey]*lastingStep{},
+		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
 	}
 	b.jobs[j.ID] = e
 	if p.Final != "" {
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -100,8 +100,7 @@
 		return false
 	}
 	if b.advisedQueues[e.job.Queue] {
-		advice := e.advice[stepKey{t.Occurrence, t.Step}]
-		return advice != nil && advice.tickets[w.ID] != ""
+		return e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now) != ""
 	}
 	return true
 }
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -326,7 +326,7 @@
 	for _, c := range candidates {
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
 		if !e.progress.HasCrashes() || step.Gang || b.unconfirmed(e, now) && !step.Speculative ||
-			b.advisedQueues[e.job.Queue] && !b.ensureTickets(o, c, now) {
+			b.advisedQueues[e.job.Queue] && !b.ensureTickets(o, e, c.key, e.waiting[c.key][0], now) {
 			continue
 		}
 		innocent, suspects := b.splitSuspects(c)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -262,6 +262,7 @@
 	}
 	b.placeCandidates(o, candidates[:lasting], now)
 	b.placeSuspects(o, candidates, now)
+	b.adviseMoves(o, now)
 	b.moveLongRunning(now)
 	b.placeCandidates(o, candidates[lasting:], now)
 }
@@ -278,7 +279,7 @@
 			b.noteLimit(step, now)
 			continue
 		}
-		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c, now) {
+		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c.entry, c.key, c.entry.waiting[c.key][0], now) {
 			continue
 		}
 		if step.Gang {
@@ -375,9 +376,7 @@
 		w.trial = a
 	}
 	order := StartOrder{Worker: w.Key, Task: t, Attempt: number, Spec: e.job.Spec, Checkpoint: e.progress.Checkpoint(t)}
-	if advice := e.advice[stepKey{t.Occurrence, t.Step}]; advice != nil {
-		order.Ticket = advice.tickets[w.ID]
-	}
+	order.Ticket = e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now)
 	o.Starts = append(o.Starts, order)
 }
 
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -118,7 +118,7 @@
 	if len(o.Starts) != 0 || len(o.Advice) != 1 || len(o.Advice[0].Workers) != 3 {
 		t.Fatalf("orders %+v, want one request for advice on three workers", o)
 	}
-	f.Advised(j.ID, 0, 0, map[string]string{"w1": "ticket"}, f.now.Add(3*time.Second))
+	f.Advised(o.Advice[0], map[string]string{"w1": "ticket"}, f.now.Add(3*time.Second), f.now)
 	for _, s := range f.Decide(f.now).Starts {
 		if s.Worker != key(1) || s.Ticket != "ticket" {
 			t.Errorf("started %+v, want the worker with a ticket", s)
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -13,6 +13,7 @@
 const (
 	StepAdd             StepKind = "add"
 	StepAdvised         StepKind = "advised"
+	StepAdviceFailed    StepKind = "advice-failed"
 	StepSetAdvised      StepKind = "queues-with-advice"
 	StepCancel          StepKind = "cancel"
 	StepCrashed         StepKind = "crashed"
@@ -57,6 +58,7 @@
 	Asked    time.Time
 	Until    time.Time
 	Kept     time.Duration
+	Workers  []string // ids that a request for advice named
 	Tickets  map[string]string
 	Queues   map[string]bool
 	Limit    int
@@ -65,6 +67,11 @@
 	UnexpectedStops []StopOrder // result of Listed
 }
 
+// adviceOrder returns the request that a step about advice answers.
+func (s Step) adviceOrder() AdviceOrder {
+	return AdviceOrder{Job: s.ID, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Workers: s.Workers}
+}
+
 // recordStep passes a step to Record, if set.
 func (b *Board) recordStep(s Step) {
 	if b.Record != nil {
@@ -95,7 +102,9 @@
 		}
 		b.Add(s.Job, p, s.At)
 	case StepAdvised:
-		b.Advised(s.ID, s.Task.Occurrence, s.Task.Step, s.Tickets, s.Until)
+		b.Advised(s.adviceOrder(), s.Tickets, s.Until, s.At)
+	case StepAdviceFailed:
+		b.AdviceFailed(s.adviceOrder(), s.At)
 	case StepSetAdvised:
 		b.SetAdvised(s.Queues)
 	case StepCancel:
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -345,13 +345,17 @@
 }
 
 func (s *scanTest) advise(x place.AdviceOrder) {
+	if s.chance(20) {
+		s.board.AdviceFailed(x, s.now)
+		return
+	}
 	tickets := map[string]string{}
 	for _, id := range x.Workers {
 		if s.chance(60) {
 			tickets[id] = "ticket of " + id
 		}
 	}
-	s.board.Advised(x.Job, x.Occurrence, x.Step, tickets, s.now.Add(time.Duration(s.n(4000))*time.Millisecond))
+	s.board.Advised(x, tickets, s.now.Add(time.Duration(s.n(4000))*time.Millisecond), s.now)
 }
 
 // store makes all progress durable, or fails to.
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -522,10 +522,11 @@
 		requestedAt := time.Now()
 		tickets, validity, err := o.advise(ctx, step, q.Workers)
 		if err != nil {
-			o.log.WithField("step", step).WithError(err).Info("advice request failed")
-			sleep(o.ctx, retryDelay)
+			o.log.WithFields(logrus.Fields{"step": step, "workers": len(q.Workers)}).WithError(err).Info("advice request failed")
+			o.post(func() { o.board.AdviceFailed(q, time.Now()) })
+			return
 		}
-		o.post(func() { o.board.Advised(q.Job, q.Occurrence, q.Step, tickets, requestedAt.Add(validity)) })
+		o.post(func() { o.board.Advised(q, tickets, requestedAt.Add(validity), time.Now()) })
 	}()
 }
 
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -114,6 +114,7 @@
 	Asked    time.Time         `json:"asked,omitzero"`
 	Until    time.Time         `json:"until,omitzero"`
 	Kept     time.Duration     `json:"kept-ns,omitempty"`
+	Workers  []string          `json:"workers,omitempty"`
 	Tickets  map[string]string `json:"tickets,omitempty"`
 	Queues   map[string]bool   `json:"queues,omitempty"`
 	Starts   []startWire       `json:"starts,omitempty"`
@@ -187,7 +188,7 @@
 func encodeBoardStep(s place.Step) (string, error) {
 	w := boardStepWire{
 		Kind: string(s.Kind), At: stripMonotonic(s.At), Progress: s.Progress, ID: string(s.ID), State: string(s.State), Key: s.Key,
-		Attempt: s.Attempt, Flag: s.Flag, Limit: s.Limit, Asked: stripMonotonic(s.Asked), Until: stripMonotonic(s.Until), Kept: s.Kept, Tickets: s.Tickets, Queues: s.Queues,
+		Attempt: s.Attempt, Flag: s.Flag, Limit: s.Limit, Asked: stripMonotonic(s.Asked), Until: stripMonotonic(s.Until), Kept: s.Kept, Workers: s.Workers, Tickets: s.Tickets, Queues: s.Queues,
 	}
 	if s.Task != (jobs.Task{}) {
 		w.Task = formatTask(s.Task)
@@ -266,7 +267,7 @@
 	var r taskParser
 	s := place.Step{
 		Kind: place.StepKind(w.Kind), At: w.At, Progress: w.Progress, ID: jobs.ID(w.ID), State: jobs.State(w.State), Key: w.Key,
-		Task: r.parse(w.Task), Attempt: w.Attempt, Flag: w.Flag, Limit: w.Limit, Asked: w.Asked, Until: w.Until, Kept: w.Kept, Tickets: w.Tickets, Queues: w.Queues,
+		Task: r.parse(w.Task), Attempt: w.Attempt, Flag: w.Flag, Limit: w.Limit, Asked: w.Asked, Until: w.Until, Kept: w.Kept, Workers: w.Workers, Tickets: w.Tickets, Queues: w.Queues,
 	}
 	if s.Kind == place.StepAdd {
 		var err error
