place: a ticket that a worker rejects is replaced

A worker that rejects a ticket got the same one with every further start, every 0.15 s until it expired.

Change: the ticket is dropped, and the advice service is asked for another one after a pause.

TestRejectedTicketIsReplaced failed before: 13 starts and 1 request in 2 s. The random test of decisions rejects tickets, too.

--- a/internal/place/advice_test.go
+++ b/internal/place/advice_test.go
@@ -226,3 +226,23 @@
 	}
 	t.Error("the task is not moved")
 }
+
+// Guards against a ticket that a worker rejects and that is sent to it again and again.
+func TestRejectedTicketIsReplaced(t *testing.T) {
+	f := newAdvisedBoard(1, batch(1, 1000))
+	s := newTestAdvisor("w0")
+	s.validity = time.Hour
+	rejected := 0
+	for range 100 {
+		f.orders = f.Decide(f.now)
+		for _, o := range f.orders.Starts {
+			rejected++
+			f.TicketRejected(o.Worker, o.Task, o.Attempt, f.now)
+		}
+		s.answer(f)
+		f.now = f.now.Add(20 * time.Millisecond)
+	}
+	if rejected == 0 || s.requests != rejected && s.requests != rejected+1 || rejected > 14 {
+		t.Errorf("%d starts and %d requests in 2 s, want a new ticket for each start, with pauses of 150 ms", rejected, s.requests)
+	}
+}
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -59,6 +59,23 @@
 // Refused records that a worker did not start an attempt and never will.
 func (b *Board) Refused(key string, t jobs.Task, attempt int, now time.Time) {
 	b.recordStep(Step{Kind: StepRefused, Key: key, Task: t, Attempt: attempt, At: now})
+	b.refuse(key, t, attempt, now)
+}
+
+// TicketRejected records that a worker did not start an attempt because it does not accept
+// the ticket. The advice service is asked for another one.
+func (b *Board) TicketRejected(key string, t jobs.Task, attempt int, now time.Time) {
+	b.recordStep(Step{Kind: StepTicketRejected, Key: key, Task: t, Attempt: attempt, At: now})
+	if e := b.jobs[t.Job]; e != nil {
+		if a := e.advice[stepKey{t.Occurrence, t.Step}]; a != nil {
+			delete(a.tickets, key)
+			a.retryLater(now)
+		}
+	}
+	b.refuse(key, t, attempt, now)
+}
+
+func (b *Board) refuse(key string, t jobs.Task, attempt int, now time.Time) {
 	if w := b.workers[key]; w != nil {
 		w.pausedUntil = now.Add(refusalPause)
 	}
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -18,6 +18,7 @@
 	StepCancel          StepKind = "cancel"
 	StepCrashed         StepKind = "crashed"
 	StepDecide          StepKind = "decide"
+	StepTicketRejected  StepKind = "ticket-rejected"
 	StepUnconfirmed     StepKind = "doubt"
 	StepExpire          StepKind = "expire"
 	StepLapse           StepKind = "lapse"
@@ -125,6 +126,8 @@
 		return Orders{}, b.Listed(s.Key, s.Running, s.Ended, s.Asked, s.At), nil
 	case StepRefused:
 		b.Refused(s.Key, s.Task, s.Attempt, s.At)
+	case StepTicketRejected:
+		b.TicketRejected(s.Key, s.Task, s.Attempt, s.At)
 	case StepRemoveWorker:
 		b.RemoveWorker(s.Key, s.At)
 	case StepSilent:
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -191,6 +191,10 @@
 
 func (s *scanTest) start(x place.StartOrder) {
 	w := s.worker(x.Worker)
+	if w != nil && x.Ticket != "" && s.chance(8) {
+		s.board.TicketRejected(x.Worker, x.Task, x.Attempt, s.now)
+		return
+	}
 	if w == nil || w.refused[x.Task] >= x.Attempt || s.chance(8) {
 		s.board.Refused(x.Worker, x.Task, x.Attempt, s.now)
 		return
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -274,6 +274,10 @@
 	default:
 		metricRefused.Inc()
 		o.log.WithFields(fields).WithError(err).Info("start refused")
+		if errors.Is(err, platform.ErrTicketRejected) {
+			o.board.TicketRejected(a.key, s.Task, s.Attempt, now)
+			return
+		}
 		o.board.Refused(a.key, s.Task, s.Attempt, now)
 	}
 }
