daemon: a pool is offered to other processes after some have declined it

An owner that loses the store, or stops, asks eight processes in turn to take its pool over, the same eight each time. While the store turns away just these, the pool goes to none of the others.

Change: processes that failed to take over a pool within the last 10 s are asked after the others.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,8 +60,12 @@
 		candidates = append(candidates, c)
 		peers[p.node] = p
 	}
+	rank := rankCandidates(name, candidates)
+	slices.SortStableFunc(rank, func(x, y int) int { // those that declined lately come last, the earliest first
+		return d.declinedAt(candidates[x].node, now).Compare(d.declinedAt(candidates[y].node, now))
+	})
 	d.mu.Unlock()
-	for tries, i := range rankCandidates(name, candidates) {
+	for tries, i := range rank {
 		if tries == maxHandoverTries || time.Since(now) > handoverTimeout {
 			break
 		}
@@ -72,11 +77,27 @@
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
 			return true
 		}
+		d.mu.Lock()
+		d.declined[candidates[i].node] = time.Now()
+		d.mu.Unlock()
 	}
 	d.log.WithField("pool", name).Warn("handover failed: no process took the pool over")
 	return false
 }
 
+// declinedAt returns when a process last failed to take over a pool, zero if that was
+// longer ago than declineMemory. The caller holds d.mu.
+func (d *Daemon) declinedAt(node string, now time.Time) time.Time {
+	if at := d.declined[node]; now.Sub(at) < declineMemory {
+		return at
+	}
+	return time.Time{}
+}
+
+// declineMemory is for how long a process that failed to take over a pool is asked after the
+// others.
+const declineMemory = 10 * time.Second
+
 // maxHandoverTries is how many processes are asked in turn to take over a pool. The store
 // may turn away some processes, among them those that rank first, and serve the others.
 const maxHandoverTries = 8
