upkeep: a move that the platform refuses turns to another host

A host whose move the platform refuses (busy, as one that is about to leave) was chosen again in every plan, ten times a second, while the pool that lacks hosts got none in its place.

Change: such a host stays in its pool for 2 s, and another one is moved. A move that is refused for too many calls is repeated as before.

--- a/internal/upkeep/move.go
+++ b/internal/upkeep/move.go
@@ -113,10 +113,13 @@
 	if err == nil {
 		k.retireWorker(m.Host, m.Lifetime)
 	}
-	if err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil, errors.Is(err, platform.ErrOutcomeUnknown):
 		metricMoves.Inc()
-		k.mu.Lock()
 		k.MoveOrdered(m, began)
-		k.mu.Unlock()
+	case errors.Is(err, platform.ErrHostUnavailable):
+		k.MoveRefused(m, began)
 	}
 }
--- a/internal/upkeep/planner.go
+++ b/internal/upkeep/planner.go
@@ -23,6 +23,7 @@
 	inTransit     map[string]transit     // hosts ordered to another pool, by name
 	arrivedAt     map[string]time.Time   // when hosts arrived in their pool, by name
 	leaving       map[string]leavingHost // hosts being drained in order to move, by name
+	refusedUntil  map[string]time.Time   // hosts that the platform refused to move, by name, and until when others are moved
 	blockedUntil  map[string]time.Time   // hosts that the previous holder may have ordered last, and until when they get no orders
 }
 
@@ -32,7 +33,7 @@
 	return &Planner{
 		MovePolicy: moves, WavePolicy: waves, migrationTime: migration,
 		plans: map[int]*wavePlan{}, inTransit: map[string]transit{}, arrivedAt: map[string]time.Time{},
-		leaving: map[string]leavingHost{}, blockedUntil: map[string]time.Time{},
+		leaving: map[string]leavingHost{}, refusedUntil: map[string]time.Time{}, blockedUntil: map[string]time.Time{},
 	}
 }
 
@@ -134,8 +135,8 @@
 }
 
 // mustStay reports whether a host must stay in its pool: because the previous
-// holder may have ordered it, it is being drained, it has an order, or it has just
-// arrived.
+// holder may have ordered it, it is being drained, it has an order, it has just
+// arrived, or the platform has just refused to move it.
 func (p *Planner) mustStay(name string, now time.Time) bool {
 	if p.view.blocked[name] {
 		return true
@@ -146,6 +147,9 @@
 	if _, leaving := p.leaving[name]; leaving {
 		return true
 	}
+	if now.Before(p.refusedUntil[name]) {
+		return true
+	}
 	if at, known := p.arrivedAt[name]; known && now.Sub(at) < p.MovePolicy.Settle {
 		return true
 	}
@@ -231,6 +235,20 @@
 // effect.
 func (p *Planner) MoveOrdered(m Move, at time.Time) { p.inTransit[m.Host.Name] = transit{m.Pool, at} }
 
+// refusedPause is how long a host stays in its pool after the platform refused to move it, as
+// it does with a host that is about to leave.
+const refusedPause = 2 * time.Second
+
+// MoveRefused records that the platform refused to move a host.
+func (p *Planner) MoveRefused(m Move, at time.Time) {
+	for name, until := range p.refusedUntil {
+		if at.After(until) {
+			delete(p.refusedUntil, name)
+		}
+	}
+	p.refusedUntil[m.Host.Name] = at.Add(refusedPause)
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
