upkeep: a wave goes on with other hosts after a refusal

A host whose maintenance the platform refuses came first again each time, and took the place of a host that is down until the maintenance would have been over. A wave that allows one host at a time stood still.

Change: hosts that were refused come after all others. That a refused order counts toward the limit for a while is left as it is, since an earlier order without an answer may have been carried out.

TestRefusedMaintenanceTurnsToAnotherHost failed without the change: "maintained [], want the two hosts that are not refused".

--- a/internal/upkeep/planner.go
+++ b/internal/upkeep/planner.go
@@ -121,6 +121,11 @@
 	p.plans[number].hosts[host].orderedAt = at
 }
 
+// MaintenanceRefused records that the platform refused to maintain a host now.
+func (p *Planner) MaintenanceRefused(number int, host string, at time.Time) {
+	p.plans[number].hosts[host].refusedAt = at
+}
+
 // MaintenanceBegun records that a host's maintenance has begun by an order sent at the
 // given time.
 func (p *Planner) MaintenanceBegun(number int, host string, orderedAt time.Time) {
--- a/internal/upkeep/refused_test.go
+++ b/internal/upkeep/refused_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/platform"
 )
 
 // Guards against a pool that gets no host because the platform refuses to move the first one
@@ -36,3 +37,34 @@
 		t.Error("a host that was refused is never moved again")
 	}
 }
+
+// Guards against a wave that stops at a host whose maintenance the platform refuses, while
+// the others wait.
+func TestRefusedMaintenanceTurnsToAnotherHost(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	hosts := hostsOf("spare", 3)
+	p := NewPlanner(testPolicy(), DefaultWavePolicy(2*time.Second), time.Second)
+	p.SetLoads(testPools, nil)
+	p.OpenWave(platform.Wave{Number: 1, Hosts: []string{"spare0", "spare1", "spare2"}, Duration: time.Minute, MaxUnavailable: 1}, now)
+	var maintained []string
+	for range 200 {
+		p.SetHosts(hosts, now)
+		actions, complete := p.PlanWave(1, now)
+		for _, a := range actions {
+			p.MaintenanceOrdered(1, a.Host.Name, now)
+			if a.Host.Name == "spare0" {
+				p.MaintenanceRefused(1, a.Host.Name, now)
+				continue
+			}
+			maintained = append(maintained, a.Host.Name)
+			p.MaintenanceBegun(1, a.Host.Name, now)
+		}
+		if complete {
+			t.Fatal("the wave is complete, though a host was refused")
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if !slices.Equal(maintained, []string{"spare1", "spare2"}) {
+		t.Errorf("maintained %v, want the two hosts that are not refused", maintained)
+	}
+}
--- a/internal/upkeep/wave_plan.go
+++ b/internal/upkeep/wave_plan.go
@@ -39,6 +39,7 @@
 // hostPlan is the state of one host of a wave.
 type hostPlan struct {
 	orderedAt     time.Time // time of the newest order, zero if there was none
+	refusedAt     time.Time // when the platform last refused to maintain it, zero if it did not
 	begun         bool      // its maintenance has begun
 	begunAt       time.Time
 	drainingSince time.Time // when its pool was first asked to vacate it, zero if it was not
@@ -207,9 +208,10 @@
 	return now.Before(back) || listedAt.Before(back)
 }
 
-// sortHosts sorts hosts by the order in which they are maintained: hosts that are
-// off, those being drained, idle ones, then the others by the number of their
-// lasting tasks and the utilization of their pools.
+// sortHosts sorts hosts by the order in which they are maintained: those that were
+// refused come after all others. Of the rest, hosts that are off come first, those being
+// drained, idle ones, then the others by the number of their lasting tasks and the
+// utilization of their pools.
 func (p *wavePlan) sortHosts(v *fleetView, hosts []platform.Host) {
 	class := func(h platform.Host) int {
 		w, known := v.workers[h.Worker]
@@ -225,6 +227,7 @@
 	}
 	slices.SortFunc(hosts, func(x, y platform.Host) int {
 		return cmp.Or(
+			p.hosts[x.Name].refusedAt.Compare(p.hosts[y.Name].refusedAt),
 			cmp.Compare(class(x), class(y)),
 			p.hosts[x.Name].drainingSince.Compare(p.hosts[y.Name].drainingSince),
 			cmp.Compare(v.workers[x.Worker].Lasting, v.workers[y.Worker].Lasting),
--- a/internal/upkeep/waves.go
+++ b/internal/upkeep/waves.go
@@ -121,6 +121,8 @@
 	switch {
 	case err == nil:
 		k.MaintenanceBegun(p.wave.Number, a.Host.Name, now)
+	case errors.Is(err, platform.ErrHostUnavailable):
+		k.MaintenanceRefused(p.wave.Number, a.Host.Name, now)
 	case errors.Is(err, platform.ErrNotInWave):
 		hp.begun = true // the host does not belong to the wave: nothing is left to do
 	}
