upkeep: a replaced holder writes no status of waves

The status of a wave, which the operator reads, was written without a condition. A holder of the fleet that was frozen could overwrite it with what it remembered, such as "active" after its successor had written "complete".

Change: the holder renews its ownership right before. One transaction can't cover both rows, as they are in different parts.

TestReplacedHolderWritesNoStatus failed without the change: the replaced holder wrote "active" over "complete".

--- a/internal/upkeep/refused_test.go
+++ b/internal/upkeep/refused_test.go
@@ -1,12 +1,15 @@
 package upkeep
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
+	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
 // Guards against a pool that gets no host because the platform refuses to move the first one
@@ -68,3 +71,35 @@
 		t.Errorf("maintained %v, want the two hosts that are not refused", maintained)
 	}
 }
+
+// newHolders claims the fleet twice and returns both keepers, neither of which runs.
+func newHolders(t *testing.T) (first, second *Keeper) {
+	t.Helper()
+	p, err := mimic.New(mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	settings, err := platform.ParseSettings(p.Settings("entry-1", netip.MustParseAddr("127.0.0.1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.NewStore(settings.Store)
+	first = newHolder(t, store, pool.Ownership{Pool: "@fleet"})
+	return first, newHolder(t, store, first.Own)
+}
+
+// Guards against a holder that was frozen and tells the operator of a wave what it remembers.
+func TestReplacedHolderWritesNoStatus(t *testing.T) {
+	first, second := newHolders(t)
+	if !second.writeStatus(7, true) {
+		t.Fatal("the holder's status is not written")
+	}
+	if first.writeStatus(7, false) {
+		t.Error("a replaced holder wrote the status of a wave")
+	}
+	r, err := first.Store.ReadRow(t.Context(), platform.TableStatus, "", platform.PrefixWave+"7")
+	if err != nil || string(r.Value) != string(platform.EncodeWaveStatus(true)) {
+		t.Errorf("status %s, %v, want that of the holder", r.Value, err)
+	}
+}
--- a/internal/upkeep/waves.go
+++ b/internal/upkeep/waves.go
@@ -128,9 +128,14 @@
 	}
 }
 
-// writeStatus writes the status of a wave for the operator and reports whether it
-// was stored.
+// writeStatus writes the status of a wave for the operator and reports whether it was
+// stored. The row is in another part than that of the ownership, on which one transaction
+// can't depend: the ownership is confirmed right before.
 func (k *Keeper) writeStatus(number int, complete bool) bool {
+	now := time.Now()
+	if err := k.renew(now); err != nil || time.Since(now) > k.orderWindow() {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(k.ctx, callTimeout)
 	defer cancel()
 	_, _, err := k.Store.Commit(ctx, platform.Transaction{Write: []platform.Row{{
