upkeep: the progress of any number of waves is stored

Each renewal of the holder of the fleet wrote the progress of all waves in one transaction, of which the store takes 100 entries. With 99 waves or more in the operator's table no renewal succeeded, so that no host was moved or maintained any more.

Change: a wave that is stored as done is not written again, and a renewal writes 90 waves, those first that were stored longest ago.

--- a/internal/upkeep/refused_test.go
+++ b/internal/upkeep/refused_test.go
@@ -103,3 +103,27 @@
 		t.Errorf("status %s, %v, want that of the holder", r.Value, err)
 	}
 }
+
+// Guards against a holder that can't renew once the operator has ordered more waves than a
+// transaction takes.
+func TestRenewalWithManyWaves(t *testing.T) {
+	const waves = 250
+	_, k := newHolders(t)
+	now := time.Now()
+	for n := 1; n <= waves; n++ {
+		k.OpenWave(platform.Wave{Number: n, Hosts: []string{"p1-0"}, Duration: time.Minute, MaxUnavailable: 1}, now)
+		k.plans[n].hosts["p1-0"].begun = true
+		k.plans[n].done = n <= 100
+	}
+	for range waves/maxStoredWaves + 1 {
+		if err := k.renew(time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 1; n <= waves; n++ {
+		begun, complete, err := Progress(t.Context(), k.Store, k.Own.Pool, n)
+		if err != nil || len(begun) != 1 || complete != (n <= 100) {
+			t.Fatalf("wave %d: begun %v, complete %v, %v", n, begun, complete, err)
+		}
+	}
+}
--- a/internal/upkeep/renew.go
+++ b/internal/upkeep/renew.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -56,13 +57,13 @@
 	if err != nil {
 		return errors.Wrap(err, "intent row")
 	}
-	var row waveRow
 	t := platform.Transaction{
 		Expect: []platform.Row{{Table: pool.TableOwner, Part: k.Own.Pool, Key: keyOwner, Version: k.Own.Version}},
 		Write:  []platform.Row{{Table: tableIntent, Part: k.Own.Pool, Key: keyIntent, Value: data}},
 	}
-	for number, p := range k.plans {
-		row = waveRow{Complete: p.done}
+	due := k.plansToStore()
+	for _, p := range due {
+		row := waveRow{Complete: p.done}
 		for name, hp := range p.hosts {
 			if hp.begun {
 				row.Begun = append(row.Begun, name)
@@ -72,7 +73,7 @@
 		if err != nil {
 			return errors.Wrap(err, "wave row")
 		}
-		t.Write = append(t.Write, platform.Row{Table: tableWave, Part: k.Own.Pool, Key: strconv.Itoa(number), Value: data})
+		t.Write = append(t.Write, platform.Row{Table: tableWave, Part: k.Own.Pool, Key: strconv.Itoa(p.wave.Number), Value: data})
 	}
 	ctx, cancel := context.WithTimeout(k.ctx, callTimeout)
 	defer cancel()
@@ -81,12 +82,33 @@
 	case err == nil:
 		k.failingSince = time.Time{}
 		k.renewDuration = time.Since(now)
+		for _, p := range due {
+			p.storedAt, p.settled = now, p.done
+		}
 	case k.failingSince.IsZero():
 		k.failingSince = now
 	}
 	return err
 }
 
+// maxStoredWaves is how many waves a renewal stores; a transaction takes 100 entries.
+const maxStoredWaves = 90
+
+// plansToStore returns the waves of which the next renewal stores the progress: those that are
+// not stored as done, and of more than a transaction takes those that were stored longest ago.
+func (k *Keeper) plansToStore() []*wavePlan {
+	var due []*wavePlan
+	for _, p := range k.plans {
+		if !p.settled {
+			due = append(due, p)
+		}
+	}
+	slices.SortFunc(due, func(x, y *wavePlan) int {
+		return cmp.Or(x.storedAt.Compare(y.storedAt), cmp.Compare(x.wave.Number, y.wave.Number))
+	})
+	return due[:min(maxStoredWaves, len(due))]
+}
+
 // HeartbeatVersion returns the version of a row that the holder of the fleet writes about once
 // a second while it reaches the store. A version that stays the same means that the
 // holder is gone or cut off from the store.
--- a/internal/upkeep/wave_plan.go
+++ b/internal/upkeep/wave_plan.go
@@ -54,6 +54,8 @@
 	openedAt time.Time
 	hosts    map[string]*hostPlan
 	done     bool
+	storedAt time.Time // when its progress was last stored
+	settled  bool      // stored as done
 }
 
 func newWavePlan(w platform.Wave, now time.Time) *wavePlan {
