place: suspects of crashes take turns if many find no worker

A decision tries to place tasks under which workers crashed until 32 of them have found no worker. Those after them in the order were never tried as long as the first 32 had no room, though others had.

Change: batch tasks among them take turns of half a second, in which a worker can be kept free for them as before. Long-running ones have a limit of their own and take no turns.

TestSuspectsBehindManyUnplacedOnesStart failed before: "a suspect with room for it is not started within 4s, as 40 before it have none".

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -71,6 +71,8 @@
 	crashes          crashIndex
 	advisedQueues    map[string]bool // queues whose steps need tickets
 	adviceRequests   int             // under way
+	suspectsSkipped  int             // suspects that have had their turn and are not tried now
+	suspectsTurnAt   time.Time       // when that last changed
 	examined         uint64
 }
 
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -27,6 +27,10 @@
 
 	heldShare   = 8  // one in this many workers may be kept free for suspects that find no worker of their own; each loses up to 150 ms of starts
 	maxUnplaced = 32 // suspects without a worker of their own after which a decision tries no more, as each looks at all workers with room
+
+	// unplacedTurn is for how long decisions try the same suspects before others have their
+	// turn: a worker that is kept free for one needs TrialTime to become so.
+	unplacedTurn = 500 * time.Millisecond
 )
 
 // Suspect is an attempt that may have crashed its worker.
@@ -322,7 +326,9 @@
 // nothing else was started a short time ago. Where there is none, a worker is kept free of
 // new tasks for it. The members of a gang start together, as any others.
 func (b *Board) placeSuspects(o *Orders, candidates []candidate, now time.Time) {
-	held, unplaced := 0, 0
+	held := 0
+	unplaced := map[bool]int{} // by whether they are long-running, which have no turns but come first
+	skip, tried := b.suspectsSkipped, 0
 	for _, c := range candidates {
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
 		if !e.progress.HasCrashes() || step.Gang || b.unconfirmed(e, now) && !step.Speculative ||
@@ -332,10 +338,16 @@
 		innocent, suspects := b.splitSuspects(c)
 		var waiting []jobs.Task
 		for _, t := range suspects {
-			if unplaced >= maxUnplaced {
+			if !step.LongRunning && skip > 0 || unplaced[step.LongRunning] >= maxUnplaced {
+				if !step.LongRunning {
+					skip--
+				}
 				waiting = append(waiting, t)
 				continue
 			}
+			if !step.LongRunning {
+				tried++
+			}
 			w, free := b.chooseIsolated(e, step, t, now)
 			if w == nil && step.LongRunning && !step.BestEffort {
 				w = b.chooseLastResort(e, step, t, now)
@@ -346,7 +358,7 @@
 				continue
 			}
 			waiting = append(waiting, t)
-			unplaced++
+			unplaced[step.LongRunning]++
 			if w == nil && step.LongRunning && !step.BestEffort && len(waiting) == 1 {
 				b.reserveWorker(c, step, now)
 			}
@@ -360,6 +372,15 @@
 			e.waiting[c.key] = append(innocent, waiting...)
 		}
 	}
+	if now.Sub(b.suspectsTurnAt) < unplacedTurn {
+		return
+	}
+	b.suspectsTurnAt = now
+	if unplaced[false] < maxUnplaced {
+		b.suspectsSkipped = 0
+		return
+	}
+	b.suspectsSkipped += tried
 }
 
 // splitSuspects returns the waiting tasks of a step without and with recorded crashes. A
--- a/internal/place/crash_test.go
+++ b/internal/place/crash_test.go
@@ -224,6 +224,39 @@
 	t.Error("the suspect is not started within 1s")
 }
 
+// Guards against suspects that never start because those before them find no worker: a decision
+// tries a limited number only.
+func TestSuspectsBehindManyUnplacedOnesStart(t *testing.T) {
+	f := newTestBoard(0, 3)
+	f.add(newJob(1, batch(40, 100)), newJob(2, batch(1, 50)))
+	crashed := map[string]bool{}
+	for _, s := range f.decide() {
+		crashed[s.Worker] = true
+	}
+	for key := range crashed {
+		f.SuspectCrash(key, f.now, f.now)
+	}
+	f.now = f.now.Add(3 * time.Second)
+	for key := range crashed {
+		f.proveCrash(key)
+	}
+	for i := range f.workers {
+		if w := worker(i); !f.gone[w.Key] {
+			w.Size.Millicores = 60
+			f.SetWorker(w)
+		}
+	}
+	for range 200 {
+		for _, s := range f.decide() {
+			if s.Task.Job == "0000000000000002" {
+				return
+			}
+		}
+		f.now = f.now.Add(20 * time.Millisecond)
+	}
+	t.Error("a suspect with room for it is not started within 4s, as 40 before it have none")
+}
+
 // Guards against copies that crash a third worker before the first two crashes are proved.
 func TestNoFurtherCopyOfATaskWithTwoCrashes(t *testing.T) {
 	f := newTestBoard(0, 4)
