pool: attempts that a cut list of ends lacks are not started again

While the store was away, 306 to 353 of 2,000 tasks ran again after they were done.

Cause: a worker lists its ends 500 at a time, and none is acknowledged while the store is away. An attempt that was neither running nor among the listed ends counted as gone without an end.

After such a list, missing attempts stay until a whole one, and a new owner does not count the worker as known.

--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -140,12 +140,20 @@
 // does not list is gone. Listed returns stop orders for attempts that should not run
 // there.
 func (b *Board) Listed(key string, running []Running, ended []Ended, asked, now time.Time) []StopOrder {
-	unexpected := b.applyListing(key, running, ended, asked, now)
+	unexpected := b.applyListing(key, running, ended, true, asked, now)
 	b.recordStep(Step{Kind: StepListed, Key: key, Running: running, Ended: ended, Asked: asked, At: now, UnexpectedStops: unexpected})
 	return unexpected
 }
 
-func (b *Board) applyListing(key string, running []Running, ended []Ended, asked, now time.Time) []StopOrder {
+// ListedInPart is [Board.Listed] for a listing that lacks some ends. An attempt that is
+// missing may be among them, so that it stays until a whole listing.
+func (b *Board) ListedInPart(key string, running []Running, ended []Ended, asked, now time.Time) []StopOrder {
+	unexpected := b.applyListing(key, running, ended, false, asked, now)
+	b.recordStep(Step{Kind: StepListedInPart, Key: key, Running: running, Ended: ended, Asked: asked, At: now, UnexpectedStops: unexpected})
+	return unexpected
+}
+
+func (b *Board) applyListing(key string, running []Running, ended []Ended, whole bool, asked, now time.Time) []StopOrder {
 	w := b.workers[key]
 	if w == nil {
 		return nil
@@ -154,7 +162,9 @@
 	if newest {
 		w.listedAt = asked
 	}
-	b.pending.listed[key] = w
+	if whole { // a percentage stands still if the attempt has ended
+		b.pending.listed[key] = w
+	}
 	b.pending.paceable(w)
 	b.dropCrashes(key) // it was only unreachable
 	w.suspectedAt, w.rackLostAt = time.Time{}, time.Time{}
@@ -176,6 +186,9 @@
 		w.unexpected = unexpectedClaims
 		b.setUsed(w, used)
 	}
+	if !whole {
+		return unexpected
+	}
 	var gone []*Attempt
 	for _, a := range w.attempts {
 		if number, ok := listed[a.Task]; ok && number == a.Number {
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -24,6 +24,7 @@
 	StepLapse           StepKind = "lapse"
 	StepLeft            StepKind = "left"
 	StepListed          StepKind = "listed"
+	StepListedInPart    StepKind = "listed-in-part"
 	StepRefused         StepKind = "refused"
 	StepRemoveWorker    StepKind = "remove-worker"
 	StepSilent          StepKind = "silent"
@@ -124,6 +125,8 @@
 		b.WorkerLeft(s.Key)
 	case StepListed:
 		return Orders{}, b.Listed(s.Key, s.Running, s.Ended, s.Asked, s.At), nil
+	case StepListedInPart:
+		return Orders{}, b.ListedInPart(s.Key, s.Running, s.Ended, s.Asked, s.At), nil
 	case StepRefused:
 		b.Refused(s.Key, s.Task, s.Attempt, s.At)
 	case StepTicketRejected:
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -103,6 +103,7 @@
 	unstored      []pendingEnd         // handled ends whose effect is not known to be durable, by number
 	durableEnd    uint64               // highest number of an end whose effect is durable
 	answered      bool                 // it has answered this owner
+	endsCut       bool                 // it has not yet listed all the ends that it had when it first answered
 	registered    bool                 // it is registered durably
 	leaseEnd      time.Duration        // when its leases end, on the store's clock; 0 while they are renewed
 	silent        bool                 // it does not answer
@@ -159,6 +160,13 @@
 	return until
 }
 
+// leasesEnd returns when all leases granted until now have expired.
+func (a *agent) leasesEnd() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leasesExpireAt
+}
+
 // expireLeases reports whether every granted lease has expired. If so, the starts that
 // were queued until now are void: their tasks are about to be placed elsewhere.
 func (a *agent) expireLeases(now time.Time) bool {
--- a/internal/pool/ends_test.go
+++ b/internal/pool/ends_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/platform"
+	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
 // Guards against an end that is acknowledged before its effect is stored, whichever
@@ -91,3 +92,50 @@
 		t.Error("no end was acknowledged")
 	}
 }
+
+// Guards against tasks that are started again after they were done: while the store is away a
+// worker keeps more ends than it lists at a time.
+func TestDoneTasksBeyondAListAreNotStartedAgain(t *testing.T) {
+	t.Parallel()
+	p, err := mimic.New(mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	o, _ := newOwnerOn(t, p)
+	go o.Run()
+	defer o.Close()
+	j := jobs.Job{
+		ID: "0000000000000001", Spec: "20ms", Queue: "q", Pool: "p1", Submitted: time.Now(),
+		Steps: []jobs.Step{{Count: 1500, Size: jobs.Resources{Millicores: 100}}},
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if v, _ := o.Submit(t.Context(), j); v == Accepted {
+			break
+		}
+	}
+	ended := func() (n int) {
+		for _, r := range p.Runs() {
+			if !r.Ended.IsZero() {
+				n++
+			}
+		}
+		return n
+	}
+	p.Store.Fail(mimic.Busy)
+	for end := time.Now().Add(15 * time.Second); ended() < 560 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+	time.Sleep(500 * time.Millisecond)
+	p.Store.Fail(mimic.Healthy)
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if s, _ := o.State(t.Context(), j.ID); s == jobs.Complete {
+			break
+		}
+	}
+	if s, _ := o.State(t.Context(), j.ID); s != jobs.Complete {
+		t.Errorf("the job is %s, want complete", s)
+	}
+	if faults := p.Check(); len(faults) > 0 {
+		t.Errorf("%d tasks ran twice, the first: %s", len(faults), faults[0])
+	}
+}
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if len(o.unseenUntil) > 0 {
-		o.board.SetUnconfirmedUntil(o.earlierLeasesEnd())
+		o.extendUnconfirmed(o.earlierLeasesEnd(), now)
 	}
 	o.started = true
 	o.log.WithField("workers-unseen", len(o.unseenUntil)).Info("pool taken over")
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -171,6 +171,7 @@
 	registrationsDiffer bool
 	retiredAt           map[string]time.Time // lifetimes ended by an order for their host, and when
 	unseenUntil         map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
+	unconfirmedUntil    time.Time            // until when tasks that may run on them wait
 	jobsLoaded          bool                 // the stored jobs are on the board
 	started             bool                 // scheduling has started
 	claimedAt           time.Time
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -22,6 +22,12 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Close)
+	return newOwnerOn(t, p)
+}
+
+// newOwnerOn is newOwner for the first worker of a platform.
+func newOwnerOn(t *testing.T, p *mimic.Platform) (*Owner, platform.WorkerEntry) {
+	t.Helper()
 	settings, err := platform.ParseSettings(p.Settings("entry-1", netip.MustParseAddr("127.0.0.1")))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// unconfirmedMargin is how long before its end the time is extended for which tasks wait that
+// may run unseen.
+const unconfirmedMargin = 500 * time.Millisecond
+
+// extendUnconfirmed lets tasks that may run unseen wait until a time, if they are about to wait
+// no longer.
+func (o *Owner) extendUnconfirmed(until, now time.Time) {
+	if until.After(o.unconfirmedUntil) && now.After(o.unconfirmedUntil.Add(-unconfirmedMargin)) {
+		o.unconfirmedUntil = until
+		o.board.SetUnconfirmedUntil(until)
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if y.After(x) {
+		return y
+	}
+	return x
+}
+
 // maxLeaseTime is the longest time that leases granted until now may last.
 func (o *Owner) maxLeaseTime() time.Duration {
 	return time.Duration(float64(o.lease)*(1+maxClockDrift)) + leaseMargin
@@ -173,8 +193,15 @@
 	for key, until := range o.unseenUntil {
 		id := lifetimeID(key)
 		seen := slices.ContainsFunc(o.lifetimes[id], func(a *agent) bool {
-			return a.answered || a.key == key && a.lifetimeEnded // an answer of a later lifetime shows that this one has ended
+			if a.key == key {
+				return a.answered && !a.endsCut || a.lifetimeEnded
+			}
+			return a.answered // an answer of a later lifetime shows that this one has ended
 		})
+		if a := o.agents[key]; a != nil && a.answered { // it may hold ends that it has not listed
+			until = later(until, a.leasesEnd())
+		}
+		o.extendUnconfirmed(until, now)
 		if seen || now.After(until) {
 			delete(o.unseenUntil, key)
 			o.registrationsStale = true
@@ -185,6 +212,7 @@
 	}
 	if len(o.unseenUntil) == 0 {
 		o.log.Info("no worker can run unseen tasks any longer")
+		o.unconfirmedUntil = time.Time{}
 		o.board.SetUnconfirmedUntil(time.Time{})
 	}
 }
--- a/internal/pool/registration_test.go
+++ b/internal/pool/registration_test.go
@@ -72,3 +72,34 @@
 		}
 	})
 }
+
+// Guards against tasks that a new owner starts again though they are done: a worker lists only
+// some of its ends at a time.
+func TestWorkerThatHasNotListedAllEndsIsWaitedFor(t *testing.T) {
+	o, entries := benchOwner(1, 0)
+	key := lifetimeKey(entries[0])
+	a := o.agents[key]
+	a.answered = false
+	now := time.Now()
+	o.setUnseen([]registration{{key: key}}, now)
+	until := o.earlierLeasesEnd()
+	for _, tt := range []struct {
+		name    string
+		cut     bool
+		leases  time.Time // the end of those that this owner has granted
+		at      time.Time
+		waiting bool
+	}{
+		{"some ends are listed", true, now.Add(time.Second), now, true},
+		{"the leases of the earlier owner have expired", true, until.Add(time.Second), until.Add(time.Millisecond), true},
+		{"all ends are listed", false, until.Add(time.Second), until.Add(2 * time.Millisecond), false},
+		{"later ends are cut", true, until.Add(time.Second), until.Add(3 * time.Millisecond), false},
+	} {
+		a.leasesExpireAt = tt.leases
+		o.handleListing(a, platform.Listing{EndsCut: tt.cut}, tt.at)
+		o.updateUnseen(tt.at)
+		if _, waiting := o.unseenUntil[key]; waiting != tt.waiting || waiting && o.unconfirmedUntil.Before(tt.at) {
+			t.Errorf("%s: waits %v, until %v; want %v", tt.name, waiting, o.unconfirmedUntil.Sub(now), tt.waiting)
+		}
+	}
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -196,6 +196,7 @@
 		a.silent = false
 		o.log.WithField("worker", a.key).Info("worker answers again")
 	}
+	a.endsCut = l.EndsCut && (a.endsCut || !a.answered)
 	if !a.answered || answersAgain {
 		a.answered = true
 		o.registrationsStale = true
@@ -219,7 +220,11 @@
 		}).Info("task ended")
 		newEnds = append(newEnds, place.Ended{Task: e.Task, Attempt: e.Attempt, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 	}
-	for _, unexpected := range o.board.Listed(a.key, running, newEnds, requestedAt, now) {
+	listed := o.board.Listed
+	if l.EndsCut {
+		listed = o.board.ListedInPart
+	}
+	for _, unexpected := range listed(a.key, running, newEnds, requestedAt, now) {
 		if o.started {
 			o.sendOrder(a.key, order{stop: &unexpected})
 		}
