--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxPause is how long the owner's loop may stand still. Other processes claim the pool
-	// of an owner that reaches them only after a longer silence, see peerTimeout in package daemon.
+	// maxPause is how long this process may stand still. Other processes claim the pool of an
+	// owner that reaches them only after a longer silence, see peerTimeout in package daemon.
 	maxPause = 500 * time.Millisecond
 	// maxConfirmAge is how long ago the ownership may have been confirmed last for orders and
 	// answers: two heartbeats, and the timeout of a transaction after which the store counts as lost.
@@ -34,7 +34,7 @@
 	mu          sync.Mutex
 	confirmedAt time.Time // when the latest request was sent whose answer confirmed the ownership
 	presumedAt  time.Time // until when the ownership is presumed without the store
-	runningAt   time.Time // when the owner's loop last ran, zero before it runs
+	runningAt   time.Time // when this process was last seen to run, zero before the owner's loop runs
 	runningBoot time.Duration
 	runningWall time.Time
 	pausedAt    time.Time // when a pause was found, zero if the ownership was confirmed since
@@ -82,21 +82,24 @@
 	}
 }
 
-// findPause checks for how long the owner's loop has stood still. It reads the boot clock only
-// if the wall clock shows more time than the monotonic clock. s.mu is held.
+// findPause checks for how long this process has stood still. It reads the boot clock only if
+// the wall clock shows more time than the monotonic clock. s.mu is held.
 func (s *ownershipStatus) findPause(now time.Time) {
 	if s.runningAt.IsZero() {
 		return
 	}
-	pause := now.Sub(s.runningAt)
-	if pause <= maxPause && s.wallTime().Sub(s.runningWall) > maxPause {
-		pause = s.bootTime() - s.runningBoot // unless the wall clock was set
+	pause, wall := now.Sub(s.runningAt), s.wallTime()
+	boot := s.runningBoot + pause
+	if pause <= maxPause && wall.Sub(s.runningWall) > maxPause {
+		boot = s.bootTime()
+		pause = boot - s.runningBoot // unless the wall clock was set
 	}
 	if pause <= maxPause {
+		s.runningAt, s.runningBoot, s.runningWall = now, boot, wall
 		return
 	}
 	s.pausedAt = now
-	s.runningAt, s.runningBoot, s.runningWall = now, s.bootTime(), s.wallTime()
+	s.runningAt, s.runningBoot, s.runningWall = now, s.bootTime(), wall
 	metricPauses.Inc()
 	if s.paused != nil {
 		s.paused(pause)
--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -11,11 +11,13 @@
 	"github.com/papayarudder/papayarudder/platform"
 )
 
-// freeze holds up the loop of a running owner for a time, as if its process were stopped. It
-// returns once the loop stands still.
+// freeze holds up a running owner for a time, as if its process were stopped. It returns once
+// the owner's loop stands still.
 func freeze(o *Owner, t time.Duration) {
 	frozen := make(chan struct{})
 	o.post(func() {
+		o.status.mu.Lock() // its agents wait for it
+		defer o.status.mu.Unlock()
 		close(frozen)
 		time.Sleep(t)
 	})
