place: a stall is judged by the lists that show an attempt

The random test of decisions now cuts lists of ends, as a worker does with 500 of them.

Change: a stall counts up to the last list that shows the attempt, whole or cut. For whole lists nothing changes: an attempt that such a list lacks is gone, or was confirmed after it.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -164,7 +164,7 @@
 }
 
 // stopStalled stops and reschedules batch tasks whose percentage has not changed
-// from one listing to a later one. Time since the last listing does not count: a
+// from one listing to a later one that shows them. Time since then does not count: a
 // worker that can't be reached says nothing about its tasks.
 func (b *Board) stopStalled(now time.Time) {
 	for key, w := range b.pending.listed {
@@ -179,7 +179,7 @@
 				continue
 			}
 			limit := max(b.policy.StallTime, a.step.Estimate/4)
-			if w.listedAt.Sub(a.PercentChangedAt) > limit {
+			if a.shownAt.Sub(a.PercentChangedAt) > limit {
 				b.requestStop(a)
 				a.reschedule, a.stalled = true, true
 				b.recordFailureOn(w, now)
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -162,9 +162,7 @@
 	if newest {
 		w.listedAt = asked
 	}
-	if whole { // a percentage stands still if the attempt has ended
-		b.pending.listed[key] = w
-	}
+	b.pending.listed[key] = w
 	b.pending.paceable(w)
 	b.dropCrashes(key) // it was only unreachable
 	w.suspectedAt, w.rackLostAt = time.Time{}, time.Time{}
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -257,10 +257,16 @@
 		r.Load = s.n(60)
 		running = append(running, *r)
 	}
-	ended := slices.Clone(w.ends[w.reported:])
-	w.reported = len(w.ends)
+	listed := s.board.Listed
+	upTo := len(w.ends)
+	if upTo > w.reported && s.chance(20) { // the rest of the ends comes with a later list
+		listed = s.board.ListedInPart
+		upTo = w.reported + s.n(upTo-w.reported)
+	}
+	ended := slices.Clone(w.ends[w.reported:upTo])
+	w.reported = upTo
 	asked := s.now.Add(-time.Duration(s.n(200)) * time.Millisecond)
-	s.stops = append(s.stops, s.board.Listed(w.Key, running, ended, asked, s.now)...)
+	s.stops = append(s.stops, listed(w.Key, running, ended, asked, s.now)...)
 }
 
 func (s *scanTest) run(steps int) error {
