Read as a newcomer: turns of suspects, declined pools; work without the store

The turns of suspects have a function and counters of their own instead of a map by a flag, and the record of processes that declined a pool is bounded. No order, bound or check is changed; the tests of both pass.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,14 +78,20 @@
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
 			return true
 		}
-		d.mu.Lock()
-		d.declined[candidates[i].node] = time.Now()
-		d.mu.Unlock()
+		d.recordDecline(candidates[i].node, time.Now())
 	}
 	d.log.WithField("pool", name).Warn("handover failed: no process took the pool over")
 	return false
 }
 
+// recordDecline records that a process failed to take over a pool.
+func (d *Daemon) recordDecline(node string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.declined, func(_ string, at time.Time) bool { return now.Sub(at) >= declineMemory })
+	d.declined[node] = now
+}
+
 // declinedAt returns when a process last failed to take over a pool, zero if that was
 // longer ago than declineMemory. The caller holds d.mu.
 func (d *Daemon) declinedAt(node string, now time.Time) time.Time {
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -326,9 +326,8 @@
 // nothing else was started a short time ago. Where there is none, a worker is kept free of
 // new tasks for it. The members of a gang start together, as any others.
 func (b *Board) placeSuspects(o *Orders, candidates []candidate, now time.Time) {
-	held := 0
-	unplaced := map[bool]int{} // by whether they are long-running, which have no turns but come first
-	skip, tried := b.suspectsSkipped, 0
+	held, unplaced, unplacedLasting := 0, 0, 0
+	skip, tried := b.suspectsSkipped, 0 // of batch tasks; long-running ones come first and take no turns
 	for _, c := range candidates {
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
 		if !e.progress.HasCrashes() || step.Gang || b.unconfirmed(e, now) && !step.Speculative ||
@@ -337,11 +336,17 @@
 		}
 		innocent, suspects := b.splitSuspects(c)
 		var waiting []jobs.Task
+		count := &unplaced
+		if step.LongRunning {
+			count = &unplacedLasting
+		}
 		for _, t := range suspects {
-			if !step.LongRunning && skip > 0 || unplaced[step.LongRunning] >= maxUnplaced {
-				if !step.LongRunning {
-					skip--
-				}
+			if *count >= maxUnplaced {
+				waiting = append(waiting, t)
+				continue
+			}
+			if !step.LongRunning && skip > 0 {
+				skip--
 				waiting = append(waiting, t)
 				continue
 			}
@@ -358,7 +363,7 @@
 				continue
 			}
 			waiting = append(waiting, t)
-			unplaced[step.LongRunning]++
+			*count++
 			if w == nil && step.LongRunning && !step.BestEffort && len(waiting) == 1 {
 				b.reserveWorker(c, step, now)
 			}
@@ -372,11 +377,17 @@
 			e.waiting[c.key] = append(innocent, waiting...)
 		}
 	}
+	b.advanceSuspects(unplaced, tried, now)
+}
+
+// advanceSuspects decides, once a turn, which suspects the next decisions try: those after the
+// ones that were tried now if these were as many as may be, otherwise all from the first on.
+func (b *Board) advanceSuspects(unplaced, tried int, now time.Time) {
 	if now.Sub(b.suspectsTurnAt) < unplacedTurn {
 		return
 	}
 	b.suspectsTurnAt = now
-	if unplaced[false] < maxUnplaced {
+	if unplaced < maxUnplaced {
 		b.suspectsSkipped = 0
 		return
 	}
--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
+	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
 // freeze holds up a running owner for a time, as if its process were stopped. It returns once
@@ -210,3 +212,31 @@
 		})
 	}
 }
+
+// Guards against work that is lost because the store is away for longer than a lease.
+func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	for _, failure := range []mimic.Failure{mimic.Busy, mimic.Silent} {
+		p, err := mimic.New(mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		o, _ := newOwnerOn(t, p)
+		go o.Run()
+		t.Cleanup(o.Close)
+		t.Run(fmt.Sprint(failure), func(t *testing.T) {
+			t.Parallel()
+			j := jobs.Job{ID: "0000000000000001", Spec: "1m", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 1, Size: jobs.Resources{Millicores: 100}, Estimate: time.Minute}}}
+			for end := time.Now().Add(5 * time.Second); len(p.Runs()) == 0 && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				o.Submit(t.Context(), j)
+			}
+			p.Store.Fail(failure)
+			time.Sleep(2 * defaultLease)
+			p.Store.Fail(mimic.Healthy)
+			if runs := p.Runs(); len(runs) != 1 || !runs[0].Ended.IsZero() {
+				t.Errorf("runs %+v, want one that goes on", runs)
+			}
+		})
+	}
+}
