pool: the wait for unseen tasks is extended well before its end

By reading the change for cut lists of ends: the wait of a new owner for a worker that has listed only some of its ends was extended half a second before it ran out, and a worker that had listed all of them could set a shorter one first. An owner that is late by as much could have placed tasks in between. It is extended two seconds before its end, only for workers that are still waited for, and never starts shorter than the leases of earlier owners may last.

Tests of registrations, takeovers, cut lists and woken owners pass.

--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if len(o.unseenUntil) > 0 {
-		o.extendUnconfirmed(o.earlierLeasesEnd(), now)
+		o.setUnconfirmed(later(o.unconfirmedUntil, o.earlierLeasesEnd()))
 	}
 	o.started = true
 	o.log.WithField("workers-unseen", len(o.unseenUntil)).Info("pool taken over")
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -153,18 +153,23 @@
 }
 
 // unconfirmedMargin is how long before its end the time is extended for which tasks wait that
-// may run unseen.
-const unconfirmedMargin = 500 * time.Millisecond
+// may run unseen. The leases of a worker that answers end later and later.
+const unconfirmedMargin = 2 * time.Second
 
-// extendUnconfirmed lets tasks that may run unseen wait until a time, if they are about to wait
-// no longer.
+// extendUnconfirmed lets tasks that may run unseen wait until a time, if they wait no longer
+// than unconfirmedMargin otherwise.
 func (o *Owner) extendUnconfirmed(until, now time.Time) {
 	if until.After(o.unconfirmedUntil) && now.After(o.unconfirmedUntil.Add(-unconfirmedMargin)) {
-		o.unconfirmedUntil = until
-		o.board.SetUnconfirmedUntil(until)
+		o.setUnconfirmed(until)
 	}
 }
 
+// setUnconfirmed lets tasks that may run unseen wait until a time.
+func (o *Owner) setUnconfirmed(until time.Time) {
+	o.unconfirmedUntil = until
+	o.board.SetUnconfirmedUntil(until)
+}
+
 func later(x, y time.Time) time.Time {
 	if y.After(x) {
 		return y
@@ -201,18 +206,18 @@
 		if a := o.agents[key]; a != nil && a.answered { // it may hold ends that it has not listed
 			until = later(until, a.leasesEnd())
 		}
-		o.extendUnconfirmed(until, now)
-		if seen || now.After(until) {
-			delete(o.unseenUntil, key)
-			o.registrationsStale = true
-			if o.agents[key] == nil {
-				o.reportCrash(key) // an earlier owner suspected it, and nobody will hear of it again
-			}
+		if !seen && !now.After(until) {
+			o.extendUnconfirmed(until, now)
+			continue
+		}
+		delete(o.unseenUntil, key)
+		o.registrationsStale = true
+		if o.agents[key] == nil {
+			o.reportCrash(key) // an earlier owner suspected it, and nobody will hear of it again
 		}
 	}
 	if len(o.unseenUntil) == 0 {
 		o.log.Info("no worker can run unseen tasks any longer")
-		o.unconfirmedUntil = time.Time{}
-		o.board.SetUnconfirmedUntil(time.Time{})
+		o.setUnconfirmed(time.Time{})
 	}
 }
