--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -5,10 +5,15 @@
 //
 //	logger, stop := logs.New(os.Stdout, "frontend-1", time.Now)
 //	defer stop()
-//	logger.WithFields(logrus.Fields{"job": id, "pool": pool}).Info("job accepted")
+//	logger.WithFields(logrus.Fields{"from": from, "pool": pool}).Info("pool claimed")
+//
+//	tasks := logs.NewFrequent(logger.WithField("pool", pool))
+//	tasks.Info("task started", logs.Text("task", name), logs.Number("attempt", 1))
 //
 // Every line is a JSON object with time, level, host and msg. After lines were dropped, a
-// line reports how many.
+// line reports how many. Lines of a [Frequent] have a queue of their own, which is written
+// after the other one: the lines about single tasks, thousands a second, never push out
+// those that tell how the process is.
 package logs
 
 import (
@@ -24,12 +29,16 @@
 	maxQueuedLines  = 4096                   // about 1 MB
 	maxLinesPerTick = 400                    // 2,000 a second
 	flushPeriod     = 200 * time.Millisecond // between writes to the output
+
+	timeFormat = "15:04:05.000"
 )
 
-// writer is a bounded queue of log lines.
+// writer holds two bounded queues of log lines.
 type writer struct {
-	queue   chan []byte
-	dropped atomic.Int64
+	queue    chan []byte
+	frequent chan []byte // of [Frequent], written with what the limit leaves
+	now      func() time.Time
+	dropped  atomic.Int64
 }
 
 // Write queues a line, or drops and counts it if the queue is full. It never fails. An
@@ -65,10 +74,10 @@
 // New returns a logger that adds host to every line, and a function that writes the
 // queued lines and stops the logger.
 func New(out io.Writer, host string, now func() time.Time) (*logrus.Entry, func()) {
-	w := &writer{queue: make(chan []byte, maxQueuedLines)}
+	w := &writer{queue: make(chan []byte, maxQueuedLines), frequent: make(chan []byte, maxQueuedLines), now: now}
 	logger := logrus.New()
 	logger.SetOutput(w)
-	logger.SetFormatter(&formatter{logrus.JSONFormatter{TimestampFormat: "15:04:05.000"}, w})
+	logger.SetFormatter(&formatter{logrus.JSONFormatter{TimestampFormat: timeFormat}, w})
 	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -77,10 +86,10 @@
 		for {
 			select {
 			case <-done:
-				w.flush(out, now, maxQueuedLines)
+				w.flush(out, 2*maxQueuedLines)
 				return
 			case <-ticker.C:
-				w.flush(out, now, maxLinesPerTick)
+				w.flush(out, maxLinesPerTick)
 			}
 		}
 	}()
@@ -90,26 +99,39 @@
 	}
 }
 
+// next takes the next line to be written.
+func (w *writer) next() ([]byte, bool) {
+	select {
+	case line := <-w.queue:
+		return line, true
+	default:
+	}
+	select {
+	case line := <-w.frequent:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 // flush writes up to limit lines in one write. A write error can't be logged, so the lines
 // of a failed write are counted as dropped.
-func (w *writer) flush(out io.Writer, now func() time.Time, limit int) {
+func (w *writer) flush(out io.Writer, limit int) {
 	var batch []byte
 	lines := int64(0)
-	for range limit {
-		select {
-		case line := <-w.queue:
-			batch = append(batch, line...)
-			lines++
-			continue
-		default:
+	for lines < int64(limit) {
+		line, ok := w.next()
+		if !ok {
+			break
 		}
-		break
+		batch = append(batch, line...)
+		lines++
 	}
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		batch = append(batch, `{"level":"warning","msg":"log lines left out","lines":`...)
 		batch = strconv.AppendInt(batch, dropped, 10)
 		batch = append(batch, `,"time":"`...)
-		batch = now().AppendFormat(batch, "15:04:05.000")
+		batch = w.now().AppendFormat(batch, timeFormat)
 		batch = append(batch, "\"}\n"...)
 	}
 	if len(batch) == 0 {
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -323,11 +323,11 @@
 			p = cancelledProgress(s.job)
 		}
 		o.board.Add(s.job, p, now)
-		o.log.WithFields(logrus.Fields{
-			"job": s.job.ID, "queue": s.job.Queue, "seq": c.seq, "waited-ms": now.Sub(s.receivedAt).Milliseconds(),
-			"age-ms":    now.Sub(s.job.Submitted).Milliseconds(), // since the process that the caller asked got it
-			"cancelled": s.progress != nil,
-		}).Info("job accepted")
+		o.taskLog.Info("job accepted",
+			logs.Text("job", string(s.job.ID)), logs.Text("queue", s.job.Queue), logs.Number("seq", int64(c.seq)),
+			logs.Number("waited-ms", now.Sub(s.receivedAt).Milliseconds()),
+			logs.Number("age-ms", now.Sub(s.job.Submitted).Milliseconds()), // since the process that the caller asked got it
+			logs.Flag("cancelled", s.progress != nil))
 	}
 	o.answerSubmissions(c.submissions, Accepted)
 	o.cancelledStored(c.cancelled, now)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -29,6 +29,7 @@
 
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/trace"
 	"github.com/papayarudder/papayarudder/platform"
@@ -129,6 +130,7 @@
 	rowVersion       uint64 // version of the ownership row
 	store            *platform.Store
 	log              *logrus.Entry
+	taskLog          *logs.Frequent // for lines about single tasks and jobs
 	ctx              context.Context
 	cancel           context.CancelFunc
 	posts            chan func()
@@ -275,6 +277,7 @@
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.InTouch),
 	}
+	o.taskLog = logs.NewFrequent(o.log)
 	o.board.Missing = o.logMissing
 	o.status.paused = func(pause time.Duration) {
 		o.log.WithField("ms", pause.Milliseconds()).Info("process was paused: leases, orders and answers wait until the store confirms the ownership")
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -37,7 +38,7 @@
 // stateStored handles that a job's state has become durable.
 func (o *Owner) stateStored(id jobs.ID, s jobs.State) {
 	if s.Final() {
-		o.log.WithFields(logrus.Fields{"job": id, "state": s, "cancels": len(o.cancels[id])}).Info("job ended")
+		o.taskLog.Info("job ended", logs.Text("job", string(id)), logs.Text("state", string(s)), logs.Number("cancels", int64(len(o.cancels[id]))))
 		o.answerCancels(id, Accepted)
 	}
 }
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -293,10 +294,10 @@
 		a.handledEnd = e.Number
 		a.unstored = append(a.unstored, pendingEnd{e.Number, e.Task.Job})
 		metricEnds.Inc()
-		o.log.WithFields(logrus.Fields{
-			"task": e.Task.String(), "attempt": e.Attempt, "worker": a.key, "outcome": e.Outcome, "end": e.Number,
-			"held": o.board.HoldsAttempt(a.key, e.Task, e.Attempt),
-		}).Info("task ended")
+		o.taskLog.Info("task ended",
+			logs.Text("task", e.Task.String()), logs.Number("attempt", int64(e.Attempt)), logs.Text("worker", a.key),
+			logs.Text("outcome", string(e.Outcome)), logs.Number("end", int64(e.Number)),
+			logs.Flag("held", o.board.HoldsAttempt(a.key, e.Task, e.Attempt)))
 		newEnds = append(newEnds, place.Ended{Task: e.Task, Attempt: e.Attempt, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 	}
 	listed := o.board.Listed
@@ -348,11 +349,13 @@
 
 func (o *Owner) startAnswered(a *agent, s place.StartOrder, err error) {
 	now := time.Now()
+	if err == nil {
+		o.board.Started(a.key, s.Task, s.Attempt, now)
+		o.taskLog.Info("task started", logs.Text("task", s.Task.String()), logs.Number("attempt", int64(s.Attempt)), logs.Text("worker", a.key))
+		return
+	}
 	fields := logrus.Fields{"task": s.Task.String(), "attempt": s.Attempt, "worker": a.key}
 	switch {
-	case err == nil:
-		o.board.Started(a.key, s.Task, s.Attempt, now)
-		o.log.WithFields(fields).Info("task started")
 	case errors.Is(err, platform.ErrFenced):
 		o.depose("a worker has seen a higher token")
 	case isLifetimeOver(err):
@@ -376,7 +379,7 @@
 func (o *Owner) stopAnswered(a *agent, s place.StopOrder, answered time.Time, err error) {
 	switch {
 	case err == nil:
-		o.log.WithFields(logrus.Fields{"task": s.Task.String(), "attempt": s.Attempt, "worker": a.key, "cause": s.Cause}).Info("task stopped")
+		o.taskLog.Info("task stopped", logs.Text("task", s.Task.String()), logs.Number("attempt", int64(s.Attempt)), logs.Text("worker", a.key), logs.Text("cause", s.Cause))
 		o.board.StopAnswered(a.key, s.Task, s.Attempt, answered)
 	case errors.Is(err, platform.ErrFenced):
 		o.depose("a worker has seen a higher token")
