upkeep: the log tells how pools grow

The holder of the fleet writes one a second for each pool that lacks hosts or gets some: how many it needs and should have, are ready, ordered, and being drained elsewhere.

--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -35,6 +35,7 @@
 
 const (
 	loopPeriod        = 100 * time.Millisecond
+	sizesPeriod       = time.Second            // between log lines with the sizes of pools that change
 	movingListPeriod  = 300 * time.Millisecond // while hosts are moving, instead of listPeriod
 	loadPeriod        = 150 * time.Millisecond // between load requests to the pools' owners
 	loadTimeout       = 300 * time.Millisecond // for their answers
@@ -91,12 +92,13 @@
 	oddHosts         map[string]string // faults of hosts that can't be decoded, by name
 	loadsRequestedAt time.Time
 	lastLoads        map[string]loadAnswer // by pool
-	orderSentBy      map[string]time.Time  // by host: time by which its newest order has been sent
-	sendBy           time.Time             // by when the orders that were authorized last must be sent
-	intentVersion    uint64                // of the row in tableIntent, as last seen
-	renewDuration    time.Duration         // of the last renewal
-	failingSince     time.Time             // since when renewals fail, zero while they succeed
-	offeredAt        time.Time             // when the fleet was last offered to other processes
+	sizesLoggedAt    time.Time
+	orderSentBy      map[string]time.Time // by host: time by which its newest order has been sent
+	sendBy           time.Time            // by when the orders that were authorized last must be sent
+	intentVersion    uint64               // of the row in tableIntent, as last seen
+	renewDuration    time.Duration        // of the last renewal
+	failingSince     time.Time            // since when renewals fail, zero while they succeed
+	offeredAt        time.Time            // when the fleet was last offered to other processes
 	startedAt        time.Time
 }
 
@@ -268,6 +270,24 @@
 	k.SetLoads(c.Pools, known)
 }
 
+// logSizes logs the sizes of the pools that lack hosts or get some.
+func (k *Keeper) logSizes(now time.Time) {
+	if now.Sub(k.sizesLoggedAt) < sizesPeriod {
+		return
+	}
+	k.sizesLoggedAt = now
+	arriving := k.Arriving()
+	for _, s := range k.Sizes() {
+		a := arriving[s.Pool]
+		if a.Hosts == 0 && s.Hosts >= s.Needed {
+			continue
+		}
+		k.log.WithFields(logrus.Fields{
+			"pool": s.Pool, "needed": s.Needed, "target": s.Target, "ready": s.Hosts - a.Hosts, "ordered": a.Hosts - a.Draining, "draining": a.Draining,
+		}).Info("pool is to grow")
+	}
+}
+
 func (k *Keeper) holder() platform.LeaseHolder {
 	return platform.LeaseHolder{Name: k.Own.Owner.Node, Token: k.Own.Token, SendBy: k.sendBy}
 }
--- a/internal/upkeep/move.go
+++ b/internal/upkeep/move.go
@@ -17,6 +17,7 @@
 	if c := k.Config(); c != nil {
 		now := time.Now()
 		k.PlanMoves(c.Pools, now)
+		k.logSizes(now)
 		k.moveLeavingHosts(now)
 	}
 }
--- a/internal/upkeep/move_plan.go
+++ b/internal/upkeep/move_plan.go
@@ -50,6 +50,15 @@
 	Lifetime string // of its worker, set once the host is empty
 }
 
+// PoolSize is the number of hosts that a pool needs, should have, and has, with those that are
+// on their way there.
+type PoolSize struct {
+	Pool   string
+	Needed int
+	Target int
+	Hosts  int
+}
+
 // poolView is a pool as known to the planner of moves.
 type poolView struct {
 	name           string
@@ -74,11 +83,11 @@
 	used int
 }
 
-// planMoves returns the hosts that change their pool now. Pools that lack hosts get
+// planPools returns the hosts that change their pool now. Pools that lack hosts get
 // them from a standby pool or from pools with a surplus. Idle surplus hosts go to a
 // standby pool, unless allowStandby is false. Hosts for which mustStay reports true
 // are not moved.
-func planMoves(policy MovePolicy, allowStandby bool, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, mustStay func(host string) bool) []Move {
+func planPools(policy MovePolicy, allowStandby bool, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, mustStay func(host string) bool) (out []Move, sizes []PoolSize) {
 	views := map[string]*poolView{}
 	var standby []*poolView
 	var names []string
@@ -95,7 +104,7 @@
 		}
 	}
 	if len(standby) == 0 {
-		return nil
+		return nil, nil
 	}
 	slices.Sort(names)
 	kinds := map[string]map[string]bool{} // kinds of hosts in each pool
@@ -125,7 +134,6 @@
 			slices.SortStableFunc(hosts, func(x, y usedHost) int { return cmp.Compare(x.used, y.used) })
 		}
 	}
-	var out []Move
 	short := shortPools(names, views)
 	give := func(name string, limit int) {
 		v := views[name]
@@ -148,8 +156,13 @@
 	for _, name := range short {
 		give(name, len(hosts))
 	}
+	for _, name := range names {
+		if v := views[name]; !v.standby && v.loadKnown {
+			sizes = append(sizes, PoolSize{name, v.neededHosts, v.targetHosts, v.hostCount})
+		}
+	}
 	if !allowStandby || len(short) > 0 {
-		return out // another pool may need the idle hosts soon
+		return out, sizes // another pool may need the idle hosts soon
 	}
 	for _, name := range names {
 		v := views[name]
@@ -163,7 +176,7 @@
 			out = append(out, Move{Host: h, Pool: standby[0].name})
 		}
 	}
-	return out
+	return out, sizes
 }
 
 // consolidate takes the least used host with lasting tasks only from a pool that
--- a/internal/upkeep/move_plan_test.go
+++ b/internal/upkeep/move_plan_test.go
@@ -493,3 +493,9 @@
 		}
 	}
 }
+
+// planMoves returns the moves that planPools plans.
+func planMoves(policy MovePolicy, allowStandby bool, pools []platform.PoolConfig, hosts []platform.Host, loads map[string]place.Load, mustStay func(host string) bool) []Move {
+	moves, _ := planPools(policy, allowStandby, pools, hosts, loads, mustStay)
+	return moves
+}
--- a/internal/upkeep/planner.go
+++ b/internal/upkeep/planner.go
@@ -19,6 +19,7 @@
 	migrationTime time.Duration
 	plans         map[int]*wavePlan
 	view          fleetView
+	sizes         []PoolSize
 	lastShortage  time.Time              // when a pool last lacked hosts
 	inTransit     map[string]transit     // hosts ordered to another pool, by name
 	arrivedAt     map[string]time.Time   // when hosts arrived in their pool, by name
@@ -57,6 +58,33 @@
 	}
 }
 
+// Arrivals are the hosts that are on their way to a pool.
+type Arrivals struct {
+	Hosts      int
+	Draining   int // those of Hosts that are being drained in their old pool
+	Millicores int
+}
+
+// Arriving returns the hosts that are on their way to each pool.
+func (p *Planner) Arriving() map[string]Arrivals {
+	arriving := map[string]Arrivals{}
+	add := func(pool string, h platform.Host, draining int) {
+		a := arriving[pool]
+		arriving[pool] = Arrivals{a.Hosts + 1, a.Draining + draining, a.Millicores + h.Size.Millicores}
+	}
+	for _, h := range p.view.hosts {
+		if m, moved := p.inTransit[h.Name]; moved {
+			add(m.pool, h, 0)
+		} else if l, leaving := p.leaving[h.Name]; leaving {
+			add(l.Pool, h, 1)
+		}
+	}
+	return arriving
+}
+
+// Sizes returns the sizes of the pools as last planned.
+func (p *Planner) Sizes() []PoolSize { return p.sizes }
+
 // Moving reports whether hosts are moving to another pool.
 func (p *Planner) Moving() bool { return len(p.inTransit) > 0 }
 
@@ -200,7 +228,9 @@
 	}
 	allowStandby := now.Sub(p.lastShortage) > p.MovePolicy.Quiet
 	mustStay := func(name string) bool { return p.mustStay(name, now) }
-	for _, m := range planMoves(p.MovePolicy, allowStandby, pools, hosts, p.view.loads, mustStay) {
+	moves, sizes := planPools(p.MovePolicy, allowStandby, pools, hosts, p.view.loads, mustStay)
+	p.sizes = sizes
+	for _, m := range moves {
 		if !p.view.standby[m.Pool] {
 			p.lastShortage = now
 		}
