place, upkeep: hosts that are on their way count in admission

At the begin of a load peak jobs were refused, for a second at least each, since the wait was estimated from the workers that the pool had, while the hosts for the jobs were moving. Who moves them is known to the holder of the fleet alone: it tells the owner with each request for its load.

TestJobsAreAcceptedWhileHostsAreOnTheirWay fails without the hosts; TestAdmissionUnderOverload is not changed.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -239,7 +239,7 @@
 		own := d.ownerships[p.Name]
 		d.mu.Unlock()
 		w := admin.JobPoolWire{Name: p.Name, Owner: own.Owner.Node, Token: own.Token, Standby: p.Standby}
-		if l, err := d.load(ctx, p.Name); err == nil {
+		if l, err := d.load(ctx, p.Name, growthUnknown); err == nil {
 			w.OwnerAnswered, w.Hosts, w.UsedMillicores, w.WaitingMillicores = true, len(l.Workers), l.Used, l.Wanted
 			for _, worker := range l.Workers {
 				w.Tasks += worker.Tasks
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -314,9 +314,9 @@
 }
 
 // load asks a pool's owner for the demand and the capacity of the pool.
-func (d *Daemon) load(ctx context.Context, name string) (place.Load, error) {
-	reply, err := d.askOnce(ctx, name, "Peer.Load", JobArgs{Pool: name}, func(o *pool.Owner) Reply {
-		l, v := o.Load(ctx)
+func (d *Daemon) load(ctx context.Context, name string, arriving int) (place.Load, error) {
+	reply, err := d.askOnce(ctx, name, "Peer.Load", LoadArgs{Pool: name, Arriving: arriving}, func(o *pool.Owner) Reply {
+		l, v := o.Load(ctx, arriving)
 		return Reply{Verdict: v, Load: l}
 	})
 	if err == nil && reply.Verdict != pool.Accepted {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -177,6 +177,15 @@
 	Name string
 }
 
+// LoadArgs names a pool and the capacity of the hosts that are on their way to it.
+type LoadArgs struct {
+	Pool     string
+	Arriving int // millicores, or growthUnknown; 0 from a process of a version without this field
+}
+
+// growthUnknown is given by callers that do not know which hosts are on their way.
+const growthUnknown = -1
+
 // VacateArgs names workers of a pool that are to become empty.
 type VacateArgs struct {
 	Pool    string
@@ -357,9 +366,9 @@
 }
 
 // Load returns the demand and the capacity of a pool.
-func (s *peerService) Load(args JobArgs, reply *Reply) error {
+func (s *peerService) Load(args LoadArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.Load, reply.Verdict = o.Load(ctx)
+		reply.Load, reply.Verdict = o.Load(ctx, args.Arriving)
 	})
 }
 
--- a/internal/model/keeper.go
+++ b/internal/model/keeper.go
@@ -75,7 +75,9 @@
 		period = listPeriodMoving
 	}
 	loads := map[string]place.Load{}
+	arriving := k.planner.Arriving()
 	for _, name := range w.poolNames {
+		w.pools[name].board.SetGrowth(arriving[name].Millicores, w.now)
 		loads[name] = w.pools[name].board.Load(w.now)
 	}
 	k.planner.SetLoads(k.pools, loads)
--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -23,7 +23,17 @@
 type admissionEstimate struct {
 	at         time.Time
 	work       float64 // of the jobs ahead, in millicore seconds
-	millicores int     // available to batch tasks
+	millicores int     // available to batch tasks, now or soon
+}
+
+// growthValidity is how long [Board.SetGrowth] holds: some periods in which the holder of
+// the fleet asks for loads, and longer than a change of holder takes.
+const growthValidity = 3 * time.Second
+
+// SetGrowth sets the capacity of the hosts that are on their way to the pool, in
+// millicores.
+func (b *Board) SetGrowth(millicores int, now time.Time) {
+	b.growth, b.growthUntil = millicores, now.Add(growthValidity)
 }
 
 // maxBacklog is the longest estimated wait. A longer one might overflow as a duration.
@@ -37,7 +47,7 @@
 		return false, 0
 	}
 	if now.Sub(b.admission.at) >= admissionRefresh || now.Before(b.admission.at) {
-		b.admission = admissionEstimate{now, b.backlog(now), b.batchCapacity()}
+		b.admission = admissionEstimate{now, b.backlog(now), b.batchCapacity(now)}
 	}
 	if b.admission.millicores == 0 {
 		return false, 0
@@ -65,9 +75,14 @@
 	return false
 }
 
-// batchCapacity returns the millicores of the pool that are available to batch tasks.
-func (b *Board) batchCapacity() int {
+// batchCapacity returns the millicores that are available to batch tasks, on the workers of
+// the pool and on hosts that are on their way to it: a pool whose load has just risen
+// has few of the hosts on which its jobs will run.
+func (b *Board) batchCapacity(now time.Time) int {
 	millicores := 0
+	if now.Before(b.growthUntil) {
+		millicores = b.growth
+	}
 	for _, w := range b.workers {
 		if w.acceptsTasks() {
 			millicores += w.Size.Sub(w.lastingClaims()).Millicores
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -63,6 +63,8 @@
 	rejected         rejections          // by the present decision
 	idleChanged      map[string]struct{} // workers whose first attempt was added or last one removed
 	admission        admissionEstimate
+	growth           int         // millicores of hosts that are on their way to the pool
+	growthUntil      time.Time   // until when growth is valid
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
 	startLimit       int         // batch tasks that a decision may start, see SetStartLimit
 	startsLeft       int         // of startLimit, for the present decision
--- a/internal/place/load_test.go
+++ b/internal/place/load_test.go
@@ -50,6 +50,32 @@
 	}
 }
 
+// Jobs were refused at the begin of a load peak, for at least a second each, while the hosts
+// that would run them were on their way.
+func TestJobsAreAcceptedWhileHostsAreOnTheirWay(t *testing.T) {
+	accepted := func(growth int, age time.Duration) (n int) {
+		f := newTestBoard(0, 2) // 8 cores
+		f.SetGrowth(growth, f.now.Add(-age))
+		for i := range 200 {
+			j := newJob(byte(1+i), batch(4, 1000)) // 4 core seconds, expires after 6.6 s
+			if refused, _ := f.CannotFinishInTime(j, f.now); refused {
+				break
+			}
+			f.add(j)
+			f.decide()
+			n++
+		}
+		return n
+	}
+	alone, growing := accepted(0, 0), accepted(24_000, 0)
+	if growing < 3*alone {
+		t.Errorf("%d jobs accepted while 24 cores are on their way to a pool of 8, want some four times the %d without them", growing, alone)
+	}
+	if forgotten := accepted(24_000, 5*time.Second); forgotten != alone {
+		t.Errorf("%d jobs accepted with 24 cores that were on their way 5 s ago, want %d as without them", forgotten, alone)
+	}
+}
+
 // Best-effort tasks slow down at once when a latency-sensitive task on the same
 // worker nears its target, and speed up again gradually.
 func TestBestEffortTasksYield(t *testing.T) {
--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -95,7 +95,7 @@
 	verdicts["cancel"] = o.Cancel(t.Context(), "0000000000000002")
 	_, verdicts["pending"] = o.Pending(t.Context(), "q")
 	_, verdicts["vacate"] = o.Vacate(t.Context(), []string{entry.ID})
-	_, verdicts["load"] = o.Load(t.Context())
+	_, verdicts["load"] = o.Load(t.Context(), 0)
 	_, verdicts["views"] = o.Views(t.Context(), id)
 	verdicts["submit"], _ = o.Submit(t.Context(), jobs.Job{ID: "0000000000000002", Spec: "20ms", Queue: "q", Pool: "p1", Submitted: time.Now(), Steps: []jobs.Step{{Count: 1}}})
 	for call, v := range verdicts {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -304,15 +304,20 @@
 	})
 }
 
-// Load returns the pool's demand and capacity.
-func (o *Owner) Load(ctx context.Context) (place.Load, Verdict) {
+// Load returns the pool's demand and capacity. arriving is the capacity of the hosts that are
+// on their way to the pool, in millicores, or negative if the caller does not know it.
+func (o *Owner) Load(ctx context.Context, arriving int) (place.Load, Verdict) {
 	var l place.Load
 	v := o.ask(ctx, func(reply chan Verdict) {
 		if !o.started {
 			reply <- Unknown
 			return
 		}
-		l = o.board.Load(time.Now())
+		now := time.Now()
+		if arriving >= 0 {
+			o.board.SetGrowth(arriving, now)
+		}
+		l = o.board.Load(now)
 		reply <- Accepted
 	})
 	if v != Accepted {
--- a/internal/upkeep/keeper.go
+++ b/internal/upkeep/keeper.go
@@ -75,7 +75,9 @@
 	Vacate func(ctx context.Context, pool string, workers []string) (map[string]pool.Vacated, error)
 	// Retire notifies a pool that a lifetime has ended by an order for its host.
 	Retire func(ctx context.Context, pool, lifetime string)
-	Load   func(ctx context.Context, pool string) (place.Load, error)
+	// Load returns the demand and the capacity of a pool, and tells its owner the capacity of the
+	// hosts that are on their way there, in millicores.
+	Load func(ctx context.Context, pool string, arriving int) (place.Load, error)
 }
 
 // Keeper plans and sends the orders for hosts while this process holds the fleet.
@@ -240,13 +242,14 @@
 	ctx, cancel := context.WithTimeout(k.ctx, loadTimeout)
 	defer cancel()
 	loads := make([]*place.Load, len(c.Pools))
+	arriving := k.Arriving()
 	var calls sync.WaitGroup
 	for i, p := range c.Pools {
 		if p.Standby {
 			continue
 		}
 		calls.Go(func() {
-			if l, err := k.Load(ctx, p.Name); err == nil {
+			if l, err := k.Load(ctx, p.Name, arriving[p.Name].Millicores); err == nil {
 				loads[i] = &l
 			}
 		})
--- a/internal/upkeep/renew_test.go
+++ b/internal/upkeep/renew_test.go
@@ -301,7 +301,7 @@
 	return New(Settings{
 		Log:    logrus.NewEntry(logger),
 		Config: func() *platform.Config { return &platform.Config{Pools: []platform.PoolConfig{{Name: "p1"}}} },
-		Load:   func(_ context.Context, pool string) (place.Load, error) { return load(pool) },
+		Load:   func(_ context.Context, pool string, _ int) (place.Load, error) { return load(pool) },
 	})
 }
 
