place, daemon: less processor time of an owner for each task

Steps whose claim was rejected in the same decision are not looked at again; attempts know their job; a listing marks the attempts that it shows instead of filling a map; a queue's factor is looked up once for all its steps.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -514,7 +514,7 @@
 
 const (
 	gcPercent      = 100 // the default of the Go runtime
-	ownerGCPercent = 200
+	ownerGCPercent = 400
 )
 
 // tuneGC sets how much a process collects garbage. An owner in a turn spends a fifth of its
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -80,6 +80,7 @@
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
 	suspectsTurnAt   time.Time       // when that last changed
 	examined         uint64
+	listings         uint64 // applied so far
 }
 
 // NewBoard returns an empty board. Attempts are numbered from base+1.
@@ -525,10 +526,14 @@
 
 // findAttempt returns the attempt with this task and number at a worker, or nil.
 func (b *Board) findAttempt(key string, t jobs.Task, number int) *Attempt {
-	w := b.workers[key]
-	if w == nil {
-		return nil
+	if w := b.workers[key]; w != nil {
+		return w.findAttempt(t, number)
 	}
+	return nil
+}
+
+// findAttempt returns the worker's attempt with this task and number, or nil.
+func (w *worker) findAttempt(t jobs.Task, number int) *Attempt {
 	if a := w.attempts[t]; a != nil && a.Number == number {
 		return a
 	}
@@ -537,8 +542,7 @@
 
 // addAttempt adds an attempt at a worker and claims its resources.
 func (b *Board) addAttempt(e *jobEntry, w *worker, a *Attempt) {
-	a.step = &e.job.Steps[a.Task.Step]
-	a.worker = w
+	a.entry, a.step, a.worker = e, &e.job.Steps[a.Task.Step], w
 	a.Pace = 100
 	w.attempts[a.Task] = a
 	if len(w.attempts) == 1 {
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -22,13 +22,17 @@
 // the next, which makes sorting the last one cheap.
 func (b *Board) candidates(now time.Time) []candidate {
 	steps := b.pending.steps[:0]
+	queue, factor := "", b.estimates.factor("")
 	for _, c := range b.pending.steps {
 		b.examined++
+		if c.entry.job.Queue != queue {
+			queue, factor = c.entry.job.Queue, b.estimates.factor(c.entry.job.Queue)
+		}
 		if len(c.entry.waiting[c.key]) == 0 {
 			delete(c.entry.waiting, c.key)
 			continue
 		}
-		steps = append(steps, b.candidate(c.entry, c.key, now))
+		steps = append(steps, newCandidate(c.entry, c.key, factor, now))
 	}
 	clear(b.pending.steps[len(steps):])
 	b.pending.steps = steps
@@ -57,9 +61,9 @@
 // worthless to its caller.
 const expiryFactor = 3
 
-func (b *Board) candidate(e *jobEntry, key stepKey, now time.Time) candidate {
+// newCandidate returns a step whose run times are factor times the declared ones.
+func newCandidate(e *jobEntry, key stepKey, factor float64, now time.Time) candidate {
 	step := &e.job.Steps[key.step]
-	factor := b.estimates.factor(e.job.Queue)
 	criticalPath := e.longestPath
 	scaled := func(d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
 	c := candidate{entry: e, key: key, class: classOnTime}
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -290,7 +290,7 @@
 
 // clearSurvivor drops all crash records of a task whose attempt has survived its start.
 func (b *Board) clearSurvivor(a *Attempt) {
-	e := b.jobs[a.Task.Job]
+	e := a.entry
 	if e.progress.HasCrashes() && a.survived(b.policy.CrashWindow) && e.progress.DropCrashes(a.Task) {
 		b.markDirty(e)
 	}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -286,12 +286,12 @@
 			b.placeGang(o, c, now)
 			continue
 		}
-		left := b.placeStep(o, c, now)
-		if left == 0 {
-			continue
-		}
 		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(largest)
-		if step.LongRunning && !step.BestEffort || large && b.reservationsLeft > 0 && c.class == classOnTime {
+		mayReserve := step.LongRunning && !step.BestEffort || large && b.reservationsLeft > 0 && c.class == classOnTime
+		if !step.LongRunning && !mayReserve && b.rejected.covers(step.Claim()) {
+			continue // in a load peak most steps wait for room of which there is none
+		}
+		if left := b.placeStep(o, c, now); left > 0 && mayReserve {
 			b.reserveWorker(c, step, now)
 			b.reservationsLeft--
 		}
--- a/internal/place/lasting.go
+++ b/internal/place/lasting.go
@@ -88,8 +88,11 @@
 // lastingChanged records that an attempt was added or removed, or that its phase or
 // availability or the state of its worker has changed. It does nothing for a batch task.
 func (b *Board) lastingChanged(a *Attempt) {
+	if !a.step.LongRunning {
+		return
+	}
 	e := b.jobs[a.Task.Job]
-	if !a.step.LongRunning || e == nil {
+	if e == nil {
 		return
 	}
 	l := e.lastingStep(stepKey{a.Task.Occurrence, a.Task.Step})
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -50,9 +50,8 @@
 // confirm records that a worker has confirmed an attempt for the first time.
 func (b *Board) confirm(a *Attempt, now time.Time) {
 	a.ConfirmedAt = now
-	if e := b.jobs[a.Task.Job]; e != nil {
-		b.pending.confirmed(a, e.job.Queue, b.estimates.factor(e.job.Queue))
-	}
+	queue := a.entry.job.Queue
+	b.pending.confirmed(a, queue, b.estimates.factor(queue))
 }
 
 func (b *Board) markBegun(t jobs.Task) {
@@ -181,9 +180,8 @@
 	}
 	var unexpected []StopOrder
 	var unexpectedClaims jobs.Resources
-	listed := make(map[jobs.Task]int, len(running))
+	b.listings++
 	for _, r := range running {
-		listed[r.Task] = r.Attempt
 		if !b.applyRunning(w, r, asked, now) {
 			unexpected = append(unexpected, StopOrder{Worker: key, Task: r.Task, Attempt: r.Attempt, Cause: "not wanted here"})
 			unexpectedClaims = unexpectedClaims.Add(b.unexpectedClaim(w, r.Task))
@@ -199,7 +197,7 @@
 	}
 	var gone []*Attempt
 	for _, a := range w.attempts {
-		if number, ok := listed[a.Task]; ok && number == a.Number {
+		if a.listing == b.listings {
 			continue
 		}
 		if a.awaitsListing {
@@ -245,13 +243,14 @@
 // applyRunning updates an attempt that is listed as running. It reports false if the
 // attempt should not run there.
 func (b *Board) applyRunning(w *worker, r Running, asked, now time.Time) bool {
-	a := b.findAttempt(w.Key, r.Task, r.Attempt)
+	a := w.findAttempt(r.Task, r.Attempt)
 	if a == nil {
 		a = b.adopt(w, r, now)
 	}
 	if a == nil {
 		return false
 	}
+	a.listing = b.listings
 	if a.Phase == Starting || a.Phase == Unconfirmed && !a.stopRequested {
 		a.Phase = Live
 		if a.awaitsListing {
@@ -277,7 +276,7 @@
 	}
 	if r.Checkpoint != a.Checkpoint {
 		a.Checkpoint = r.Checkpoint
-		b.jobs[r.Task.Job].progress.Save(r.Task, r.Checkpoint)
+		a.entry.progress.Save(r.Task, r.Checkpoint)
 	}
 	return true
 }
@@ -338,7 +337,7 @@
 	if e == nil || !e.progress.Has(r.Task) {
 		return
 	}
-	a := b.findAttempt(w.Key, r.Task, r.Attempt)
+	a := w.findAttempt(r.Task, r.Attempt)
 	if a == nil {
 		b.applyUntrackedEnd(e, w, r, now)
 		return
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -94,9 +94,11 @@
 	Pace             int       // percent of full speed that it may use
 	Checkpoint       string
 
+	entry         *jobEntry
 	step          *jobs.Step
 	worker        *worker
 	shownAt       time.Time // when the newest listing that shows it was requested
+	listing       uint64    // number of the last listing that was applied and shows it
 	stopRequested bool      // a stop order is due
 	reschedule    bool      // its task may be queued again without a backoff
 	stalled       bool      // stopped because its percentage did not change
