daemon: a pool that has another owner by now is not handed over

A process offers only a pool that it owns as far as it knows, with the token of that ownership, and a process that knows of a later one declines. Peer.Take is still served, and called if a process of the last version does not know the new method.

TestPoolOfAnotherOwnerIsNotHandedOver fails without either check.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -46,6 +46,11 @@
 func (d *Daemon) handOverPool(name string) bool {
 	now := time.Now()
 	d.mu.Lock()
+	own := d.ownerships[name]
+	if own.Owner != d.self {
+		d.mu.Unlock()
+		return false // it has another owner already
+	}
 	var candidates []candidate
 	peers := map[string]*peer{}
 	for _, p := range d.peers {
@@ -53,8 +58,8 @@
 			continue
 		}
 		c := candidate{node: p.node, processor: p.processor}
-		for _, own := range d.ownerships {
-			if own.Owner.Node == p.node {
+		for _, other := range d.ownerships {
+			if other.Owner.Node == p.node {
 				c.owned++
 			}
 		}
@@ -71,10 +76,9 @@
 			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-		var taken bool
-		err := peers[candidates[i].node].link.Call(ctx, "Peer.Take", name, &taken)
+		taken, _ := offer(ctx, peers[candidates[i].node], TakeArgs{Pool: name, Token: own.Token})
 		cancel()
-		if err == nil && taken {
+		if taken {
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
 			return true
 		}
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
@@ -16,6 +17,7 @@
 	const processes = 20
 	d := claimer(time.Now())
 	clear(d.peers)
+	d.ownerships["p0"] = pool.Ownership{Pool: "p0", Token: 1, Owner: d.self}
 	asked := make([]atomic.Int64, processes)
 	for i := range processes {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -47,3 +49,25 @@
 		}
 	}
 }
+
+// A process that had lost a pool while it was slow handed it over, and the pool changed hands
+// once more in the middle of a load peak.
+func TestPoolOfAnotherOwnerIsNotHandedOver(t *testing.T) {
+	d := claimer(time.Now())
+	if d.handOverPool("p0") {
+		t.Error("a pool of another process was handed over")
+	}
+	for _, tt := range []struct {
+		name  string
+		token uint64
+		want  bool
+	}{
+		{"the present owner's offer", 1, true},
+		{"the offer of a later owner than is known here", 2, true},
+		{"the offer of an earlier owner", 0, false},
+	} {
+		if have := d.accepts(TakeArgs{Pool: "p0", Token: tt.token}); have != tt.want {
+			t.Errorf("%s: accepted %v, want %v", tt.name, have, tt.want)
+		}
+	}
+}
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -6,9 +6,11 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
 const (
@@ -92,11 +94,41 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	var taken bool
-	err := p.link.Call(callCtx, "Peer.Take", o.Name(), &taken)
+	taken, err := offer(callCtx, p, TakeArgs{Pool: o.Name(), Token: o.Token()})
 	d.log.WithFields(logrus.Fields{"pool": o.Name(), "to": node, "taken": taken}).WithError(err).Info("pool moved to a process with more processor time")
 	if taken {
 		o.Close()
 		d.refreshOwnership(ctx, o.Name())
 	}
 }
+
+// TakeArgs offers a pool to another process.
+type TakeArgs struct {
+	Pool  string
+	Token uint64 // of the ownership that ends
+}
+
+// offer offers a pool to a process and reports whether it took it.
+func offer(ctx context.Context, p *peer, args TakeArgs) (taken bool, err error) {
+	err = p.link.Call(ctx, "Peer.TakeOver", args, &taken)
+	if errors.Is(err, wire.ErrRefused) { // a process of a version without this method
+		err = p.link.Call(ctx, "Peer.Take", args.Pool, &taken)
+	}
+	return taken && err == nil, err
+}
+
+// TakeOver makes this process claim a pool that its owner hands over, and reports whether the
+// claim succeeded. It declines a pool of which a later owner is known.
+func (s *peerService) TakeOver(args TakeArgs, reply *bool) error {
+	if !s.d.accepts(args) {
+		return nil
+	}
+	return s.Take(args.Pool, reply)
+}
+
+// accepts reports whether this process is to take over a pool.
+func (d *Daemon) accepts(args TakeArgs) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ownerships[args.Pool].Token <= args.Token
+}
