daemon: a host that has become slow gives its pools away

An owner counts as alive as long as it writes to the store, however late it runs.

Each process measures its speed by a computation of some 20 us, ten times a second; the fastest of five counts, so that interruptions do not. What it says of its processor time, and compares with that of others, is the stated time multiplied by the share of its best speed. So rebalancing, which exists, finds the pool misplaced, within half a second instead of one now; a process that is no better declines, and is not asked again for ten seconds. Pools that move at the same time spread over equal processes.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -66,6 +66,7 @@
 
 // claimTick is called every claimPeriod. It returns what claimable returns.
 func (d *Daemon) claimTick(now time.Time) (due []vacancy, unconfirmed []string) {
+	d.measureSpeed(now)
 	d.mu.Lock()
 	last := d.claimTickAt
 	d.claimTickAt = now
@@ -188,7 +189,7 @@
 		return nil, nil
 	}
 	majority := d.majority(now)
-	candidates := []candidate{{node: d.self.Node, processor: d.settings.Limits.Processor}}
+	candidates := []candidate{{node: d.self.Node, processor: d.processor()}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready && !p.silentFor(now, suspicionTime) {
 			candidates = append(candidates, candidate{node: p.node, processor: p.processor})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,6 +75,7 @@
 	claimTickAt   time.Time     // when claimTick was called last
 	lateAt        time.Time     // when this process was last found late
 	lateness      time.Duration // by how much it was late then
+	speed         speedometer
 }
 
 // New returns a process; Run starts it.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,8 +31,8 @@
 	Config  uint64 // version of the active configuration
 	Owned   uint64 // sum of the fencing tokens of all known owners; grows with every change of owner
 	Stopped bool
-	// Processor is the processor time that the host gets in a second, in cores. It is 0 if
-	// it is unknown, or from a process of a version without this field.
+	// Processor is the processor time that the host gets in a second, in cores, less if it has
+	// become slow. It is 0 if it is unknown, or from a process of a version without this field.
 	Processor float64
 	// Incarnation and Sequence number the state, as in gossip.Update. Incarnation is 0
 	// until the process has registered, and from a process of a version without this field.
@@ -44,13 +44,13 @@
 func (d *Daemon) status() Status {
 	s := Status{
 		Node: d.self.Node, Life: d.self.Life, Ready: d.canOwn(), Stopped: d.stopping.Load(),
-		Processor: d.settings.Limits.Processor,
 	}
 	if c := d.config.Load(); c != nil {
 		s.Config = c.Version
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.Processor = d.processor()
 	for _, own := range d.ownerships {
 		s.Owned += own.Token
 	}
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -88,7 +88,7 @@
 	for _, own := range d.ownerships {
 		owned[own.Owner.Node]++
 	}
-	candidates := []candidate{{node: d.self.Node, owned: owned[d.self.Node], processor: d.settings.Limits.Processor}}
+	candidates := []candidate{{node: d.self.Node, owned: owned[d.self.Node], processor: d.processor()}}
 	for _, p := range d.peers {
 		if p.alive(now) && p.ready {
 			candidates = append(candidates, candidate{node: p.node, owned: owned[p.node], processor: p.processor})
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -8,76 +8,87 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
 
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
 const (
-	rebalancePeriod = time.Second
+	rebalancePeriod = 500 * time.Millisecond
 	rebalanceFactor = 2               // a pool moves only to a process with more than this times the processor time for it
 	minOwnership    = 3 * time.Second // before a pool moves again, and after the start of a process
 )
 
 // rebalancePools periodically hands a pool over to a process that has much more processor
 // time for it. After an outage or a restart of all processes, pools may be left at hosts
-// that are too small for them.
+// that are too small for them, and a host may become slow.
 func (d *Daemon) rebalancePools(ctx context.Context) error {
 	return every(ctx, rebalancePeriod, func() {
-		if o, node := d.misplacedPool(time.Now()); o != nil {
-			d.movePool(ctx, o, node)
+		if m, found := d.misplacedPool(time.Now()); found {
+			d.movePool(ctx, m)
 		}
 	})
 }
 
-// misplacedPool returns a pool of this process that another process should own, and that
-// process's node, or nil.
-func (d *Daemon) misplacedPool(now time.Time) (*pool.Owner, string) {
+// rebalanceMove is a pool of this process that another process should own.
+type rebalanceMove struct {
+	own       pool.Ownership
+	owner     *pool.Owner
+	node      string  // of the process that should own it
+	processor float64 // that it has here
+}
+
+// misplacedPool returns a pool of this process that another process should own.
+func (d *Daemon) misplacedPool(now time.Time) (m rebalanceMove, found bool) {
 	if !d.canOwn() {
-		return nil, ""
+		return m, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.startedAt) < minOwnership {
-		return nil, ""
+		return m, false
 	}
 	owned := map[string]int{}
 	for _, own := range d.ownerships {
 		owned[own.Owner.Node]++
 	}
-	self := candidate{node: d.self.Node, owned: owned[d.self.Node], processor: d.settings.Limits.Processor}
+	self := candidate{node: d.self.Node, owned: owned[d.self.Node], processor: d.processor()}
 	var others []candidate
 	for _, p := range d.peers {
-		if p.alive(now) && p.ready && !p.silentFor(now, suspicionTime) {
+		if p.alive(now) && p.ready && !p.silentFor(now, suspicionTime) && d.declinedAt(p.node, now).IsZero() {
 			others = append(others, candidate{node: p.node, owned: owned[p.node], processor: p.processor})
 		}
 	}
-	node, found := betterOwner(self, others)
-	if !found {
-		return nil, ""
-	}
+	m.processor = self.processor / float64(max(1, self.owned))
 	for _, name := range slices.Sorted(maps.Keys(d.owners)) {
-		if o := d.owners[name]; now.Sub(o.ClaimedAt()) >= minOwnership {
-			return o, node
+		o := d.owners[name]
+		if now.Sub(o.ClaimedAt()) < minOwnership {
+			continue
+		}
+		if m.node, found = betterOwner(name, self, others); found {
+			m.own, m.owner = d.ownerships[name], o
+			return m, true
 		}
 	}
-	return nil, ""
+	return m, false
 }
 
 // betterOwner returns the process that a pool of self should move to: the one that would
-// have the most processor time for each of its pools, if that is more than
-// rebalanceFactor times what self has.
-func betterOwner(self candidate, others []candidate) (node string, found bool) {
+// have the most processor time for each of its pools, if that is more than rebalanceFactor
+// times what self has. Of equal ones it depends on the pool, as several may move at the same time.
+func betterOwner(name string, self candidate, others []candidate) (node string, found bool) {
 	if self.processor <= 0 {
 		return "", false
 	}
 	least := float64(self.owned) / self.processor / rebalanceFactor // pools for each core
+	order := func(node string) uint64 { return xxh3.HashString(name + "/" + node) }
 	for _, c := range others {
 		if c.processor <= 0 {
 			continue
 		}
 		load := float64(c.owned+1) / c.processor
-		if load < least || found && load == least && c.node < node {
+		if load < least || found && load == least && order(c.node) < order(node) {
 			node, found, least = c.node, true, load
 		}
 	}
@@ -85,40 +96,44 @@
 }
 
 // movePool hands a pool of this process over to another one.
-func (d *Daemon) movePool(ctx context.Context, o *pool.Owner, node string) {
+func (d *Daemon) movePool(ctx context.Context, m rebalanceMove) {
 	d.mu.Lock()
-	p := d.peers[node]
+	p := d.peers[m.node]
 	d.mu.Unlock()
 	if p == nil {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	taken, err := offer(callCtx, p, TakeArgs{Pool: o.Name(), Token: o.Token()})
-	d.log.WithFields(logrus.Fields{"pool": o.Name(), "to": node, "taken": taken}).WithError(err).Info("pool moved to a process with more processor time")
-	if taken {
-		o.Close()
-		d.refreshOwnership(ctx, o.Name())
+	taken, err := offer(callCtx, p, TakeArgs{Pool: m.own.Pool, Token: m.own.Token, Processor: m.processor})
+	d.log.WithFields(logrus.Fields{"pool": m.own.Pool, "to": m.node, "taken": taken, "processor": m.processor}).WithError(err).Info("pool moved to a process with more processor time")
+	if !taken {
+		d.recordDecline(m.node, time.Now())
+		return
 	}
+	m.owner.Close()
+	d.refreshOwnership(ctx, m.own.Pool)
 }
 
 // TakeArgs offers a pool to another process.
 type TakeArgs struct {
-	Pool  string
-	Token uint64 // of the ownership that ends
+	Pool      string
+	Token     uint64  // of the ownership that ends
+	Processor float64 // that the pool has; 0 if any process is to take it
 }
 
 // offer offers a pool to a process and reports whether it took it.
 func offer(ctx context.Context, p *peer, args TakeArgs) (taken bool, err error) {
 	err = p.link.Call(ctx, "Peer.TakeOver", args, &taken)
-	if errors.Is(err, wire.ErrRefused) { // a process of a version without this method
+	if errors.Is(err, wire.ErrRefused) && args.Processor == 0 { // a process of a version without this method
 		err = p.link.Call(ctx, "Peer.Take", args.Pool, &taken)
 	}
 	return taken && err == nil, err
 }
 
 // TakeOver makes this process claim a pool that its owner hands over, and reports whether the
-// claim succeeded. It declines a pool of which a later owner is known.
+// claim succeeded. It declines a pool of which a later owner is known, and one for which it
+// has no more processor time than the pool has.
 func (s *peerService) TakeOver(args TakeArgs, reply *bool) error {
 	if !s.d.accepts(args) {
 		return nil
@@ -130,5 +145,14 @@
 func (d *Daemon) accepts(args TakeArgs) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.ownerships[args.Pool].Token <= args.Token
+	if d.ownerships[args.Pool].Token > args.Token {
+		return false
+	}
+	owned := 1
+	for _, own := range d.ownerships {
+		if own.Owner.Node == d.self.Node {
+			owned++
+		}
+	}
+	return args.Processor == 0 || d.processor()/float64(owned) > args.Processor
 }
--- a/internal/daemon/rebalance_test.go
+++ b/internal/daemon/rebalance_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,12 +27,31 @@
 		{"sizes are not known", candidate{"a", 3, 0}, []candidate{{"b", 0, 0}}, ""},
 		{"the other's size is not known", candidate{"a", 3, 0.4}, []candidate{{"b", 0, 0}}, ""},
 	} {
-		if have, _ := betterOwner(tt.self, tt.others); have != tt.want {
+		if have, _ := betterOwner("p", tt.self, tt.others); have != tt.want {
 			t.Errorf("%s: moves to %q, want %q", tt.name, have, tt.want)
 		}
 	}
 }
 
+// Two slow hosts handed their pools over at the same moment, both to the same process.
+func TestPoolsThatMoveAtTheSameTimeSpread(t *testing.T) {
+	var others []candidate
+	for i := range 10 {
+		others = append(others, candidate{fmt.Sprintf("n%d", i), 0, 0.8})
+	}
+	chosen := map[string]int{}
+	for i := range 20 {
+		node, found := betterOwner(fmt.Sprintf("p%d", i), candidate{"self", 1, 0.1}, others)
+		if !found {
+			t.Fatal("a pool stays at a host with an eighth of the processor time")
+		}
+		chosen[node]++
+	}
+	if len(chosen) < 5 {
+		t.Errorf("20 pools move to %d of 10 equal processes: %v", len(chosen), chosen)
+	}
+}
+
 // Guards against a process that has just started and claims pools before it knows which
 // larger hosts have started with it.
 func TestStartingProcessWaitsForItsPeers(t *testing.T) {
