daemon: the holder of the fleet leaves the owner of a pool to that

A pool moves only for more than twice the processor time, as tasks wait meanwhile. No task waits for a move of the fleet: it moves for 1.5 times, and if its host is slow.

TestHolderOfTheFleetLeavesAPoolAlone fails without.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -541,7 +541,7 @@
 		Vacate: d.vacate, Retire: d.retire, Load: d.load, HandOver: d.handOverPool,
 	})
 	d.mu.Lock()
-	d.keeper = k
+	d.keeper, d.keeperSince = k, time.Now()
 	d.mu.Unlock()
 	go func() {
 		k.Run()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 	waves         map[int]platform.Wave
 	configFetch   configFetch
 	keeper        *upkeep.Keeper
+	keeperSince   time.Time // when it was started
 	startedAt     time.Time
 	claimTickAt   time.Time     // when claimTick was called last
 	lateAt        time.Time     // when this process was last found late
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	rebalancePeriod = 500 * time.Millisecond
-	rebalanceFactor = 2               // a pool moves only to a process with more than this times the processor time for it
-	minOwnership    = 3 * time.Second // before a pool moves again, and after the start of a process
+	rebalancePeriod      = 500 * time.Millisecond
+	rebalanceFactor      = 2               // a pool moves only to a process with more than this times the processor time for it
+	fleetRebalanceFactor = 1.5             // the same for the fleet, whose move no task has to wait for: it leaves the owner of a pool to that
+	minOwnership         = 3 * time.Second // before a pool moves again, and after the start of a process
 )
 
 // rebalancePools periodically hands a pool over to a process that has much more processor
@@ -31,15 +32,15 @@
 	})
 }
 
-// rebalanceMove is a pool of this process that another process should own.
+// rebalanceMove is a pool of this process, or the fleet, that another process should own.
 type rebalanceMove struct {
 	own       pool.Ownership
-	owner     *pool.Owner
-	node      string  // of the process that should own it
-	processor float64 // that it has here
+	owner     *pool.Owner // nil for the fleet
+	node      string      // of the process that should own it
+	processor float64     // that it has here
 }
 
-// misplacedPool returns a pool of this process that another process should own.
+// misplacedPool returns a pool of this process that another process should own, or the fleet.
 func (d *Daemon) misplacedPool(now time.Time) (m rebalanceMove, found bool) {
 	if !d.canOwn() {
 		return m, false
@@ -61,12 +62,18 @@
 		}
 	}
 	m.processor = self.processor / float64(max(1, self.owned))
+	if d.keeper != nil && now.Sub(d.keeperSince) >= minOwnership {
+		if m.node, found = betterOwner(fleetName, self, others, fleetRebalanceFactor); found {
+			m.own = d.ownerships[fleetName]
+			return m, true
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.owners)) {
 		o := d.owners[name]
 		if now.Sub(o.ClaimedAt()) < minOwnership {
 			continue
 		}
-		if m.node, found = betterOwner(name, self, others); found {
+		if m.node, found = betterOwner(name, self, others, rebalanceFactor); found {
 			m.own, m.owner = d.ownerships[name], o
 			return m, true
 		}
@@ -75,13 +82,13 @@
 }
 
 // betterOwner returns the process that a pool of self should move to: the one that would
-// have the most processor time for each of its pools, if that is more than rebalanceFactor
-// times what self has. Of equal ones it depends on the pool, as several may move at the same time.
-func betterOwner(name string, self candidate, others []candidate) (node string, found bool) {
+// have the most processor time for each of its pools, if that is more than factor times
+// what self has. Of equal ones it depends on the pool, as several may move at the same time.
+func betterOwner(name string, self candidate, others []candidate, factor float64) (node string, found bool) {
 	if self.processor <= 0 {
 		return "", false
 	}
-	least := float64(self.owned) / self.processor / rebalanceFactor // pools for each core
+	least := float64(self.owned) / self.processor / factor // pools for each core
 	order := func(node string) uint64 { return xxh3.HashString(name + "/" + node) }
 	for _, c := range others {
 		if c.processor <= 0 {
@@ -95,7 +102,7 @@
 	return node, found
 }
 
-// movePool hands a pool of this process over to another one.
+// movePool hands a pool of this process, or the fleet, over to another process.
 func (d *Daemon) movePool(ctx context.Context, m rebalanceMove) {
 	d.mu.Lock()
 	p := d.peers[m.node]
@@ -111,7 +118,9 @@
 		d.recordDecline(m.node, time.Now())
 		return
 	}
-	m.owner.Close()
+	if m.owner != nil {
+		m.owner.Close()
+	}
 	d.refreshOwnership(ctx, m.own.Pool)
 }
 
--- a/internal/daemon/rebalance_test.go
+++ b/internal/daemon/rebalance_test.go
@@ -27,7 +27,7 @@
 		{"sizes are not known", candidate{"a", 3, 0}, []candidate{{"b", 0, 0}}, ""},
 		{"the other's size is not known", candidate{"a", 3, 0.4}, []candidate{{"b", 0, 0}}, ""},
 	} {
-		if have, _ := betterOwner("p", tt.self, tt.others); have != tt.want {
+		if have, _ := betterOwner("p", tt.self, tt.others, rebalanceFactor); have != tt.want {
 			t.Errorf("%s: moves to %q, want %q", tt.name, have, tt.want)
 		}
 	}
@@ -41,7 +41,7 @@
 	}
 	chosen := map[string]int{}
 	for i := range 20 {
-		node, found := betterOwner(fmt.Sprintf("p%d", i), candidate{"self", 1, 0.1}, others)
+		node, found := betterOwner(fmt.Sprintf("p%d", i), candidate{"self", 1, 0.1}, others, rebalanceFactor)
 		if !found {
 			t.Fatal("a pool stays at a host with an eighth of the processor time")
 		}
--- a/internal/daemon/speed_test.go
+++ b/internal/daemon/speed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/internal/upkeep"
 )
 
 func speedOf(samples ...time.Duration) speedometer {
@@ -94,3 +95,19 @@
 		t.Errorf("the pool is offered again to %s, which has just declined it", m.node)
 	}
 }
+
+// The holder of the fleet owned the pool with the load peak as well, and hosts came late to
+// all pools.
+func TestHolderOfTheFleetLeavesAPoolAlone(t *testing.T) {
+	now := time.Now().Add(minOwnership + time.Second)
+	d := slowOwner(now)
+	d.keeper = &upkeep.Keeper{}
+	if _, found := d.misplacedPool(now); found {
+		t.Error("the holder of the fleet moves it though it owns nothing else")
+	}
+	d.ownerships[fleetName] = pool.Ownership{Pool: fleetName, Token: 1, Owner: d.self}
+	m, found := d.misplacedPool(now)
+	if !found || m.own.Pool != fleetName || m.owner != nil {
+		t.Errorf("moves %+v (%v), want the fleet", m, found)
+	}
+}
