place: a load peak is seen within a tenth of a second

A move of a host takes 1.5 s, and the rate of arrival that begins it was a mean over 0.3 s or more: half of the hosts that a peak needs were ordered 0.2 s after it began, the last ones 0.6 s after. A third mean over 0.1 s counts for half with eight jobs in it, so that it needs hundreds of jobs a second.

--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -49,23 +49,26 @@
 	updatedAt  time.Time
 }
 
-// arrivals estimates the rate of arriving work. With many jobs it detects a load
-// increase within a few hundred milliseconds; with a few large ones it takes longer.
-type arrivals struct{ fast, slow rate }
+// arrivals estimates the rate of arriving work. With hundreds of jobs a second it detects a load
+// increase within a tenth of a second; with a few large ones it takes longer.
+type arrivals struct{ instant, fast, slow rate }
 
 func newArrivals() arrivals {
-	return arrivals{fast: rate{window: 300 * time.Millisecond, halfWeightJobs: 3}, slow: rate{window: arrivalWindow, halfWeightJobs: 4}}
+	return arrivals{instant: rate{window: 100 * time.Millisecond, halfWeightJobs: 8}, fast: rate{window: 300 * time.Millisecond, halfWeightJobs: 3}, slow: rate{window: arrivalWindow, halfWeightJobs: 4}}
 }
 
 // arrivalWindow is also the age from which on a submitted job is no new arrival.
 const arrivalWindow = time.Second
 
 func (a *arrivals) add(work float64, now time.Time) {
+	a.instant.add(work, now)
 	a.fast.add(work, now)
 	a.slow.add(work, now)
 }
 
-func (a *arrivals) at(now time.Time) float64 { return max(a.fast.at(now), a.slow.at(now)) }
+func (a *arrivals) at(now time.Time) float64 {
+	return max(a.instant.at(now), a.fast.at(now), a.slow.at(now))
+}
 
 // at returns the rate at now. A rate from few jobs is scaled down, since a single
 // large job is no trend.
