--- a/internal/pool/hold_pause_test.go
+++ b/internal/pool/hold_pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,8 +15,8 @@
 // endingWorker is a worker on which a task ends every 20 ms.
 type endingWorker struct {
 	began    time.Time
-	listings int
-	ended    uint64
+	listings atomic.Int64
+	ended    atomic.Uint64
 }
 
 func (w *endingWorker) Hold(ctx context.Context, r platform.HoldRequest) (platform.Listing, error) {
@@ -29,8 +30,8 @@
 		task := jobs.Task{Job: jobs.ID(fmt.Sprintf("%016x", n))}
 		l.Ended = append(l.Ended, platform.EndedAttempt{Number: n, Task: task, Attempt: 1, Outcome: jobs.Done})
 	}
-	w.listings++
-	w.ended = max(w.ended, last)
+	w.listings.Add(1)
+	w.ended.Store(max(w.ended.Load(), last))
 	return l, nil
 }
 
@@ -55,7 +56,7 @@
 				for {
 					select {
 					case <-o.posts:
-						a.setAck(w.ended)
+						a.setAck(w.ended.Load())
 					case <-o.ctx.Done():
 						return
 					}
@@ -65,7 +66,7 @@
 			a.close()
 			o.cancel()
 			synctest.Wait()
-			n, ended = w.listings, w.ended
+			n, ended = int(w.listings.Load()), w.ended.Load()
 		})
 		return n, ended
 	}
