--- a/internal/daemon/speed.go
+++ b/internal/daemon/speed.go
@@ -7,12 +7,11 @@
 )
 
 const (
-	speedPeriod     = 100 * time.Millisecond // between measurements
-	speedSamples    = 5                      // measurements that count: some are interrupted, not all of half a second
-	speedRounds     = 8_000                  // of the computation, some 20 us
-	minSpeedSample  = time.Microsecond       // a clock that shows less does not measure processor time
-	minSpeedChange  = 0.6                    // a host that has this share of its speed or more counts as unchanged
-	maxSpeedSamples = 1 << 30
+	speedPeriod    = 100 * time.Millisecond // between measurements
+	speedSamples   = 5                      // measurements that count: some are interrupted, not all of half a second
+	speedRounds    = 8_000                  // of the computation, some 20 us
+	minSpeedSample = time.Microsecond       // a clock that shows less does not measure processor time
+	minSpeedChange = 0.6                    // a host that has this share of its speed or more counts as unchanged
 )
 
 // speedometer measures how fast a host is now, as a share of the fastest that it has been, by
@@ -37,7 +36,7 @@
 // record takes in the time of a computation.
 func (s *speedometer) record(took time.Duration) {
 	s.samples[s.count%speedSamples] = took
-	s.count = min(s.count+1, maxSpeedSamples)
+	s.count++
 	if s.count < speedSamples {
 		return
 	}
