daemon: the log tells when an owner presumes its pools without the store

Whether the former owner of a pool presumed its ownership while another process claimed the pool can't be read from the log: inTouch left no line, and 'pool claimed' did not say for how long the heartbeat had stood still. Adds 'ownership without the store' with the numbers of processes that are probed, silent and known, at each change, and standstill-ms at 'pool claimed'.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -414,7 +414,12 @@
 			silent++
 		}
 	}
-	return 2*silent <= probed
+	inTouch := 2*silent <= probed
+	if !d.inTouchLogged || inTouch != d.loggedInTouch {
+		d.inTouchLogged, d.loggedInTouch = true, inTouch
+		d.log.WithFields(logrus.Fields{"presumed": inTouch, "probed": probed, "silent": silent, "processes": len(d.peers)}).Info("ownership without the store")
+	}
+	return inTouch
 }
 
 // claim makes this process the owner of a pool and starts the owner.
@@ -459,6 +464,9 @@
 		"from": previous.Owner.Node, "cause": cause, "majority": d.majority(now),
 		"late-ms": d.recentLateness(now).Milliseconds(),
 	}
+	if b := d.heartbeats[previous.Pool]; b != nil {
+		fields["standstill-ms"] = b.unchangedFor().Milliseconds()
+	}
 	if p := d.peers[previous.Owner.Node]; p != nil && !p.answeredAt.IsZero() {
 		fields["silent-ms"] = now.Sub(p.answeredAt).Milliseconds()
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,6 +77,8 @@
 	lateAt        time.Time     // when this process was last found late
 	lateness      time.Duration // by how much it was late then
 	speed         speedometer
+	inTouchLogged bool // inTouch was logged once
+	loggedInTouch bool
 }
 
 // New returns a process; Run starts it.
