daemon, pool: an owner without the store presumes its pools only as far as every process vouches for it

Cause: an owner that lost the store presumed its pools as long as most of the processes that it probed were in touch, while a process that reached only a minority claimed them after 1.5 s of silence and standstill; both granted leases. With more than nine processes a cut-off zone probes mostly itself, and halves satisfied both rules.

Change: without the store an owner asks every other process to vouch that it has not claimed the pool (Peer.Vouch). The ownership is presumed to last until the earliest time up to which each can't have claimed it. A process without the store promises not to claim for 8 s. Claims by silence or by refused connections need a process that the owner knows (the heartbeat names the version of the table of processes), hold only if the heartbeat has not changed, and are not made for 8 s after a restart. Processes that were not heard of for 15 s are recorded as departed by the holder of the fleet. An offer of a pool withdraws what the offered process had vouched for.

TestOwnershipStatus has the time up to which the pool is not claimed in place of a flag, with the same cases and ages.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -58,6 +58,12 @@
 	causeHandedOver claimCause = "handed over"
 )
 
+// certain reports whether the owner no longer acts, instead of being out of reach: a cut may refuse
+// connections, too.
+func (c claimCause) certain() bool {
+	return c == causeNoOwner || c == causeEnded || c == causeHandedOver
+}
+
 // vacancy is a pool to claim.
 type vacancy struct {
 	pool  string
@@ -90,6 +96,7 @@
 type heartbeat struct {
 	requestedAt time.Time // when the last read began, whatever came of it
 	version     uint64
+	members     uint64    // version of the table of processes that the owner knew then, 0 if it did not tell
 	foundAt     time.Time // when the first read that found this version had ended; zero before any read
 	confirmedAt time.Time // when the last read that found it began
 }
@@ -103,18 +110,18 @@
 	return true
 }
 
-// record records a read that found the given version, and reports whether the row changed
+// record records a read of the row, and reports whether the row changed
 // since the read before.
-func (b *heartbeat) record(version uint64, began, ended time.Time) bool {
+func (b *heartbeat) record(found pool.Heartbeat, began, ended time.Time) bool {
 	if began.Before(b.confirmedAt) {
 		return false // a later read has already been recorded
 	}
 	b.confirmedAt = began
-	if !b.foundAt.IsZero() && b.version == version {
+	if !b.foundAt.IsZero() && b.version == found.Version {
 		return false
 	}
 	changed := !b.foundAt.IsZero()
-	b.version, b.foundAt = version, ended
+	b.version, b.members, b.foundAt = found.Version, found.Members, ended
 	return changed
 }
 
@@ -134,16 +141,17 @@
 func (d *Daemon) readHeartbeat(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	d.recordHeartbeat(name, func() (uint64, error) {
+	d.recordHeartbeat(name, func() (pool.Heartbeat, error) {
 		if name == fleetName {
-			return upkeep.HeartbeatVersion(ctx, d.store, name)
+			version, err := upkeep.HeartbeatVersion(ctx, d.store, name)
+			return pool.Heartbeat{Version: version}, err
 		}
-		return pool.HeartbeatVersion(ctx, d.store, name)
+		return pool.ReadHeartbeat(ctx, d.store, name)
 	}, time.Now)
 }
 
-// recordHeartbeat calls read for the version of the owner's row if that is due.
-func (d *Daemon) recordHeartbeat(name string, read func() (uint64, error), clock func() time.Time) {
+// recordHeartbeat calls read for the owner's row if that is due.
+func (d *Daemon) recordHeartbeat(name string, read func() (pool.Heartbeat, error), clock func() time.Time) {
 	began := clock()
 	d.mu.Lock()
 	b := d.heartbeats[name]
@@ -156,7 +164,7 @@
 	if !due {
 		return
 	}
-	version, err := read()
+	found, err := read()
 	if err != nil {
 		d.log.WithField("pool", name).WithError(err).Info("reading the owner's heartbeat failed")
 		return
@@ -164,7 +172,7 @@
 	ended := clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if b.record(version, began, ended) {
+	if b.record(found, began, ended) {
 		d.vacantSince[name] = ended // the owner runs, so that the candidates begin to wait again
 	}
 }
@@ -234,13 +242,17 @@
 			continue
 		}
 		still, cause := d.requiredStandstill(own, majority, now)
-		if still > 0 {
+		if !cause.certain() {
 			unconfirmed = append(unconfirmed, name)
-			if b := d.heartbeats[name]; b == nil || b.unchangedFor() < still {
+			b := d.heartbeats[name]
+			if still > 0 && (b == nil || b.unchangedFor() < still) {
 				continue // the owner may run, and be busy or unreachable only from here
 			}
+			if name != fleetName && b != nil && !d.maySucceed(b.members, now) {
+				continue
+			}
 		}
-		if !d.ownerAlive(own, now) && now.Sub(since) >= time.Duration(self)*rankDelay+delay {
+		if !d.promised(name, now) && !d.ownerAlive(own, now) && now.Sub(since) >= time.Duration(self)*rankDelay+delay {
 			due = append(due, vacancy{name, cause})
 		}
 	}
@@ -276,6 +288,8 @@
 		return 0, causeNoOwner
 	case d.ownerDead(own, now):
 		return 0, causeEnded
+	case !majority && p.refuses():
+		return heartbeatTimeout, causeRefused
 	case !majority:
 		return heartbeatTimeout, causeStandstill
 	case p.refuses():
@@ -398,34 +412,10 @@
 	return 2*answered >= sent
 }
 
-// inTouch reports whether most of the processes that were probed lately are in touch with
-// this one. One that refuses connections has ended, and claims no pool.
-func (d *Daemon) inTouch() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	silent, probed := 0, 0
-	for _, p := range d.peers {
-		if now.Sub(p.probedAt) > probeMemory {
-			continue
-		}
-		probed++
-		if !p.answered && p.refusedConnections == 0 {
-			silent++
-		}
-	}
-	inTouch := 2*silent <= probed
-	if !d.inTouchLogged || inTouch != d.loggedInTouch {
-		d.inTouchLogged, d.loggedInTouch = true, inTouch
-		d.log.WithFields(logrus.Fields{"presumed": inTouch, "probed": probed, "silent": silent, "processes": len(d.peers)}).Info("ownership without the store")
-	}
-	return inTouch
-}
-
 // claim makes this process the owner of a pool and starts the owner.
 func (d *Daemon) claim(ctx context.Context, name string, cause claimCause) error {
 	d.mu.Lock()
-	if d.claiming[name] || d.stopping.Load() {
+	if d.claiming[name] || d.stopping.Load() || d.promised(name, time.Now()) {
 		d.mu.Unlock()
 		return errors.WithStack(errCannotClaim)
 	}
@@ -444,8 +434,12 @@
 		}
 	}
 	previous.Pool = name
+	conditions, err := d.claimConditions(ctx, name, cause)
+	if err != nil {
+		return err
+	}
 	sentAt := time.Now()
-	own, err := pool.Claim(ctx, d.store, d.self, previous)
+	own, err := pool.Claim(ctx, d.store, d.self, previous, conditions)
 	if err != nil {
 		d.refreshOwnership(ctx, name)
 		return err
@@ -457,6 +451,44 @@
 	return nil
 }
 
+// claimConditions returns what must hold when a claim takes effect. One from an owner that may
+// still run holds only if that owner has not written since this process was found to be one
+// whose vouching it needs.
+func (d *Daemon) claimConditions(ctx context.Context, name string, cause claimCause) (pool.Conditions, error) {
+	if name == fleetName || cause.certain() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return pool.Conditions{Members: d.membersVersion}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	found, err := pool.ReadHeartbeat(ctx, d.store, name)
+	if err != nil {
+		return pool.Conditions{}, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.heartbeats[name]
+	if cause == causeStandstill && (b == nil || b.version != found.Version) || !d.maySucceed(found.Members, time.Now()) {
+		return pool.Conditions{}, errors.WithStack(errOwnerRuns)
+	}
+	return pool.Conditions{Members: d.membersVersion, LogVersion: found.Version}, nil
+}
+
+// maySucceed reports whether this process may claim a pool from an owner that may still run and
+// that knows the processes as of the given version of their table. That owner must know this
+// process, and an earlier life of this one may have promised not to claim the pool. The caller
+// holds d.mu.
+func (d *Daemon) maySucceed(members uint64, now time.Time) bool {
+	if d.restarted && now.Sub(d.startedAt) < promiseTime {
+		return false
+	}
+	if members == 0 {
+		return true // a process of a version that does not tell
+	}
+	return d.firstVersion > 0 && d.firstVersion <= members && members <= d.membersVersion
+}
+
 // claimFields returns what the log tells about a claim, as it was when the claim began. The
 // caller holds d.mu.
 func (d *Daemon) claimFields(previous pool.Ownership, cause claimCause, now time.Time) logrus.Fields {
@@ -493,7 +525,7 @@
 		d.startKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, HandOver: d.handOverPool, InTouch: d.inTouch, Recording: d.Recording, Retention: d.bounds().StateRetention, MaxLease: d.bounds().MaxLease}
+	s := pool.Settings{Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, HandOver: d.handOverPool, NotClaimedUntil: func(members uint64) time.Time { return d.notClaimedUntil(own.Pool, members) }, Members: d.knownMembers, Recording: d.Recording, Retention: d.bounds().StateRetention, MaxLease: d.bounds().MaxLease}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -190,7 +190,7 @@
 			if name == "p0" {
 				v = version
 			}
-			d.recordHeartbeat(name, func() (uint64, error) { return v, nil }, func() time.Time { return now })
+			d.recordHeartbeat(name, func() (pool.Heartbeat, error) { return pool.Heartbeat{Version: v}, nil }, func() time.Time { return now })
 		}
 	}
 	return -1, ""
@@ -239,7 +239,7 @@
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		due, unconfirmed := d.claimTick(now)
 		for _, name := range unconfirmed {
-			d.recordHeartbeat(name, func() (uint64, error) { return 1, nil }, func() time.Time { return now })
+			d.recordHeartbeat(name, func() (pool.Heartbeat, error) { return pool.Heartbeat{Version: 1}, nil }, func() time.Time { return now })
 		}
 		if len(due) > 0 {
 			if ms > 1800 { // one of two has no majority: 1.5 s, and a tick after the read
@@ -333,7 +333,7 @@
 			}
 			for _, r := range tt.in {
 				if r.ended > 0 {
-					b.record(r.version, at(r.began), at(r.ended))
+					b.record(pool.Heartbeat{Version: r.version}, at(r.began), at(r.ended))
 				}
 			}
 			if got := b.unchangedFor(); got != time.Duration(tt.want)*time.Millisecond {
@@ -353,7 +353,7 @@
 		d.peers[node].answeredAt = now
 	}
 	read := func(at time.Time) {
-		d.recordHeartbeat("p0", func() (uint64, error) { return 1, nil }, func() time.Time { return at })
+		d.recordHeartbeat("p0", func() (pool.Heartbeat, error) { return pool.Heartbeat{Version: 1}, nil }, func() time.Time { return at })
 	}
 	read(start)
 	read(now)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -76,7 +76,7 @@
 			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-		taken, _ := offer(ctx, peers[candidates[i].node], TakeArgs{Pool: name, Token: own.Token})
+		taken, _ := d.offer(ctx, peers[candidates[i].node], TakeArgs{Pool: name, Token: own.Token})
 		cancel()
 		if taken {
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
--- a/internal/daemon/liveness.go
+++ b/internal/daemon/liveness.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,21 +22,19 @@
 	Addr      string  `json:"addr"`
 	Life      string  `json:"life"`
 	Processor float64 `json:"processor,omitempty"` // as in Status
+	// First is the version of the row from which on the process is known by this name and
+	// address, 0 for this one's.
+	First    uint64 `json:"first,omitempty"`
+	Departed bool   `json:"departed,omitempty"` // the holder of the fleet has not heard of it for departTime
 }
 
 const maxProcessor = 100_000 // cores of a host
 
 // register writes this process's row to the store and retries until that succeeds.
 func (d *Daemon) register(ctx context.Context) error {
-	value, err := json.Marshal(memberRow{d.self.Addr, d.self.Life, d.settings.Limits.Processor})
-	if err != nil {
-		return errors.Wrap(err, "encode the member row")
-	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
-		_, _, err := d.store.Commit(callCtx, platform.Transaction{
-			Write: []platform.Row{{Table: tableMember, Key: d.self.Node, Value: value}},
-		})
+		err := d.writeMemberRow(callCtx)
 		cancel()
 		if err == nil {
 			return suture.ErrDoNotRestart
@@ -46,7 +45,37 @@
 	return ctx.Err()
 }
 
-// applyMemberRow applies the row of another process.
+// writeMemberRow writes this process's row. An owner may know the process by its last row, unless
+// that one has another address or says that the process has left.
+func (d *Daemon) writeMemberRow(ctx context.Context) error {
+	last, err := d.store.ReadRow(ctx, tableMember, "", d.self.Node)
+	if err != nil {
+		return err
+	}
+	w := memberRow{Addr: d.self.Addr, Life: d.self.Life, Processor: d.settings.Limits.Processor}
+	var before memberRow
+	if last.Version > 0 && json.Unmarshal(last.Value, &before) == nil {
+		if before.Life != d.self.Life {
+			d.mu.Lock()
+			d.restarted = true
+			d.mu.Unlock()
+		}
+		if before.Addr == w.Addr && !before.Departed {
+			w.First = cmp.Or(before.First, last.Version)
+		}
+	}
+	value, err := json.Marshal(w)
+	if err != nil {
+		return errors.Wrap(err, "encode the member row")
+	}
+	_, _, err = d.store.Commit(ctx, platform.Transaction{
+		Expect: []platform.Row{{Table: tableMember, Key: d.self.Node, Version: last.Version}},
+		Write:  []platform.Row{{Table: tableMember, Key: d.self.Node, Value: value}},
+	})
+	return err
+}
+
+// applyMemberRow applies the row of a process.
 func (d *Daemon) applyMemberRow(r platform.Row) {
 	if r.Deleted {
 		return
@@ -63,10 +92,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.membersVersion = max(d.membersVersion, r.Version)
 	if r.Key == d.self.Node {
-		if w.Life == d.self.Life {
-			d.view.Register(r.Key, r.Version)
-		}
+		d.applyOwnMemberRow(w, r.Version)
+		return
+	}
+	if p := d.peers[r.Key]; w.Departed && p != nil && p.addr == addr {
+		p.departed, p.rowVersion = true, r.Version
 		return
 	}
 	d.view.Register(r.Key, r.Version)
@@ -79,10 +111,83 @@
 		p = &peer{node: r.Key, addr: addr, link: wire.NewPeer(addr, wire.ProbedTiming(), nil)}
 		d.peers[r.Key] = p
 	}
-	p.rowLife, p.rowVersion, p.processor = w.Life, r.Version, cmp.Or(w.Processor, p.processor)
+	p.row, p.rowLife, p.rowVersion, p.processor = w, w.Life, r.Version, cmp.Or(w.Processor, p.processor)
+	p.departed, p.appliedAt = w.Departed, time.Now()
 	p.report(d.view, time.Now())
 }
 
+// applyOwnMemberRow applies the row of this process. The caller holds d.mu.
+func (d *Daemon) applyOwnMemberRow(w memberRow, version uint64) {
+	switch {
+	case w.Life != d.self.Life:
+	case w.Departed:
+		d.firstVersion = 0
+		d.log.Warn("this process was taken for one that has left; registering again")
+		go func() { _ = d.register(context.Background()) }() // retries until it succeeds
+	default:
+		d.firstVersion = cmp.Or(w.First, version)
+		d.view.Register(d.self.Node, version)
+	}
+}
+
+// knownMembers returns the version of the table of processes up to which this process knows them.
+func (d *Daemon) knownMembers() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.membersVersion
+}
+
+const (
+	departTime   = 15 * time.Second // a process of which nothing is heard for this long counts as one that has left
+	retirePeriod = time.Second
+)
+
+// retireMembers records the processes that have left, while this process holds the fleet. An owner
+// without the store can't wait for them to vouch for it.
+func (d *Daemon) retireMembers(ctx context.Context) error {
+	return every(ctx, retirePeriod, func() {
+		for _, r := range d.departedMembers(time.Now()) {
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			_, _, err := d.store.Commit(callCtx, platform.Transaction{
+				Expect: []platform.Row{{Table: tableMember, Key: r.Key, Version: r.Version}},
+				Write:  []platform.Row{{Table: tableMember, Key: r.Key, Value: r.Value}},
+			})
+			cancel()
+			d.log.WithField("peer", r.Key).WithError(err).Info("process recorded as one that has left")
+		}
+	})
+}
+
+// departedMembers returns the rows to write for the processes of which nothing was heard for
+// departTime, with the versions of their present ones.
+func (d *Daemon) departedMembers(now time.Time) (rows []platform.Row) {
+	if !d.storeReachable() {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.keeper == nil || d.late(now) {
+		return nil
+	}
+	for _, p := range d.peers {
+		if p.departed || p.alive(now) || now.Sub(d.keeperSince) < departTime {
+			continue
+		}
+		if heard := slices.MaxFunc([]time.Time{p.answeredAt, p.failedAt, p.appliedAt}, time.Time.Compare); now.Sub(heard) < departTime {
+			continue
+		}
+		w := p.row
+		w.Departed = true
+		value, err := json.Marshal(w)
+		if err != nil {
+			d.log.WithField("peer", p.node).WithError(err).Error("can't encode a member row")
+			continue
+		}
+		rows = append(rows, platform.Row{Key: p.node, Value: value, Version: p.rowVersion})
+	}
+	return rows
+}
+
 // peer is another process. Daemon.mu guards the fields from life on.
 //
 // Of a peer that is probed in every period there is evidence of this process's own: its
@@ -94,7 +199,10 @@
 	life               string
 	rowLife            string    // life in the member row
 	reported           bool      // not probed in every period; life, ready and failed are as reported
+	row                memberRow // as stored, but for departed
 	rowVersion         uint64    // of the member row
+	departed           bool      // the member row says that it has left
+	appliedAt          time.Time // when the member row of its life was applied
 	failed             bool      // as reported
 	failedAt           time.Time // when that was reported
 	suspected          bool      // it left a probe unanswered that is not sent in every period
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -112,7 +112,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	taken, err := offer(callCtx, p, TakeArgs{Pool: m.own.Pool, Token: m.own.Token, Processor: m.processor})
+	taken, err := d.offer(callCtx, p, TakeArgs{Pool: m.own.Pool, Token: m.own.Token, Processor: m.processor})
 	d.log.WithFields(logrus.Fields{"pool": m.own.Pool, "to": m.node, "taken": taken, "processor": m.processor}).WithError(err).Info("pool moved to a process with more processor time")
 	if !taken {
 		d.recordDecline(m.node, time.Now())
@@ -129,10 +129,17 @@
 	Pool      string
 	Token     uint64  // of the ownership that ends
 	Processor float64 // that the pool has; 0 if any process is to take it
+	// Life is the owner's, and Round the last round of requests to vouch whose answers it does not
+	// count on any more.
+	Life  string
+	Round uint64
 }
 
 // offer offers a pool to a process and reports whether it took it.
-func offer(ctx context.Context, p *peer, args TakeArgs) (taken bool, err error) {
+func (d *Daemon) offer(ctx context.Context, p *peer, args TakeArgs) (taken bool, err error) {
+	d.mu.Lock()
+	args.Life, args.Round = d.self.Life, d.withdraw(p.node, args.Pool)
+	d.mu.Unlock()
 	err = p.link.Call(ctx, "Peer.TakeOver", args, &taken)
 	if errors.Is(err, wire.ErrRefused) && args.Processor == 0 { // a process of a version without this method
 		err = p.link.Call(ctx, "Peer.Take", args.Pool, &taken)
@@ -147,6 +154,7 @@
 	if !s.d.accepts(args) {
 		return nil
 	}
+	s.d.release(args)
 	return s.Take(args.Pool, reply)
 }
 
--- a/internal/daemon/route_pools_test.go
+++ b/internal/daemon/route_pools_test.go
@@ -45,7 +45,7 @@
 	var pools []platform.PoolConfig
 	for _, name := range names {
 		store := platform.NewStore(settings.Store)
-		own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, pool.Ownership{Pool: name})
+		own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, pool.Ownership{Pool: name}, pool.Conditions{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/daemon/vouch.go
@@ -0,0 +1,275 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/pool"
+)
+
+// Without the store an owner can't see whether its pool was claimed. It presumes that it still
+// owns the pool up to the time until which each other process is known not to have claimed it:
+// because that process has vouched for it, or has promised not to claim it. A process that is
+// silent may be claiming the pool, however many others answer, and so may one that seems to
+// have ended: a cut may refuse connections.
+
+const (
+	vouchPeriod      = time.Second            // between requests to a process that vouches
+	vouchRetryPeriod = 250 * time.Millisecond // between requests to one that doesn't
+	vouchTimeout     = time.Second
+
+	// promiseTime is for how long a process without the store promises not to claim a pool. It
+	// outlasts a freeze of the process, and delays the claim if the owner is lost silently.
+	promiseTime = 8 * time.Second
+	// maxPromiseDrift is by how much the clocks of two processes may differ in rate.
+	maxPromiseDrift = 0.03
+
+	maxLoggedProcesses = 10 // named in a log line
+)
+
+// VouchArgs asks a process to vouch for the owner of pools.
+type VouchArgs struct {
+	Node, Life string
+	Round      uint64            // rises with each request of this life
+	Pools      map[string]uint64 // fencing tokens of the ownerships
+}
+
+// VouchReply names the pools that the process has not claimed, as of its answer.
+type VouchReply struct {
+	Pools   []string
+	Promise time.Duration    // for which it will not claim them unless their owner ends or hands them over
+	Later   []pool.Ownership // of the other pools, as far as they are known
+}
+
+// Vouch answers the owner of pools.
+func (s *peerService) Vouch(args VouchArgs, reply *VouchReply) error {
+	now := time.Now()
+	s.d.checkStore(now)
+	*reply = s.d.vouch(args, now)
+	return nil
+}
+
+// checkStore finds out whether this process reaches the store if its last answer was a while ago,
+// as an idle feed answers only every feedWait. It does not wait for the answer.
+func (d *Daemon) checkStore(now time.Time) {
+	const maxAge, period = 500 * time.Millisecond, time.Second
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.storeFailing.Load() || now.Sub(time.UnixMilli(d.storeAnsweredAt.Load())) < maxAge || now.Sub(d.storeCheckedAt) < period {
+		return
+	}
+	d.storeCheckedAt = now
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), period)
+		defer cancel()
+		if _, err := d.store.ReadRow(ctx, tableMember, "", d.self.Node); err != nil {
+			d.recordStoreFailure()
+			return
+		}
+		d.recordStoreAnswer()
+	}()
+}
+
+// promiseKey identifies a promise: the pool, and the life of the owner to which it was made.
+type promiseKey struct{ pool, life string }
+
+// promise binds this process not to claim a pool.
+type promise struct {
+	node  string
+	round uint64
+	until time.Time
+}
+
+// vouch vouches for the owner of pools. A process that reaches the store promises nothing: it is
+// to take the pools over.
+func (d *Daemon) vouch(args VouchArgs, now time.Time) VouchReply {
+	var reply VouchReply
+	if !d.storeReachable() {
+		reply.Promise = promiseTime
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, token := range args.Pools {
+		switch own := d.ownerships[name]; {
+		case own.Token > token:
+			reply.Later = append(reply.Later, own)
+		case d.claiming[name]:
+		default:
+			reply.Pools = append(reply.Pools, name)
+			if reply.Promise > 0 {
+				d.promises[promiseKey{name, args.Life}] = promise{args.Node, args.Round, now.Add(reply.Promise)}
+			}
+		}
+	}
+	return reply
+}
+
+// promised reports whether this process has promised not to claim a pool. The caller holds d.mu.
+func (d *Daemon) promised(name string, now time.Time) bool {
+	found := false
+	for key, p := range d.promises {
+		switch {
+		case !now.Before(p.until), d.hasEnded(p.node, key.life, now):
+			delete(d.promises, key)
+		case key.pool == name:
+			found = true
+		}
+	}
+	return found
+}
+
+// hasEnded reports whether a life of a process has certainly ended. The caller holds d.mu.
+func (d *Daemon) hasEnded(node, life string, now time.Time) bool {
+	p := d.peers[node]
+	return p != nil && !p.reported && p.alive(now) && p.life != life
+}
+
+// release voids the promise of which the owner says that it does not count on it any more.
+func (d *Daemon) release(args TakeArgs) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := promiseKey{args.Pool, args.Life}
+	if p, found := d.promises[key]; found && p.round <= args.Round {
+		delete(d.promises, key)
+	}
+}
+
+// voucher is what is known of another process: until when it can't have claimed pools of this one.
+type voucher struct {
+	asking    bool
+	askedAt   time.Time
+	vouched   bool                 // the last answer vouched for all pools
+	until     map[string]time.Time // by pool
+	withdrawn map[string]uint64    // last round whose answer does not count, by pool
+}
+
+// voucher returns what is known of a process. The caller holds d.mu.
+func (d *Daemon) voucher(node string) *voucher {
+	v := d.vouchers[node]
+	if v == nil {
+		v = &voucher{until: map[string]time.Time{}, withdrawn: map[string]uint64{}}
+		d.vouchers[node] = v
+	}
+	return v
+}
+
+// seekVouchers asks the other processes to vouch for this one while it owns pools and can't reach
+// the store.
+func (d *Daemon) seekVouchers(ctx context.Context) error {
+	return every(ctx, vouchRetryPeriod/2, func() {
+		now := time.Now()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		pools := map[string]uint64{}
+		for name, o := range d.owners {
+			if o.StoreLost() {
+				pools[name] = o.Token()
+			}
+		}
+		d.logPresumptions(pools, now)
+		if len(pools) == 0 {
+			return
+		}
+		d.vouchRound++
+		args := VouchArgs{d.self.Node, d.self.Life, d.vouchRound, pools}
+		for node, p := range d.peers {
+			v := d.voucher(node)
+			period := vouchRetryPeriod
+			if v.vouched {
+				period = vouchPeriod
+			}
+			if v.asking || now.Sub(v.askedAt) < period {
+				continue
+			}
+			v.asking, v.askedAt = true, now
+			go d.askToVouch(ctx, p, v, args)
+		}
+	})
+}
+
+func (d *Daemon) askToVouch(ctx context.Context, p *peer, v *voucher, args VouchArgs) {
+	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	defer cancel()
+	var reply VouchReply
+	sentAt := time.Now()
+	err := p.link.Call(ctx, "Peer.Vouch", args, &reply)
+	d.mu.Lock()
+	v.asking, v.vouched = false, err == nil && len(reply.Pools) == len(args.Pools)
+	if err == nil {
+		v.record(args.Round, reply, sentAt)
+	}
+	d.mu.Unlock()
+	for _, own := range reply.Later {
+		d.applyOwnership(own)
+	}
+}
+
+// record records an answer to a request that was sent at sentAt.
+func (v *voucher) record(round uint64, reply VouchReply, sentAt time.Time) {
+	until := sentAt.Add(time.Duration(float64(min(reply.Promise, promiseTime)) * (1 - maxPromiseDrift)))
+	for _, name := range reply.Pools {
+		if round > v.withdrawn[name] && until.After(v.until[name]) {
+			v.until[name] = until
+		}
+	}
+}
+
+// withdraw makes this process count no longer on what another one has answered about a pool so
+// far, and returns the last round of requests. The caller holds d.mu.
+func (d *Daemon) withdraw(node, name string) (round uint64) {
+	v := d.voucher(node)
+	delete(v.until, name)
+	v.withdrawn[name], v.vouched = d.vouchRound, false
+	return d.vouchRound
+}
+
+// notClaimedUntil returns until when no other process can have claimed a pool, zero if that is
+// not known. Processes that have left do not count, as of the given version of the table of
+// processes.
+func (d *Daemon) notClaimedUntil(name string, members uint64) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.membersRead {
+		return time.Time{}
+	}
+	earliest := time.Now()
+	for node, p := range d.peers {
+		if p.departed && p.rowVersion <= members {
+			continue
+		}
+		if until := d.voucher(node).until[name]; until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest
+}
+
+// logPresumptions logs for the pools without the store when their ownership begins and ceases to be
+// presumed. The caller holds d.mu.
+func (d *Daemon) logPresumptions(pools map[string]uint64, now time.Time) {
+	for name := range d.presumed {
+		if _, lost := pools[name]; !lost {
+			delete(d.presumed, name)
+		}
+	}
+	for name, token := range pools {
+		var missing []string
+		for node, p := range d.peers {
+			if !p.departed && now.Sub(d.voucher(node).until[name]) > vouchPeriod+vouchTimeout {
+				missing = append(missing, node)
+			}
+		}
+		presumed := len(missing) == 0
+		if was, known := d.presumed[name]; known && was == presumed {
+			continue
+		}
+		d.presumed[name] = presumed
+		slices.Sort(missing)
+		d.log.WithFields(logrus.Fields{
+			"pool": name, "token": token, "presumed": presumed, "missing": len(missing), "processes": missing[:min(len(missing), maxLoggedProcesses)],
+		}).Info("ownership without the store")
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -478,6 +478,9 @@
 	for _, r := range rows {
 		d.applyMemberRow(r)
 	}
+	d.mu.Lock()
+	d.membersRead = true
+	d.mu.Unlock()
 	return version, nil
 }
 
@@ -485,4 +488,5 @@
 var (
 	errCannotClaim    = errors.New("a claim is in progress, or the process is stopping")
 	errWorkersUnknown = errors.New("the workers can't be read")
+	errOwnerRuns      = errors.New("the owner writes, or may not know this process")
 )
--- a/internal/pool/cancel_test.go
+++ b/internal/pool/cancel_test.go
@@ -50,7 +50,7 @@
 	c.t.Helper()
 	last := c.owner
 	self := Identity{Node: "entry-2", Life: "1"}
-	own, err := Claim(c.t.Context(), last.store, self, Ownership{Pool: "p1", Token: last.token, Version: last.rowVersion})
+	own, err := Claim(c.t.Context(), last.store, self, Ownership{Pool: "p1", Token: last.token, Version: last.rowVersion}, Conditions{})
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -13,12 +13,25 @@
 	"github.com/papayarudder/papayarudder/platform"
 )
 
-// HeartbeatVersion returns the version of a row that the owner of a pool writes at least every
-// half second while it reaches the store. A version that stays the same means that
-// the owner is gone or cut off from the store.
-func HeartbeatVersion(ctx context.Context, store *platform.Store, name string) (uint64, error) {
+// Heartbeat is the row that the owner of a pool writes at least every half second while it reaches
+// the store. A version that stays the same means that the owner is gone or cut off from the
+// store.
+type Heartbeat struct {
+	Version uint64
+	Members uint64 // version of the table of processes that the owner knew, 0 if it did not tell
+}
+
+// ReadHeartbeat reads the heartbeat of a pool's owner.
+func ReadHeartbeat(ctx context.Context, store *platform.Store, name string) (Heartbeat, error) {
 	r, err := store.ReadRow(ctx, tableLog, name, keyLog)
-	return r.Version, err
+	if err != nil || r.Version == 0 {
+		return Heartbeat{}, err
+	}
+	var w logRow
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return Heartbeat{}, errors.Wrapf(platform.ErrMalformed, "log row of %s: %v", name, err)
+	}
+	return Heartbeat{r.Version, w.Members}, nil
 }
 
 // Tables of a pool. All rows of a pool are in the part with its name.
@@ -49,6 +62,8 @@
 type logRow struct {
 	Token uint64 `json:"token"`
 	Seq   uint64 `json:"seq"`
+	// Members is the version of the table of processes that the owner knows.
+	Members uint64 `json:"members,omitempty"`
 }
 
 // commit is one transaction of an owner. Its write of the log row makes its outcome
@@ -91,7 +106,8 @@
 // version of the log row, errDeposed, or an error that wraps [platform.ErrNotDone]
 // if the commit has not taken effect and never will.
 func (o *Owner) send(ctx context.Context, c *commit, version uint64) (uint64, error) {
-	value, err := json.Marshal(logRow{o.token, c.seq})
+	members := o.members()
+	value, err := json.Marshal(logRow{o.token, c.seq, members})
 	if err != nil {
 		return 0, errors.Wrap(err, "log row")
 	}
@@ -110,12 +126,12 @@
 		cancel()
 		switch {
 		case err == nil:
-			o.status.confirm(sentAt)
+			o.status.confirm(sentAt, members)
 			return newVersion, nil
 		case errors.Is(err, platform.ErrConflict):
 			applied, current, err := o.readConflict(rows, c.seq)
 			if err == nil {
-				o.status.confirm(sentAt)
+				o.status.confirm(sentAt, 0)
 			}
 			if err != nil || applied {
 				return current, err
--- a/internal/pool/cost_test.go
+++ b/internal/pool/cost_test.go
@@ -87,7 +87,7 @@
 	o.jobsLoaded, o.started = true, true
 	o.registrations = o.collectRegistrations()
 	o.committedAt = now.Add(time.Hour) // no heartbeat is due
-	o.status.confirm(o.committedAt)
+	o.status.confirm(o.committedAt, 0)
 	for _, e := range benchIDs(o) {
 		_, _, _ = o.board.EncodeProgress(e)
 	}
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -68,7 +68,7 @@
 			select {
 			case now := <-ticker.C:
 				o.status.recordRunning(now, false)
-				o.status.confirm(now)
+				o.status.confirm(now, 0)
 			case f := <-o.posts:
 				f()
 			case <-o.ctx.Done():
@@ -118,7 +118,7 @@
 	time.Sleep(idle)
 
 	granted := time.Now()
-	a.owner.status.confirm(granted)
+	a.owner.status.confirm(granted, 0)
 	until := a.nextLease()
 	expires := w.began.Add(time.Duration(float64(until) / rate))
 	if by := a.leasesExpireAt; expires.After(by) {
--- a/internal/pool/outage.go
+++ b/internal/pool/outage.go
@@ -22,6 +22,9 @@
 	o.storeDownSinceMs.Store(0)
 }
 
+// StoreLost reports whether the store does not answer this owner.
+func (o *Owner) StoreLost() bool { return o.storeDownSinceMs.Load() != 0 }
+
 // offerHandover asks other processes to take the pool over while this process can't
 // reach the store, in case they can.
 func (o *Owner) offerHandover(now time.Time) {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -170,6 +170,7 @@
 	offering         bool      // an offer to hand the pool over is under way
 	offerFailedAt    time.Time // when the last offer failed, zero if none did since the store went down
 	handOver         func(name string) bool
+	members          func() uint64
 	lease            time.Duration
 	maxLease         time.Duration // of a worker, whatever lease it is granted
 	retention        time.Duration
@@ -217,30 +218,44 @@
 	// HandOver offers the pool to other processes after this one has lost the
 	// store. It reports whether one of them took it over.
 	HandOver func(name string) bool
-	// InTouch reports whether most other processes reach this one; nil if there are none.
-	InTouch func() bool
+	// NotClaimedUntil returns until when no other process can have claimed the pool, given the
+	// version of the table of processes up to which the store is known to show that this one
+	// knew them; nil if there are no others. It is called without the store.
+	NotClaimedUntil func(members uint64) time.Time
+	// Members returns the version of the table of processes that this process knows, nil for 0.
+	Members func() uint64
 	Advise  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 }
 
 const claimTimeout = 900 * time.Millisecond
 
+// Conditions are what a claim depends on besides the ownership, and what it tells of this process.
+type Conditions struct {
+	LogVersion uint64 // of the former owner's heartbeat, 0 for any
+	Members    uint64 // version of the table of processes that this process knows
+}
+
 // Claim makes this process the owner of a pool if its ownership is still as seen.
 // It returns platform.ErrConflict if it is not, and platform.ErrOutcomeUnknown if there
 // was no answer; then the ownership row shows later who owns the pool.
-func Claim(ctx context.Context, store *platform.Store, self Identity, seen Ownership) (Ownership, error) {
+func Claim(ctx context.Context, store *platform.Store, self Identity, seen Ownership, c Conditions) (Ownership, error) {
 	token := seen.Token + 1
 	value, err := json.Marshal(ownerRow{token, self.Node, self.Addr, self.Life})
 	if err != nil {
 		return Ownership{}, errors.Wrap(err, "owner row")
 	}
-	first, err := json.Marshal(logRow{token, 0})
+	first, err := json.Marshal(logRow{token, 0, c.Members})
 	if err != nil {
 		return Ownership{}, errors.Wrap(err, "log row")
 	}
+	expect := []platform.Row{{Table: TableOwner, Part: seen.Pool, Key: keyOwner, Version: seen.Version}}
+	if c.LogVersion > 0 {
+		expect = append(expect, platform.Row{Table: tableLog, Part: seen.Pool, Key: keyLog, Version: c.LogVersion})
+	}
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	version, _, err := store.Commit(callCtx, platform.Transaction{
-		Expect: []platform.Row{{Table: TableOwner, Part: seen.Pool, Key: keyOwner, Version: seen.Version}},
+		Expect: expect,
 		Write: []platform.Row{
 			{Table: TableOwner, Part: seen.Pool, Key: keyOwner, Value: value},
 			{Table: tableLog, Part: seen.Pool, Key: keyLog, Value: first},
@@ -258,6 +273,9 @@
 		s.MaxLease = defaultMaxLease
 	}
 	claimedAt := time.Now()
+	if s.Members == nil {
+		s.Members = func() uint64 { return 0 }
+	}
 	if s.ClaimSentAt.IsZero() {
 		s.ClaimSentAt = claimedAt
 	}
@@ -276,7 +294,7 @@
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
-		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.InTouch),
+		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
 	}
 	o.taskLog = logs.NewFrequent(o.log)
 	o.board.Missing = o.logMissing
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -34,7 +34,7 @@
 	}
 	store := platform.NewStore(settings.Store)
 	self := Identity{Node: "entry-1", Life: "1"}
-	own, err := Claim(t.Context(), store, self, Ownership{Pool: "p1"})
+	own, err := Claim(t.Context(), store, self, Ownership{Pool: "p1"}, Conditions{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -23,16 +23,17 @@
 // from that time, so that none outlasts what a later owner waits for, whenever it is granted.
 //
 // An answer of the store confirms the ownership. While the store can't be reached, the
-// ownership is presumed to last as long as the process runs without a pause and most other
-// processes reach it: they claim no pool from such an owner.
+// ownership is presumed to last until the time up to which no other process can have claimed
+// the pool, as long as this one runs without a pause.
 type ownershipStatus struct {
-	inTouch  func() bool          // nil if there are no other processes
-	bootTime func() time.Duration // since the host started, including the time that it was suspended
-	wallTime func() time.Time     // counts suspensions too, and is set at times
-	paused   func(time.Duration)  // called when a pause is found, nil for nothing
+	notClaimedUntil func(members uint64) time.Time // nil if there are no other processes
+	bootTime        func() time.Duration           // since the host started, including the time that it was suspended
+	wallTime        func() time.Time               // counts suspensions too, and is set at times
+	paused          func(time.Duration)            // called when a pause is found, nil for nothing
 
 	mu          sync.Mutex
 	confirmedAt time.Time // when the latest request was sent whose answer confirmed the ownership
+	members     uint64    // version of the table of processes in the latest transaction that took effect
 	presumedAt  time.Time // until when the ownership is presumed without the store
 	runningAt   time.Time // when this process was last seen to run, zero before the owner's loop runs
 	runningBoot time.Duration
@@ -40,8 +41,8 @@
 	pausedAt    time.Time // when a pause was found, zero if the ownership was confirmed since
 }
 
-func newOwnershipStatus(claimedAt time.Time, inTouch func() bool) *ownershipStatus {
-	return &ownershipStatus{inTouch: inTouch, bootTime: bootTime, wallTime: wallTime, confirmedAt: claimedAt}
+func newOwnershipStatus(claimedAt time.Time, notClaimedUntil func(members uint64) time.Time) *ownershipStatus {
+	return &ownershipStatus{notClaimedUntil: notClaimedUntil, bootTime: bootTime, wallTime: wallTime, confirmedAt: claimedAt}
 }
 
 // bootTime returns the time since the host started. Unlike the monotonic clock it counts the
@@ -57,10 +58,12 @@
 // wallTime returns the time of day, without a reading of the monotonic clock.
 func wallTime() time.Time { return time.Now().Round(0) }
 
-// confirm records an answer of the store that shows the ownership, to a request sent at sentAt.
-func (s *ownershipStatus) confirm(sentAt time.Time) {
+// confirm records an answer of the store that shows the ownership, to a request sent at sentAt, and
+// the version of the table of processes in it.
+func (s *ownershipStatus) confirm(sentAt time.Time, members uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.members = max(s.members, members)
 	if sentAt.Before(s.pausedAt) {
 		return // the pool may have been claimed during the pause
 	}
@@ -72,14 +75,31 @@
 
 // recordRunning records that the owner's loop runs, and whether the store is lost.
 func (s *ownershipStatus) recordRunning(now time.Time, storeLost bool) {
-	presumed := storeLost && (s.inTouch == nil || s.inTouch())
+	var presumed time.Time
+	if storeLost {
+		presumed = s.presume(now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.findPause(now)
 	s.runningAt, s.runningBoot, s.runningWall = now, s.bootTime(), s.wallTime()
-	if presumed && s.pausedAt.IsZero() {
-		s.presumedAt = now
+	if s.pausedAt.IsZero() && presumed.After(s.presumedAt) {
+		s.presumedAt = presumed
+	}
+}
+
+// presume returns until when the ownership lasts at least, as far as other processes tell.
+func (s *ownershipStatus) presume(now time.Time) time.Time {
+	if s.notClaimedUntil == nil {
+		return now
+	}
+	s.mu.Lock()
+	members := s.members
+	s.mu.Unlock()
+	if until := s.notClaimedUntil(members); until.Before(now) {
+		return until
 	}
+	return now
 }
 
 // findPause checks for how long this process has stood still. It reads the boot clock only if
--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -32,7 +32,7 @@
 func claimNext(t *testing.T, o *Owner) *Owner {
 	t.Helper()
 	next := Identity{Node: "entry-2", Life: "1"}
-	own, err := Claim(t.Context(), o.store, next, Ownership{Pool: o.name, Token: o.token, Version: o.rowVersion})
+	own, err := Claim(t.Context(), o.store, next, Ownership{Pool: o.name, Token: o.token, Version: o.rowVersion}, Conditions{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 	}
 	now := time.Now()
 	o.status.recordRunning(now, false)
-	o.status.confirm(now)
+	o.status.confirm(now, 0)
 	for _, ord := range []order{start, stop, pace} {
 		a.execute(t.Context(), ord)
 	}
@@ -144,65 +144,67 @@
 	base := time.Now()
 	for _, tt := range []struct {
 		name     string
-		run      func(s *ownershipStatus, now time.Time, boot *time.Duration, inTouch *bool) time.Time
+		run      func(s *ownershipStatus, now time.Time, boot *time.Duration, until *time.Time) time.Time
 		age      time.Duration // of the lease base
 		notOwned bool
 	}{
-		{name: "confirmed", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
-			s.confirm(now.Add(tick))
+		{name: "confirmed", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
+			s.confirm(now.Add(tick), 0)
 			return now.Add(2 * tick)
 		}, age: tick},
-		{name: "answers out of order", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
-			s.confirm(now.Add(tick))
-			s.confirm(now)
+		{name: "answers out of order", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
+			s.confirm(now.Add(tick), 0)
+			s.confirm(now, 0)
 			return now.Add(2 * tick)
 		}, age: tick},
-		{name: "stopped", run: func(_ *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
+		{name: "stopped", run: func(_ *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
 			return now.Add(maxPause + 1)
 		}, notOwned: true},
-		{name: "an answer to a request from before the pause", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
+		{name: "an answer to a request from before the pause", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
 			now = now.Add(maxPause + 1)
 			s.recordRunning(now, true)
-			s.confirm(now.Add(-1))
+			s.confirm(now.Add(-1), 0)
 			return now
 		}, notOwned: true},
-		{name: "confirmed after the pause", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
+		{name: "confirmed after the pause", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
 			now = now.Add(maxPause + 1)
 			s.recordRunning(now, true)
-			s.confirm(now)
+			s.confirm(now, 0)
 			return now
 		}},
-		{name: "suspended host", run: func(s *ownershipStatus, now time.Time, boot *time.Duration, _ *bool) time.Time {
+		{name: "suspended host", run: func(s *ownershipStatus, now time.Time, boot *time.Duration, _ *time.Time) time.Time {
 			*boot += 3 * time.Second
 			s.wallTime = func() time.Time { return now.Add(3 * time.Second) }
 			return now.Add(tick)
 		}, notOwned: true},
-		{name: "clock set", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *bool) time.Time {
+		{name: "clock set", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, _ *time.Time) time.Time {
 			s.wallTime = func() time.Time { return now.Add(time.Hour) }
 			return now.Add(tick)
 		}, age: tick},
-		{name: "without the store", run: func(s *ownershipStatus, now time.Time, boot *time.Duration, _ *bool) time.Time {
+		{name: "without the store", run: func(s *ownershipStatus, now time.Time, boot *time.Duration, _ *time.Time) time.Time {
 			for range 1000 {
 				now = now.Add(tick)
 				s.recordRunning(now, true)
 			}
 			return now
 		}},
-		{name: "cut off", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, inTouch *bool) time.Time {
+		{name: "cut off", run: func(s *ownershipStatus, now time.Time, _ *time.Duration, until *time.Time) time.Time {
 			for i := range 1000 {
 				now = now.Add(tick)
-				*inTouch = i < 500
+				if i < 500 {
+					*until = now
+				}
 				s.recordRunning(now, true)
 			}
 			return now
 		}, age: 500 * tick},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			boot, inTouch := time.Hour, true
-			s := newOwnershipStatus(base, func() bool { return inTouch })
+			boot, until := time.Hour, base.Add(time.Hour)
+			s := newOwnershipStatus(base, func(uint64) time.Time { return until })
 			s.bootTime, s.wallTime = func() time.Duration { return boot }, func() time.Time { return base }
 			s.recordRunning(base, false)
-			now := tt.run(s, base, &boot, &inTouch)
+			now := tt.run(s, base, &boot, &until)
 			have, owned := s.leaseBase(now)
 			if owned == tt.notOwned || owned && now.Sub(have) != tt.age {
 				t.Errorf("owned %v, as of %v ago; want %v, %v", owned, now.Sub(have), !tt.notOwned, tt.age)
--- a/internal/upkeep/renew_test.go
+++ b/internal/upkeep/renew_test.go
@@ -26,7 +26,7 @@
 // newHolder claims the fleet and returns its keeper, which is not running.
 func newHolder(t *testing.T, store *platform.Store, seen pool.Ownership) *Keeper {
 	t.Helper()
-	own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, seen)
+	own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, seen, pool.Conditions{})
 	if err != nil {
 		t.Fatal(err)
 	}
