soak: links that a partition severs

Cause: the soak's cuts hold data back while dials succeed. Behind a partition dials get no answer, and connections may be reset. Change: a link can be severed in three ways: dials succeed and data are held, dials get no answer (the backlog of the listener is full, so that the first packet is dropped), or the same with the open connections reset.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -25,6 +25,15 @@
 	least, spread time.Duration
 }
 
+// severing is how a link is cut during a partition: no data pass in either direction.
+type severing int
+
+const (
+	severedHeld  severing = iota // dials succeed
+	severedQuiet                 // dials get no answer
+	severedReset                 // dials get no answer, and the open connections are reset
+)
+
 // link is a TCP proxy in front of one server, for the calls of one process. What it holds
 // back it delivers later, in order, also if the caller has closed its side by then.
 type link struct {
@@ -36,8 +45,11 @@
 
 	mu       sync.Mutex
 	random   *rand.Rand
-	listener net.Listener // nil while connections are refused
+	listener *net.TCPListener // nil while connections are refused
 	closed   bool
+	away     bool             // the server is away
+	severed  chan struct{}    // closed when the link is whole again; nil if it is
+	quiet    bool             // dials get no answer, while the link is severed
 	held     [2]chan struct{} // closed when the data pass again; nil while they pass
 	late     [2]delaying
 	lossy    float64 // share of calls whose answer is lost
@@ -72,10 +84,16 @@
 func (l *link) open() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.away = false
+	return l.bind()
+}
+
+// bind listens at the link's address. l.mu is held.
+func (l *link) bind() error {
 	if l.listener != nil || l.closed {
 		return nil
 	}
-	listener, err := net.Listen("tcp", l.listen.String())
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.listen))
 	if err != nil {
 		return err
 	}
@@ -84,21 +102,114 @@
 	return nil
 }
 
-// refuse makes the link refuse new connections.
+// refuse makes the link refuse new connections, once it is whole if dials get no answer.
 func (l *link) refuse() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.away = true
+	if !l.quiet {
+		l.unbind()
+	}
+}
+
+// unbind stops listening. l.mu is held.
+func (l *link) unbind() {
 	if l.listener != nil {
 		_ = l.listener.Close()
 		l.listener = nil
 	}
 }
 
+// sever cuts the link until it is mended.
+func (l *link) sever(how severing) error {
+	l.mu.Lock()
+	if l.severed != nil || l.closed {
+		l.mu.Unlock()
+		return nil
+	}
+	l.severed = make(chan struct{})
+	var err error
+	if how != severedHeld {
+		err = l.silence()
+	}
+	l.mu.Unlock()
+	if how == severedReset {
+		l.reset()
+	}
+	return err
+}
+
+const (
+	backlog     = 4096 // connections that may wait to be accepted; the operating system may allow fewer
+	fillDials   = 4    // without a backlog one connection is accepted and one waits; a dial between may fail
+	fillTimeout = 50 * time.Millisecond
+)
+
+// silence makes dials get no answer: the operating system drops the first packet of a connection
+// that finds the listener's backlog full. l.mu is held.
+func (l *link) silence() error {
+	l.quiet = true
+	if err := l.bind(); err != nil {
+		return err
+	}
+	if err := l.setBacklog(0); err != nil {
+		return err
+	}
+	go l.fill(l.severed)
+	return nil
+}
+
+// fill fills the listener's backlog until a time.
+func (l *link) fill(until <-chan struct{}) {
+	var connections []net.Conn
+	for range fillDials {
+		if connection, err := net.DialTimeout("tcp", l.listen.String(), fillTimeout); err == nil {
+			connections = append(connections, connection)
+		}
+	}
+	<-until
+	for _, connection := range connections {
+		_ = connection.Close()
+	}
+}
+
+// setBacklog sets how many connections may wait to be accepted. l.mu is held.
+func (l *link) setBacklog(n int) error {
+	raw, err := l.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), n) })
+	return errors.Join(err, failed)
+}
+
+// mend makes a severed link whole.
+func (l *link) mend() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.severed == nil {
+		return nil
+	}
+	close(l.severed)
+	l.severed = nil
+	if !l.quiet {
+		return nil
+	}
+	l.quiet = false
+	if l.away {
+		l.unbind()
+		return nil
+	}
+	return l.setBacklog(backlog)
+}
+
 // close ends the link and its connections.
 func (l *link) close() {
 	l.mu.Lock()
-	l.closed = true
+	l.closed, l.away = true, true
 	l.mu.Unlock()
+	_ = l.mend() // it stops listening
 	l.refuse()
 	l.reset()
 }
@@ -152,29 +263,47 @@
 	return wait, d == calls && l.lossy > 0 && l.random.Float64() < l.lossy
 }
 
+// holding returns what is closed when data may pass, nil if they may now.
 func (l *link) holding(d direction) chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.severed != nil {
+		return l.severed
+	}
 	return l.held[d]
 }
 
-func (l *link) accept(listener net.Listener) {
+// quietUntil returns what is closed when dials get answers again, nil if they do.
+func (l *link) quietUntil() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.quiet {
+		return nil
+	}
+	return l.severed
+}
+
+func (l *link) accept(listener *net.TCPListener) {
 	for {
-		client, err := listener.Accept()
+		client, err := listener.AcceptTCP()
 		if err != nil {
 			return
 		}
+		if whole := l.quietUntil(); whole != nil {
+			<-whole
+			_ = client.Close()
+			continue
+		}
 		server, err := net.DialTimeout("tcp", l.target.String(), time.Second)
 		if err != nil {
-			_ = client.(*net.TCPConn).SetLinger(0)
+			_ = client.SetLinger(0)
 			_ = client.Close()
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				l.refuse()
-				return
 			}
 			continue
 		}
-		c := &channel{link: l, client: client.(*net.TCPConn), server: server.(*net.TCPConn), openedAt: time.Now(), gone: make(chan struct{})}
+		c := &channel{link: l, client: client, server: server.(*net.TCPConn), openedAt: time.Now(), gone: make(chan struct{})}
 		l.mu.Lock()
 		l.channels[c] = true
 		l.mu.Unlock()
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -169,3 +169,60 @@
 		t.Fatal("the connection ended without a reset")
 	}
 }
+
+// TestSeveredLinks guards against partitions that data pass or whose dials are refused.
+func TestSeveredLinks(t *testing.T) {
+	for how, name := range []string{"held", "quiet", "reset"} {
+		t.Run(name, func(t *testing.T) {
+			s := newLineServer(t)
+			l := newTestLink(t, s.addr)
+			before := dial(t, l)
+			fmt.Fprintln(before, "x")
+			s.expect(t, "x")
+			if err := l.sever(severing(how)); err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintln(before, "held")
+			s.expectNothing(t)
+			time.Sleep(fillDials * fillTimeout)
+			l.refuse()
+			if err := l.open(); err != nil {
+				t.Fatal(err)
+			}
+			during, err := net.DialTimeout("tcp", l.listen.String(), 100*time.Millisecond)
+			if held := severing(how) == severedHeld; held != (err == nil) {
+				t.Fatalf("dialing a severed link: %v", err)
+			}
+			if err == nil {
+				_ = during.Close()
+			} else if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+				t.Fatalf("dialing a severed link: %v, want a timeout", err)
+			}
+			if err := l.mend(); err != nil {
+				t.Fatal(err)
+			}
+			if severing(how) != severedReset {
+				s.expect(t, "held")
+			}
+			fmt.Fprintln(dial(t, l), "whole")
+			s.expect(t, "whole")
+		})
+	}
+}
+
+// TestSeveredLinkToAServerThatEnds guards against connections to a server that is away after a partition.
+func TestSeveredLinkToAServerThatEnds(t *testing.T) {
+	s := newLineServer(t)
+	l := newTestLink(t, s.addr)
+	if err := l.sever(severedQuiet); err != nil {
+		t.Fatal(err)
+	}
+	l.refuse()
+	if err := l.mend(); err != nil {
+		t.Fatal(err)
+	}
+	if connection, err := net.Dial("tcp", l.listen.String()); err == nil {
+		_ = connection.Close()
+		t.Fatal("the link accepts connections to a server that is away")
+	}
+}
