soak: partitions between processes, and a test of them

Cause: the soak cut single processes off, for 5 s at most, so that an owner and a process that claims its pool acted together only by chance. Change: a kind of fault, partition, cuts two groups of processes from each other for 7 to 14 s; each may be without the store and reaches all or some of the workers. Dials get no answer on some links; none is refused, since a machine behind a partition does not respond (DEPLOY.md). TestPartition plays eight fixed partitions.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -72,6 +72,7 @@
 	{"route", 1, func(f *faults, random *rand.Rand) { f.configure(random, true) }},
 	{"takeover", 14, (*faults).takeOver},
 	{"wave", 2, (*faults).wave},
+	{"partition", 8, (*faults).partition},
 }
 
 // enabledKinds returns the kinds that the flags leave.
--- a/internal/soak/rig_test.go
+++ b/internal/soak/rig_test.go
@@ -33,9 +33,11 @@
 	processes []*process
 	subnet    [2]byte
 	record    *record
+	replay    string // the command that repeats the run
 
 	mu       sync.Mutex
 	links    map[linkKey]*link
+	split    *partition        // nil if all processes reach each other
 	real     map[string]string // the address behind that of a link
 	senders  map[ends][]*channel
 	lateness delaying // of orders to workers
@@ -171,6 +173,11 @@
 	}
 	r.links[key] = l
 	r.real[l.listen.String()] = target.String()
+	if r.split != nil && r.split.cuts(l) {
+		if err := l.sever(r.split.how(l)); err != nil {
+			r.t.Error(err)
+		}
+	}
 	return l
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,6 +91,8 @@
 	}
 	o.Pools = append(o.Pools, mimic.Pool{Name: "spare", Hosts: 3, Standby: true})
 	r := newRig(t, seed, o, *size)
+	r.replay = fmt.Sprintf("go test ./internal/soak -run TestSoak -v -first %d -seeds 1 -for %v -processes %d -pools %d -workers %d -only=%s -without=%s -binary=%s",
+		seed, *length, *size, *pools, *workers, *only, *without, *binary)
 	f := &faults{rig: r, queues: *pools, version: 1, timeout: 3000}
 	r.platform.Configure(f.configuration())
 	for _, p := range r.processes {
@@ -99,7 +101,7 @@
 		}
 		t.Cleanup(func() { r.stop(p) })
 	}
-	r.waitForOwners()
+	r.waitForOwners(*pools)
 
 	random := rand.New(rand.NewPCG(seed, 2))
 	f.until = time.Now().Add(*length)
@@ -115,14 +117,15 @@
 	calmAt := time.Now()
 	c.settle(calmAt.Add(finishTime))
 	time.Sleep(time.Until(calmAt.Add(contactTime + cancelTime + 2*stopTime)))
-	r.judge(calmAt)
+	seen := r.observe(calmAt)
+	r.judge(seen, seen.check())
 }
 
-// waitForOwners waits until all pools have owners.
-func (r *rig) waitForOwners() {
+// waitForOwners waits until the first pools have owners.
+func (r *rig) waitForOwners(pools int) {
 	r.t.Helper()
 	owned := func() bool {
-		for i := range *pools {
+		for i := range pools {
 			if r.owner(poolName(i)) == nil {
 				return false
 			}
@@ -141,10 +144,9 @@
 	}
 }
 
-// judge checks what was seen, and reports it.
-func (r *rig) judge(calmAt time.Time) {
-	o := r.observe(calmAt)
-	all := o.check()
+// judge reports what was seen and which rules it broke.
+func (r *rig) judge(o observations, all []failure) {
+	r.t.Helper()
 	counts := tally(all)
 	accepted, cancelled := 0, 0
 	for _, j := range o.jobs {
@@ -156,18 +158,18 @@
 		}
 	}
 	summary := fmt.Sprintf("seed %d: %d jobs, %d accepted, %d cancelled, %d runs, %d faults, calm after %v, ended after %v; broken rules: %v",
-		r.seed, len(o.jobs), accepted, cancelled, len(o.runs), len(o.faults), calmAt.Sub(r.began).Round(time.Second), o.end.Sub(r.began).Round(time.Second), counts)
+		r.seed, len(o.jobs), accepted, cancelled, len(o.runs), len(o.faults), o.calmAt.Sub(r.began).Round(time.Second), o.end.Sub(r.began).Round(time.Second), counts)
 	r.t.Log(summary)
 	delete(counts, outOfTouch)
 	if len(counts) == 0 {
 		return
 	}
-	text := summary + "\n" + r.replayCommand() + "\n" + r.report(o, all)
+	text := summary + "\n" + r.replay + "\n" + r.report(o, all)
 	where := "record above"
 	if *directory == "" {
 		r.t.Log(text)
 	} else {
-		path := filepath.Join(*directory, fmt.Sprintf("seed-%d.txt", r.seed))
+		path := filepath.Join(*directory, strings.ReplaceAll(r.t.Name(), "/", "-")+".txt")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			r.t.Error(err)
 		}
@@ -178,11 +180,6 @@
 	}
 }
 
-func (r *rig) replayCommand() string {
-	return fmt.Sprintf("go test ./internal/soak -run TestSoak -v -first %d -seeds 1 -for %v -processes %d -pools %d -workers %d -only=%s -without=%s -binary=%s",
-		r.seed, *length, *size, *pools, *workers, *only, *without, *binary)
-}
-
 // observe returns what was seen so far.
 func (r *rig) observe(calmAt time.Time) observations {
 	r.platform.Check() // ends what is due
