daemon: a dial that times out is no refused connection; promises to owners that were replaced end

Cause: a probe whose dial timed out counted as a refused connection, so that an owner that was cut off took the others for ended, and they it. Only a connection that the peer's host refuses counts now. With that, a process that refuses connections vouches for its past: it had ended.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -32,6 +32,7 @@
 func (d *Daemon) claimPools(ctx context.Context) error {
 	return every(ctx, claimPeriod, func() {
 		due, unconfirmed := d.claimTick(time.Now())
+		d.askPromised(ctx, time.Now())
 		for _, name := range unconfirmed {
 			go d.readHeartbeat(ctx, name)
 		}
@@ -58,11 +59,8 @@
 	causeHandedOver claimCause = "handed over"
 )
 
-// certain reports whether the owner no longer acts, instead of being out of reach: a cut may refuse
-// connections, too.
-func (c claimCause) certain() bool {
-	return c == causeNoOwner || c == causeEnded || c == causeHandedOver
-}
+// certain reports whether the owner no longer acts, instead of being out of reach.
+func (c claimCause) certain() bool { return c != causeSilent && c != causeStandstill }
 
 // vacancy is a pool to claim.
 type vacancy struct {
@@ -242,13 +240,13 @@
 			continue
 		}
 		still, cause := d.requiredStandstill(own, majority, now)
-		if !cause.certain() {
+		if still > 0 || !cause.certain() {
 			unconfirmed = append(unconfirmed, name)
 			b := d.heartbeats[name]
-			if still > 0 && (b == nil || b.unchangedFor() < still) {
+			if b == nil || b.unchangedFor() < still {
 				continue // the owner may run, and be busy or unreachable only from here
 			}
-			if name != fleetName && b != nil && !d.maySucceed(b.members, now) {
+			if name != fleetName && !cause.certain() && !d.maySucceed(b.members, now) {
 				continue
 			}
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,15 +78,15 @@
 	lateness      time.Duration // by how much it was late then
 	speed         speedometer
 
-	membersRead    bool                   // the table of processes has been read once
-	membersVersion uint64                 // highest version of a row of it that was applied
-	firstVersion   uint64                 // as of which version of it this process is known to the others, 0 before
-	restarted      bool                   // an earlier life of this process was registered
-	promises       map[promiseKey]promise // to owners without the store
-	vouchers       map[string]*voucher    // by node
-	storeCheckedAt time.Time              // when checkStore began last
-	vouchRound     uint64                 // of the last requests to vouch
-	presumed       map[string]bool        // pools without the store: whether their ownership is presumed, as logged
+	membersRead    bool                    // the table of processes has been read once
+	membersVersion uint64                  // highest version of a row of it that was applied
+	firstVersion   uint64                  // as of which version of it this process is known to the others, 0 before
+	restarted      bool                    // an earlier life of this process was registered
+	promises       map[promiseKey]*promise // to owners without the store
+	vouchers       map[string]*voucher     // by node
+	storeCheckedAt time.Time               // when checkStore began last
+	vouchRound     uint64                  // of the last requests to vouch
+	presumed       map[string]bool         // pools without the store: whether their ownership is presumed, as logged
 }
 
 // New returns a process; Run starts it.
@@ -99,7 +99,7 @@
 		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{}, routes: map[string]*route{}, declined: map[string]time.Time{},
 		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers, setGCPercent: debug.SetGCPercent,
-		promises: map[promiseKey]promise{}, vouchers: map[string]*voucher{}, presumed: map[string]bool{},
+		promises: map[promiseKey]*promise{}, vouchers: map[string]*voucher{}, presumed: map[string]bool{},
 		workers: map[string]platform.WorkerEntry{}, oddEntries: map[string]oddEntry{}, workersSignal: make(chan struct{}, 1), waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -54,8 +54,8 @@
 	var candidates []candidate
 	peers := map[string]*peer{}
 	for _, p := range d.peers {
-		if !p.alive(now) || !p.ready {
-			continue
+		if !p.alive(now) || !p.ready || d.voucher(p.node).isStoreless(now) {
+			continue // it could not take the pool, and its promise would be withdrawn
 		}
 		c := candidate{node: p.node, processor: p.processor}
 		for _, other := range d.ownerships {
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -204,7 +204,7 @@
 	switch {
 	case err == nil:
 		d.recordAnswer(p, reply, now)
-	case errors.Is(err, wire.ErrUnreachable) && ctx.Err() == nil:
+	case errors.Is(err, wire.ErrNotListening):
 		p.refusedConnections++
 	}
 	if err != nil && p.reported && !p.failed && !d.late(now) {
--- a/internal/daemon/vouch.go
+++ b/internal/daemon/vouch.go
@@ -5,16 +5,17 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/internal/wire"
 )
 
 // Without the store an owner can't see whether its pool was claimed. It presumes that it still
 // owns the pool up to the time until which each other process is known not to have claimed it:
-// because that process has vouched for it, or has promised not to claim it. A process that is
-// silent may be claiming the pool, however many others answer, and so may one that seems to
-// have ended: a cut may refuse connections.
+// because that process has vouched for it, has promised not to claim it, or had ended. A process
+// that is silent may be claiming the pool, however many others answer.
 
 const (
 	vouchPeriod      = time.Second            // between requests to a process that vouches
@@ -78,9 +79,10 @@
 
 // promise binds this process not to claim a pool.
 type promise struct {
-	node  string
-	round uint64
-	until time.Time
+	node    string
+	round   uint64
+	until   time.Time
+	askedAt time.Time // when the owner was last asked whether it still acts
 }
 
 // vouch vouches for the owner of pools. A process that reaches the store promises nothing: it is
@@ -100,7 +102,7 @@
 		default:
 			reply.Pools = append(reply.Pools, name)
 			if reply.Promise > 0 {
-				d.promises[promiseKey{name, args.Life}] = promise{args.Node, args.Round, now.Add(reply.Promise)}
+				d.promises[promiseKey{name, args.Life}] = &promise{node: args.Node, round: args.Round, until: now.Add(reply.Promise)}
 			}
 		}
 	}
@@ -124,7 +126,51 @@
 // hasEnded reports whether a life of a process has certainly ended. The caller holds d.mu.
 func (d *Daemon) hasEnded(node, life string, now time.Time) bool {
 	p := d.peers[node]
-	return p != nil && !p.reported && p.alive(now) && p.life != life
+	return p != nil && !p.reported && (p.refuses() || p.alive(now) && p.life != life)
+}
+
+// askPromised asks the processes to which this one has promised not to claim pools that have later
+// owners whether they still act: the store may have shown it to them.
+func (d *Daemon) askPromised(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, made := range d.promises {
+		p := d.peers[made.node]
+		if d.ownerships[key.pool].Owner.Life == key.life || p == nil || now.Sub(made.askedAt) < vouchRetryPeriod {
+			continue
+		}
+		made.askedAt = now
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+			defer cancel()
+			var acts bool
+			if err := p.link.Call(ctx, "Peer.Acts", ActsArgs{Life: key.life, Pool: key.pool}, &acts); err != nil || acts {
+				return
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.promises[key] == made {
+				delete(d.promises, key)
+			}
+		}()
+	}
+}
+
+// ActsArgs names a pool and a life of the process that is asked.
+type ActsArgs struct{ Life, Pool string }
+
+// Acts reports whether that life still runs and acts as the owner of a pool. If it does not, it
+// counts on no promise made so far, should it claim the pool again.
+func (s *peerService) Acts(args ActsArgs, reply *bool) error {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	*reply = args.Life == s.d.self.Life && s.d.owners[args.Pool] != nil
+	if !*reply {
+		for node := range s.d.vouchers {
+			s.d.withdraw(node, args.Pool)
+		}
+	}
+	return nil
 }
 
 // release voids the promise of which the owner says that it does not count on it any more.
@@ -142,8 +188,18 @@
 	asking    bool
 	askedAt   time.Time
 	vouched   bool                 // the last answer vouched for all pools
+	storeless bool                 // the process did not reach the store when it gave the last answer
 	until     map[string]time.Time // by pool
 	withdrawn map[string]uint64    // last round whose answer does not count, by pool
+	endedAt   time.Time            // when a request was sent that found that no process listened
+}
+
+// notClaimedUntil returns until when the process can't have claimed a pool.
+func (v *voucher) notClaimedUntil(name string) time.Time {
+	if until := v.until[name]; until.After(v.endedAt) {
+		return until
+	}
+	return v.endedAt
 }
 
 // voucher returns what is known of a process. The caller holds d.mu.
@@ -156,6 +212,11 @@
 	return v
 }
 
+// isStoreless reports whether the process did not reach the store a moment ago.
+func (v *voucher) isStoreless(now time.Time) bool {
+	return v.storeless && now.Sub(v.askedAt) < 2*vouchPeriod
+}
+
 // seekVouchers asks the other processes to vouch for this one while it owns pools and can't reach
 // the store.
 func (d *Daemon) seekVouchers(ctx context.Context) error {
@@ -198,8 +259,11 @@
 	err := p.link.Call(ctx, "Peer.Vouch", args, &reply)
 	d.mu.Lock()
 	v.asking, v.vouched = false, err == nil && len(reply.Pools) == len(args.Pools)
-	if err == nil {
+	switch {
+	case err == nil:
 		v.record(args.Round, reply, sentAt)
+	case errors.Is(err, wire.ErrNotListening):
+		v.endedAt = sentAt
 	}
 	d.mu.Unlock()
 	for _, own := range reply.Later {
@@ -210,6 +274,7 @@
 // record records an answer to a request that was sent at sentAt.
 func (v *voucher) record(round uint64, reply VouchReply, sentAt time.Time) {
 	until := sentAt.Add(time.Duration(float64(min(reply.Promise, promiseTime)) * (1 - maxPromiseDrift)))
+	v.storeless = reply.Promise > 0
 	for _, name := range reply.Pools {
 		if round > v.withdrawn[name] && until.After(v.until[name]) {
 			v.until[name] = until
@@ -240,7 +305,7 @@
 		if p.departed && p.rowVersion <= members {
 			continue
 		}
-		if until := d.voucher(node).until[name]; until.Before(earliest) {
+		if until := d.voucher(node).notClaimedUntil(name); until.Before(earliest) {
 			earliest = until
 		}
 	}
@@ -258,7 +323,7 @@
 	for name, token := range pools {
 		var missing []string
 		for node, p := range d.peers {
-			if !p.departed && now.Sub(d.voucher(node).until[name]) > vouchPeriod+vouchTimeout {
+			if !p.departed && now.Sub(d.voucher(node).notClaimedUntil(name)) > vouchPeriod+vouchTimeout {
 				missing = append(missing, node)
 			}
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,8 +31,11 @@
 // Errors returned by [Peer.Call].
 var (
 	ErrUnreachable = errors.New("the peer can't be reached")
-	ErrLost        = errors.New("the peer's answer was lost")
-	ErrRefused     = errors.New("the peer refused the call")
+	// ErrNotListening is an [ErrUnreachable] which shows that no process listens at the address. A
+	// machine without power or behind a partition does not respond.
+	ErrNotListening = errors.New("no process listens there")
+	ErrLost         = errors.New("the peer's answer was lost")
+	ErrRefused      = errors.New("the peer refused the call")
 )
 
 // Timing holds the timeouts and heartbeat intervals of a [Peer].
@@ -173,8 +176,12 @@
 	}
 	dialer := net.Dialer{Timeout: p.timing.DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", p.addr.String())
-	p.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
-	if err != nil {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	p.refused.Store(refused)
+	switch {
+	case refused:
+		return nil, errors.Mark(errors.Wrapf(ErrUnreachable, "%s: %v", p.addr, err), ErrNotListening)
+	case err != nil:
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", p.addr, err)
 	}
 	return p.setClient(rpc.NewClient(conn))
