--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -54,8 +54,8 @@
 	var candidates []candidate
 	peers := map[string]*peer{}
 	for _, p := range d.peers {
-		if !p.alive(now) || !p.ready {
-			continue
+		if !p.alive(now) || !p.ready || d.voucher(p.node).isStoreless(now) {
+			continue // it could not take the pool, and its promise would be withdrawn
 		}
 		c := candidate{node: p.node, processor: p.processor}
 		for _, other := range d.ownerships {
@@ -76,7 +76,7 @@
 			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-		taken, _ := offer(ctx, peers[candidates[i].node], TakeArgs{Pool: name, Token: own.Token})
+		taken, _ := d.offer(ctx, peers[candidates[i].node], TakeArgs{Pool: name, Token: own.Token})
 		cancel()
 		if taken {
 			d.log.WithFields(logrus.Fields{"pool": name, "to": candidates[i].node}).Info("pool handed over")
