daemon: an owner that was replaced does not go on when its successor has ended

Callers would have seen tasks that run twice in partitions with further faults. Causes: a process vouched beside a claim of its own that had no answer; a process that was started again vouched for what its earlier life may have claimed; a departed process that was offered a pool did not count; a late request replaced a later promise; an answer of an earlier life counted as the end of the one that owns a pool; a claim took the pool from whoever owned it by then; promises were counted by a clock that stops while the host is suspended; a pool whose owner and all processes that it knew are gone was never claimed.

Change: what a process says counts from the time up to which its earlier lives are covered; claims carry the token that was judged; a process with an unanswered claim does not vouch; without the store pools are offered only to processes that reach it; a process asks the store before it answers, so that its promise comes 0.3 s after the first request; all presumption ends after an hour.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -38,7 +38,7 @@
 		}
 		for _, v := range due {
 			go func() {
-				if err := d.claim(ctx, v.pool, v.cause); err != nil {
+				if err := d.claim(ctx, v); err != nil {
 					d.log.WithField("pool", v.pool).WithError(err).Info("claiming the pool failed")
 				}
 			}()
@@ -65,6 +65,7 @@
 // vacancy is a pool to claim.
 type vacancy struct {
 	pool  string
+	token uint64 // of the ownership that ends
 	cause claimCause
 }
 
@@ -191,7 +192,7 @@
 	slices.Sort(names)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.ownersRead {
+	if !d.ownersRead || !d.membersRead {
 		return nil, nil
 	}
 	majority := d.majority(now)
@@ -246,12 +247,12 @@
 			if b == nil || b.unchangedFor() < still {
 				continue // the owner may run, and be busy or unreachable only from here
 			}
-			if name != fleetName && !cause.certain() && !d.maySucceed(b.members, now) {
+			if name != fleetName && !cause.certain() && !d.mayClaim(b.members, b, now) {
 				continue
 			}
 		}
 		if !d.promised(name, now) && !d.ownerAlive(own, now) && now.Sub(since) >= time.Duration(self)*rankDelay+delay {
-			due = append(due, vacancy{name, cause})
+			due = append(due, vacancy{name, own.Token, cause})
 		}
 	}
 	return due, unconfirmed
@@ -363,7 +364,10 @@
 	if p == nil || !p.alive(now) || p.life == own.Owner.Life {
 		return false
 	}
-	return !p.reported || p.rowVersion > own.Version // else the row of the owner's life is on its way
+	if !p.reported {
+		return p.rowLife != own.Owner.Life // else the answer may be of an earlier life
+	}
+	return p.rowVersion > own.Version // else the row of the owner's life is on its way
 }
 
 // majority reports whether this process reaches more than half of the processes that
@@ -411,9 +415,10 @@
 }
 
 // claim makes this process the owner of a pool and starts the owner.
-func (d *Daemon) claim(ctx context.Context, name string, cause claimCause) error {
+func (d *Daemon) claim(ctx context.Context, v vacancy) error {
+	name, cause := v.pool, v.cause
 	d.mu.Lock()
-	if d.claiming[name] || d.stopping.Load() || d.promised(name, time.Now()) {
+	if d.claiming[name] || d.stopping.Load() || d.ownerships[name].Token != v.token || d.promised(name, time.Now()) {
 		d.mu.Unlock()
 		return errors.WithStack(errCannotClaim)
 	}
@@ -439,6 +444,7 @@
 	sentAt := time.Now()
 	own, err := pool.Claim(ctx, d.store, d.self, previous, conditions)
 	if err != nil {
+		d.recordClaimFailure(name, own.Token, err)
 		d.refreshOwnership(ctx, name)
 		return err
 	}
@@ -449,14 +455,24 @@
 	return nil
 }
 
-// claimConditions returns what must hold when a claim takes effect. One from an owner that may
-// still run holds only if that owner has not written since this process was found to be one
-// whose vouching it needs.
+// recordClaimFailure records that a claim without an answer may still take effect. The caller does
+// not hold d.mu.
+func (d *Daemon) recordClaimFailure(name string, token uint64, err error) {
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotDone) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unanswered[name] = max(d.unanswered[name], token)
+}
+
+// claimConditions returns what must hold when a claim takes effect. An owner that may still run
+// must know this process, as of its heartbeat, which must not have changed by then.
 func (d *Daemon) claimConditions(ctx context.Context, name string, cause claimCause) (pool.Conditions, error) {
 	if name == fleetName || cause.certain() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		return pool.Conditions{Members: d.membersVersion}, nil
+		return pool.Conditions{Members: max(1, d.membersVersion)}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -467,17 +483,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.heartbeats[name]
-	if cause == causeStandstill && (b == nil || b.version != found.Version) || !d.maySucceed(found.Members, time.Now()) {
+	if cause == causeStandstill && (b == nil || b.version != found.Version) || !d.mayClaim(found.Members, b, time.Now()) {
 		return pool.Conditions{}, errors.WithStack(errOwnerRuns)
 	}
-	return pool.Conditions{Members: d.membersVersion, LogVersion: found.Version}, nil
+	return pool.Conditions{Members: max(1, d.membersVersion), LogVersion: found.Version}, nil
 }
 
-// maySucceed reports whether this process may claim a pool from an owner that may still run and
+// mayClaim reports whether this process may claim a pool from an owner that may still run and
 // that knows the processes as of the given version of their table. That owner must know this
 // process, and an earlier life of this one may have promised not to claim the pool. The caller
 // holds d.mu.
-func (d *Daemon) maySucceed(members uint64, now time.Time) bool {
+func (d *Daemon) mayClaim(members uint64, b *heartbeat, now time.Time) bool {
+	if b != nil && ownClock(b.unchangedFor()) > pool.MaxPresumption {
+		return true
+	}
 	if d.restarted && now.Sub(d.startedAt) < promiseTime {
 		return false
 	}
@@ -523,7 +542,10 @@
 		d.startKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, HandOver: d.handOverPool, NotClaimedUntil: func(members uint64) time.Time { return d.notClaimedUntil(own.Pool, members) }, Members: d.knownMembers, Recording: d.Recording, Retention: d.bounds().StateRetention, MaxLease: d.bounds().MaxLease}
+	s := pool.Settings{Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, HandOver: d.handOverPool, Members: d.knownMembers, Recording: d.Recording, Retention: d.bounds().StateRetention, MaxLease: d.bounds().MaxLease}
+	s.NotClaimedUntil = func(members uint64, pausedAt time.Time) time.Time {
+		return d.notClaimedUntil(own.Pool, members, pausedAt)
+	}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
--- a/internal/daemon/claim_test.go
+++ b/internal/daemon/claim_test.go
@@ -109,7 +109,7 @@
 	logger, _ := test.NewNullLogger()
 	d := New(platform.Settings{Node: "self"}, logrus.NewEntry(logger))
 	d.startedAt = answered.Add(-time.Minute)
-	d.ownersRead, d.workersRead = true, true
+	d.ownersRead, d.workersRead, d.membersRead = true, true, true
 	d.recordStoreAnswer()
 	c := &configuration{}
 	for i := range 4 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/gossip"
@@ -84,7 +85,8 @@
 	restarted      bool                    // an earlier life of this process was registered
 	promises       map[promiseKey]*promise // to owners without the store
 	vouchers       map[string]*voucher     // by node
-	storeCheckedAt time.Time               // when checkStore began last
+	storeCheck     singleflight.Group      // calls of checkStore
+	unanswered     map[string]uint64       // highest token of a claim without an answer, by pool
 	vouchRound     uint64                  // of the last requests to vouch
 	presumed       map[string]bool         // pools without the store: whether their ownership is presumed, as logged
 }
@@ -99,7 +101,7 @@
 		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{}, routes: map[string]*route{}, declined: map[string]time.Time{},
 		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers, setGCPercent: debug.SetGCPercent,
-		promises: map[promiseKey]*promise{}, vouchers: map[string]*voucher{}, presumed: map[string]bool{},
+		promises: map[promiseKey]*promise{}, unanswered: map[string]uint64{}, vouchers: map[string]*voucher{}, presumed: map[string]bool{},
 		workers: map[string]platform.WorkerEntry{}, oddEntries: map[string]oddEntry{}, workersSignal: make(chan struct{}, 1), waves: map[int]platform.Wave{},
 	}
 	if settings.Advice.IsValid() {
@@ -151,7 +153,7 @@
 	add(d.claimPools)
 	add(d.rebalancePools)
 	add(d.seekVouchers)
-	add(d.retireMembers)
+	add(d.recordDepartures)
 	done := tree.ServeBackground(work)
 
 	<-ctx.Done()
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -46,7 +46,8 @@
 func (d *Daemon) handOverPool(name string) bool {
 	now := time.Now()
 	d.mu.Lock()
-	own := d.ownerships[name]
+	own, o := d.ownerships[name], d.owners[name]
+	storeLost := o != nil && o.StoreLost()
 	if own.Owner != d.self {
 		d.mu.Unlock()
 		return false // it has another owner already
@@ -54,8 +55,8 @@
 	var candidates []candidate
 	peers := map[string]*peer{}
 	for _, p := range d.peers {
-		if !p.alive(now) || !p.ready || d.voucher(p.node).isStoreless(now) {
-			continue // it could not take the pool, and its promise would be withdrawn
+		if !p.alive(now) || !p.ready || storeLost && !d.voucher(p.node).reachesStore(now) {
+			continue // an offer withdraws a promise, and a claim that gets no answer may take effect late
 		}
 		c := candidate{node: p.node, processor: p.processor}
 		for _, other := range d.ownerships {
--- a/internal/daemon/liveness.go
+++ b/internal/daemon/liveness.go
@@ -25,6 +25,7 @@
 	// First is the version of the row from which on the process is known by this name and
 	// address, 0 for this one's.
 	First    uint64 `json:"first,omitempty"`
+	Vouches  bool   `json:"vouches,omitempty"`  // false from a process of a version that claims whatever its row says
 	Departed bool   `json:"departed,omitempty"` // the holder of the fleet has not heard of it for departTime
 }
 
@@ -32,7 +33,7 @@
 
 // register writes this process's row to the store and retries until that succeeds.
 func (d *Daemon) register(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !d.stopping.Load() {
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		err := d.writeMemberRow(callCtx)
 		cancel()
@@ -52,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	w := memberRow{Addr: d.self.Addr, Life: d.self.Life, Processor: d.settings.Limits.Processor}
+	w := memberRow{Addr: d.self.Addr, Life: d.self.Life, Processor: d.settings.Limits.Processor, Vouches: true}
 	var before memberRow
 	if last.Version > 0 && json.Unmarshal(last.Value, &before) == nil {
 		if before.Life != d.self.Life {
@@ -134,18 +135,18 @@
 func (d *Daemon) knownMembers() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.membersVersion
+	return max(1, d.membersVersion)
 }
 
 const (
 	departTime   = 15 * time.Second // a process of which nothing is heard for this long counts as one that has left
-	retirePeriod = time.Second
+	departPeriod = time.Second
 )
 
-// retireMembers records the processes that have left, while this process holds the fleet. An owner
+// recordDepartures records the processes that have left, while this process holds the fleet. An owner
 // without the store can't wait for them to vouch for it.
-func (d *Daemon) retireMembers(ctx context.Context) error {
-	return every(ctx, retirePeriod, func() {
+func (d *Daemon) recordDepartures(ctx context.Context) error {
+	return every(ctx, departPeriod, func() {
 		for _, r := range d.departedMembers(time.Now()) {
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
 			_, _, err := d.store.Commit(callCtx, platform.Transaction{
@@ -153,7 +154,7 @@
 				Write:  []platform.Row{{Table: tableMember, Key: r.Key, Value: r.Value}},
 			})
 			cancel()
-			d.log.WithField("peer", r.Key).WithError(err).Info("process recorded as one that has left")
+			d.log.WithField("peer", r.Key).WithError(err).Info("recording that a process has left")
 		}
 	})
 }
@@ -170,7 +171,7 @@
 		return nil
 	}
 	for _, p := range d.peers {
-		if p.departed || p.alive(now) || now.Sub(d.keeperSince) < departTime {
+		if p.departed || !p.row.Vouches || p.alive(now) || now.Sub(d.keeperSince) < departTime {
 			continue
 		}
 		if heard := slices.MaxFunc([]time.Time{p.answeredAt, p.failedAt, p.appliedAt}, time.Time.Compare); now.Sub(heard) < departTime {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -281,9 +281,16 @@
 // Take makes this process claim a pool that its owner hands over, and reports whether
 // the claim succeeded.
 func (s *peerService) Take(name string, reply *bool) error {
+	s.d.mu.Lock()
+	token := s.d.ownerships[name].Token
+	s.d.mu.Unlock()
+	return s.take(name, token, reply)
+}
+
+func (s *peerService) take(name string, token uint64, reply *bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	*reply = s.d.claim(ctx, name, causeHandedOver) == nil
+	*reply = s.d.claim(ctx, vacancy{name, token, causeHandedOver}) == nil
 	return nil
 }
 
--- a/internal/daemon/rebalance.go
+++ b/internal/daemon/rebalance.go
@@ -155,7 +155,7 @@
 		return nil
 	}
 	s.d.release(args)
-	return s.Take(args.Pool, reply)
+	return s.take(args.Pool, args.Token, reply)
 }
 
 // accepts reports whether this process is to take over a pool.
--- a/internal/daemon/vouch.go
+++ b/internal/daemon/vouch.go
@@ -15,11 +15,14 @@
 // Without the store an owner can't see whether its pool was claimed. It presumes that it still
 // owns the pool up to the time until which each other process is known not to have claimed it:
 // because that process has vouched for it, has promised not to claim it, or had ended. A process
-// that is silent may be claiming the pool, however many others answer.
+// that is silent may be claiming the pool, however many others answer. What a process says counts
+// from the time up to which its earlier lives can't have claimed the pool either: an owner that was
+// replaced once must not go on when its successor has ended.
 
 const (
 	vouchPeriod      = time.Second            // between requests to a process that vouches
-	vouchRetryPeriod = 250 * time.Millisecond // between requests to one that doesn't
+	vouchRetryPeriod = 500 * time.Millisecond // between requests to one that doesn't
+	vouchTick        = 100 * time.Millisecond
 	vouchTimeout     = time.Second
 
 	// promiseTime is for how long a process without the store promises not to claim a pool. It
@@ -28,6 +31,10 @@
 	// maxPromiseDrift is by how much the clocks of two processes may differ in rate.
 	maxPromiseDrift = 0.03
 
+	// storeCheckTime is how old the store's last answer may be for a process to be sure that it
+	// reaches the store, and how long it waits for another one.
+	storeCheckTime = 300 * time.Millisecond
+
 	maxLoggedProcesses = 10 // named in a log line
 )
 
@@ -42,36 +49,33 @@
 type VouchReply struct {
 	Pools   []string
 	Promise time.Duration    // for which it will not claim them unless their owner ends or hands them over
+	Age     time.Duration    // since this life began; it has claimed none of them since then
 	Later   []pool.Ownership // of the other pools, as far as they are known
 }
 
 // Vouch answers the owner of pools.
 func (s *peerService) Vouch(args VouchArgs, reply *VouchReply) error {
-	now := time.Now()
-	s.d.checkStore(now)
-	*reply = s.d.vouch(args, now)
+	s.d.checkStore()
+	*reply = s.d.vouch(args, time.Now())
 	return nil
 }
 
-// checkStore finds out whether this process reaches the store if its last answer was a while ago,
-// as an idle feed answers only every feedWait. It does not wait for the answer.
-func (d *Daemon) checkStore(now time.Time) {
-	const maxAge, period = 500 * time.Millisecond, time.Second
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.storeFailing.Load() || now.Sub(time.UnixMilli(d.storeAnsweredAt.Load())) < maxAge || now.Sub(d.storeCheckedAt) < period {
+// checkStore finds out whether this process reaches the store, as an idle feed answers only every
+// feedWait. All requests that wait share one call.
+func (d *Daemon) checkStore() {
+	if d.storeFailing.Load() || time.Since(time.UnixMilli(d.storeAnsweredAt.Load())) < storeCheckTime {
 		return
 	}
-	d.storeCheckedAt = now
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), period)
+	_, _, _ = d.storeCheck.Do("", func() (any, error) { // the outcome is recorded
+		ctx, cancel := context.WithTimeout(context.Background(), storeCheckTime)
 		defer cancel()
 		if _, err := d.store.ReadRow(ctx, tableMember, "", d.self.Node); err != nil {
 			d.recordStoreFailure()
-			return
+		} else {
+			d.recordStoreAnswer()
 		}
-		d.recordStoreAnswer()
-	}()
+		return nil, nil
+	})
 }
 
 // promiseKey identifies a promise: the pool, and the life of the owner to which it was made.
@@ -81,6 +85,7 @@
 type promise struct {
 	node    string
 	round   uint64
+	madeAt  time.Time
 	until   time.Time
 	askedAt time.Time // when the owner was last asked whether it still acts
 }
@@ -88,7 +93,7 @@
 // vouch vouches for the owner of pools. A process that reaches the store promises nothing: it is
 // to take the pools over.
 func (d *Daemon) vouch(args VouchArgs, now time.Time) VouchReply {
-	var reply VouchReply
+	reply := VouchReply{Age: now.Sub(d.startedAt)}
 	if !d.storeReachable() {
 		reply.Promise = promiseTime
 	}
@@ -98,23 +103,34 @@
 		switch own := d.ownerships[name]; {
 		case own.Token > token:
 			reply.Later = append(reply.Later, own)
-		case d.claiming[name]:
+		case d.claiming[name], d.unanswered[name] > max(own.Token, token):
 		default:
 			reply.Pools = append(reply.Pools, name)
 			if reply.Promise > 0 {
-				d.promises[promiseKey{name, args.Life}] = &promise{node: args.Node, round: args.Round, until: now.Add(reply.Promise)}
+				d.promise(promiseKey{name, args.Life}, args, now)
 			}
 		}
 	}
 	return reply
 }
 
+// promise makes or prolongs a promise. A request that comes late does not replace a later one. The
+// caller holds d.mu.
+func (d *Daemon) promise(key promiseKey, args VouchArgs, now time.Time) {
+	made := d.promises[key]
+	if made == nil {
+		made = &promise{node: args.Node}
+		d.promises[key] = made
+	}
+	made.round, made.madeAt, made.until = max(made.round, args.Round), now, now.Add(promiseTime)
+}
+
 // promised reports whether this process has promised not to claim a pool. The caller holds d.mu.
 func (d *Daemon) promised(name string, now time.Time) bool {
 	found := false
-	for key, p := range d.promises {
+	for key, made := range d.promises {
 		switch {
-		case !now.Before(p.until), d.hasEnded(p.node, key.life, now):
+		case !now.Before(made.until), d.hasEnded(key.life, made):
 			delete(d.promises, key)
 		case key.pool == name:
 			found = true
@@ -123,10 +139,11 @@
 	return found
 }
 
-// hasEnded reports whether a life of a process has certainly ended. The caller holds d.mu.
-func (d *Daemon) hasEnded(node, life string, now time.Time) bool {
-	p := d.peers[node]
-	return p != nil && !p.reported && (p.refuses() || p.alive(now) && p.life != life)
+// hasEnded reports whether the life to which a promise was made has certainly ended, by a probe that
+// began after the promise. The caller holds d.mu.
+func (d *Daemon) hasEnded(life string, made *promise) bool {
+	p := d.peers[made.node]
+	return p != nil && !p.reported && p.probedAt.Sub(made.madeAt) > pingTimeout && (p.refuses() || p.answered && p.life != life)
 }
 
 // askPromised asks the processes to which this one has promised not to claim pools that have later
@@ -188,39 +205,33 @@
 	asking    bool
 	askedAt   time.Time
 	vouched   bool                 // the last answer vouched for all pools
-	storeless bool                 // the process did not reach the store when it gave the last answer
+	answered  bool                 // the last request was answered
+	storeless bool                 // the process did not reach the store when it answered
 	until     map[string]time.Time // by pool
+	from      map[string]time.Time // when the request was sent from whose outcome that follows, by pool
+	endedAt   map[string]time.Time // when the last request was sent that found that no process listened, by pool
 	withdrawn map[string]uint64    // last round whose answer does not count, by pool
-	endedAt   time.Time            // when a request was sent that found that no process listened
-}
-
-// notClaimedUntil returns until when the process can't have claimed a pool.
-func (v *voucher) notClaimedUntil(name string) time.Time {
-	if until := v.until[name]; until.After(v.endedAt) {
-		return until
-	}
-	return v.endedAt
 }
 
 // voucher returns what is known of a process. The caller holds d.mu.
 func (d *Daemon) voucher(node string) *voucher {
 	v := d.vouchers[node]
 	if v == nil {
-		v = &voucher{until: map[string]time.Time{}, withdrawn: map[string]uint64{}}
+		v = &voucher{until: map[string]time.Time{}, from: map[string]time.Time{}, endedAt: map[string]time.Time{}, withdrawn: map[string]uint64{}}
 		d.vouchers[node] = v
 	}
 	return v
 }
 
-// isStoreless reports whether the process did not reach the store a moment ago.
-func (v *voucher) isStoreless(now time.Time) bool {
-	return v.storeless && now.Sub(v.askedAt) < 2*vouchPeriod
+// reachesStore reports whether the process reached the store a moment ago.
+func (v *voucher) reachesStore(now time.Time) bool {
+	return v.answered && !v.storeless && now.Sub(v.askedAt) < 2*vouchPeriod
 }
 
 // seekVouchers asks the other processes to vouch for this one while it owns pools and can't reach
 // the store.
 func (d *Daemon) seekVouchers(ctx context.Context) error {
-	return every(ctx, vouchRetryPeriod/2, func() {
+	return every(ctx, vouchTick, func() {
 		now := time.Now()
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -239,7 +250,10 @@
 		for node, p := range d.peers {
 			v := d.voucher(node)
 			period := vouchRetryPeriod
-			if v.vouched {
+			switch {
+			case v.vouched && v.storeless: // its promise lasts
+				period = 2 * vouchPeriod
+			case v.vouched, p.departed:
 				period = vouchPeriod
 			}
 			if v.asking || now.Sub(v.askedAt) < period {
@@ -259,27 +273,79 @@
 	err := p.link.Call(ctx, "Peer.Vouch", args, &reply)
 	d.mu.Lock()
 	v.asking, v.vouched = false, err == nil && len(reply.Pools) == len(args.Pools)
-	switch {
-	case err == nil:
-		v.record(args.Round, reply, sentAt)
-	case errors.Is(err, wire.ErrNotListening):
-		v.endedAt = sentAt
+	now := time.Now()
+	for name := range args.Pools {
+		o := d.owners[name]
+		if o == nil {
+			continue
+		}
+		confirmedAt, pausedAt := o.ConfirmedAt()
+		v.forget(name, pausedAt)
+		switch {
+		case sentAt.Before(pausedAt):
+		case errors.Is(err, wire.ErrNotListening):
+			v.recordEnd(name, sentAt, confirmedAt)
+		case slices.Contains(reply.Pools, name):
+			v.record(name, args.Round, reply, sentAt, now, confirmedAt)
+		}
 	}
+	v.storeless, v.answered = reply.Promise > 0, err == nil
 	d.mu.Unlock()
 	for _, own := range reply.Later {
 		d.applyOwnership(own)
 	}
 }
 
-// record records an answer to a request that was sent at sentAt.
-func (v *voucher) record(round uint64, reply VouchReply, sentAt time.Time) {
-	until := sentAt.Add(time.Duration(float64(min(reply.Promise, promiseTime)) * (1 - maxPromiseDrift)))
-	v.storeless = reply.Promise > 0
-	for _, name := range reply.Pools {
-		if round > v.withdrawn[name] && until.After(v.until[name]) {
-			v.until[name] = until
-		}
+// record records an answer to a request that was sent at sentAt and answered by now. The store
+// confirmed the ownership at confirmedAt.
+func (v *voucher) record(name string, round uint64, reply VouchReply, sentAt, now, confirmedAt time.Time) {
+	if round <= v.withdrawn[name] {
+		return
+	}
+	covered := later(v.until[name], confirmedAt)
+	if now.Add(-ownClock(reply.Age)).After(covered) && now.Sub(v.endedAt[name]) >= ownClock(promiseTime) {
+		return // an earlier life may have claimed the pool
+	}
+	delete(v.endedAt, name)
+	v.extend(name, sentAt, sentAt.Add(ownClock(min(reply.Promise, promiseTime))))
+}
+
+// extend records until when the process can't have claimed a pool.
+func (v *voucher) extend(name string, sentAt, until time.Time) {
+	if until.After(v.until[name]) {
+		v.until[name], v.from[name] = until, sentAt
+	}
+}
+
+// forget drops what was found out about a pool before a pause: the clock by which it counts stops
+// while the host is suspended.
+func (v *voucher) forget(name string, pausedAt time.Time) {
+	if v.from[name].Before(pausedAt) {
+		delete(v.until, name)
+		delete(v.endedAt, name)
+	}
+}
+
+// recordEnd records that no process listened when a request was sent. The next life claims nothing
+// from an owner that may still act until it has run for promiseTime.
+func (v *voucher) recordEnd(name string, sentAt, confirmedAt time.Time) {
+	if sentAt.After(later(v.until[name], confirmedAt)) && sentAt.Sub(v.endedAt[name]) >= ownClock(promiseTime) {
+		return // it may have claimed the pool before it ended
+	}
+	v.endedAt[name] = sentAt
+	v.extend(name, sentAt, sentAt)
+}
+
+// ownClock returns how much of a time by another process's clock has surely passed by this one's.
+func ownClock(t time.Duration) time.Duration {
+	return time.Duration(float64(t) * (1 - maxPromiseDrift))
+}
+
+func later(x, y time.Time) time.Time {
+	if y.After(x) {
+		return y
 	}
+	return x
 }
 
 // withdraw makes this process count no longer on what another one has answered about a pool so
@@ -287,14 +353,15 @@
 func (d *Daemon) withdraw(node, name string) (round uint64) {
 	v := d.voucher(node)
 	delete(v.until, name)
+	delete(v.endedAt, name)
 	v.withdrawn[name], v.vouched = d.vouchRound, false
 	return d.vouchRound
 }
 
 // notClaimedUntil returns until when no other process can have claimed a pool, zero if that is
 // not known. Processes that have left do not count, as of the given version of the table of
-// processes.
-func (d *Daemon) notClaimedUntil(name string, members uint64) time.Time {
+// processes, nor does what was found out before a pause of this one.
+func (d *Daemon) notClaimedUntil(name string, members uint64, pausedAt time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.membersRead {
@@ -302,10 +369,12 @@
 	}
 	earliest := time.Now()
 	for node, p := range d.peers {
-		if p.departed && p.rowVersion <= members {
+		v := d.voucher(node)
+		if _, offered := v.withdrawn[name]; p.departed && p.rowVersion <= members && !offered {
 			continue
 		}
-		if until := d.voucher(node).notClaimedUntil(name); until.Before(earliest) {
+		v.forget(name, pausedAt)
+		if until := v.until[name]; until.Before(earliest) {
 			earliest = until
 		}
 	}
@@ -323,7 +392,7 @@
 	for name, token := range pools {
 		var missing []string
 		for node, p := range d.peers {
-			if !p.departed && now.Sub(d.voucher(node).notClaimedUntil(name)) > vouchPeriod+vouchTimeout {
+			if !p.departed && now.Sub(d.voucher(node).until[name]) > vouchPeriod+vouchTimeout {
 				missing = append(missing, node)
 			}
 		}
--- a/internal/daemon/vouch_test.go
+++ b/internal/daemon/vouch_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -41,12 +42,12 @@
 				d.voucher(node).until["p"] = now.Add(until)
 			}
 			for node, at := range tt.ended {
-				d.voucher(node).endedAt = now.Add(at)
+				d.voucher(node).recordEnd("p", now.Add(at), now.Add(at))
 			}
 			if tt.left != "" {
 				d.peers[tt.left].departed, d.peers[tt.left].rowVersion = true, 7
 			}
-			have := d.notClaimedUntil("p", tt.members)
+			have := d.notClaimedUntil("p", tt.members, time.Time{})
 			switch {
 			case tt.want < 0 && tt.want == -1 && !have.IsZero(), tt.want < -1 && !have.Equal(now.Add(tt.want)):
 				t.Errorf("not claimed until %v from now, want %v", have.Sub(now), tt.want)
@@ -72,8 +73,10 @@
 		{name: "not asked", before: func(d *Daemon) { clear(d.promises) }, vouches: true, promised: true, firstAt: 1700},
 		{name: "without the store", vouches: true, promised: true, firstAt: 8000},
 		{name: "with the store", reaches: true, vouches: true, firstAt: 1700},
-		{name: "no process listens at the owner's address", before: func(d *Daemon) { d.peers["p0"].refusedConnections = 2 }, vouches: true, promised: true, firstAt: 0},
-		{name: "the owner has ended", before: func(d *Daemon) { d.peers["p0"].life = "next" }, vouches: true, promised: true, firstAt: 0},
+		{name: "no process listens at the owner's address", before: func(d *Daemon) { d.peers["p0"].refusedConnections, d.peers["p0"].probedAt = 2, start.Add(time.Second) }, vouches: true, promised: true, firstAt: 0},
+		{name: "the owner has ended", before: func(d *Daemon) {
+			d.peers["p0"].life, d.peers["p0"].answered, d.peers["p0"].probedAt = "next", true, start.Add(time.Second)
+		}, vouches: true, promised: true, firstAt: 0},
 		{name: "released", before: func(d *Daemon) { d.release(TakeArgs{Pool: "p0", Life: "p0", Round: 3}) }, vouches: true, promised: true, firstAt: 1700},
 		{name: "released before", before: func(d *Daemon) { d.release(TakeArgs{Pool: "p0", Life: "p0", Round: 2}) }, vouches: true, promised: true, firstAt: 8000},
 		{name: "another owner's release", before: func(d *Daemon) { d.release(TakeArgs{Pool: "p0", Life: "p1", Round: 3}) }, vouches: true, promised: true, firstAt: 8000},
@@ -128,7 +131,7 @@
 		d := claimer(now)
 		d.startedAt, d.restarted = now.Add(-tt.startedBefore), tt.restarted
 		d.membersVersion, d.firstVersion = tt.ours, tt.since
-		if have := d.maySucceed(tt.owner, now); have != tt.want {
+		if have := d.mayClaim(tt.owner, nil, now); have != tt.want {
 			t.Errorf("%s: may claim %v, want %v", tt.name, have, tt.want)
 		}
 	}
@@ -139,15 +142,16 @@
 	d := claimer(time.Now())
 	v := d.voucher("p0")
 	d.vouchRound = 4
-	reply := VouchReply{Pools: []string{"p"}, Promise: promiseTime}
-	v.record(4, reply, time.Now())
+	reply := VouchReply{Promise: promiseTime}
+	answer := func(round uint64) { v.record("p", round, reply, time.Now(), time.Now(), time.Now()) }
+	answer(4)
 	if d.withdraw("p0", "p") != 4 || !v.until["p"].IsZero() {
 		t.Error("the promise counts after its release")
 	}
-	if v.record(4, reply, time.Now()); !v.until["p"].IsZero() {
+	if answer(4); !v.until["p"].IsZero() {
 		t.Error("a late answer of a released round counts")
 	}
-	if v.record(5, reply, time.Now()); v.until["p"].IsZero() {
+	if answer(5); v.until["p"].IsZero() {
 		t.Error("the next answer does not count")
 	}
 }
@@ -159,7 +163,8 @@
 	const life = "self-1"
 	owner.self.Life = life
 	owner.owners["p"] = &pool.Owner{}
-	owner.voucher("p0").record(1, VouchReply{Pools: []string{"p"}, Promise: promiseTime}, time.Now())
+	now := time.Now()
+	owner.voucher("p0").record("p", 1, VouchReply{Promise: promiseTime}, now, now, now)
 	ask := func(life string) (acts bool) {
 		if err := (&peerService{owner}).Acts(ActsArgs{Life: life, Pool: "p"}, &acts); err != nil {
 			t.Error(err)
@@ -177,3 +182,52 @@
 		t.Error("an owner that has ended acts, or counts on a promise that it does not keep up")
 	}
 }
+
+// Guards against an owner that goes on once its successor has ended: what a process says counts only
+// if its earlier lives can't have claimed the pool.
+func TestEarlierLivesOfAVoucher(t *testing.T) {
+	base := time.Now()
+	at := func(s float64) time.Time { return base.Add(time.Duration(s * float64(time.Second))) }
+	vouch := func(v *voucher, sent, age, promise float64) {
+		reply := VouchReply{Age: at(age).Sub(base), Promise: at(promise).Sub(base)}
+		v.record("p", 1, reply, at(sent), at(sent+0.1), base)
+	}
+	for _, tt := range []struct {
+		name   string
+		events func(v *voucher)
+		want   float64 // until when the pool is not claimed, in s after the store confirmed the ownership
+	}{
+		{"the same life", func(v *voucher) { vouch(v, 1, 60, 0); vouch(v, 5, 64, 0) }, 5},
+		{"started after the confirmation", func(v *voucher) { vouch(v, 2, 1, 0) }, 0},
+		{"ended after it vouched", func(v *voucher) { vouch(v, 1, 60, 0); v.recordEnd("p", at(2), base) }, 1},
+		{"started again after it vouched", func(v *voucher) { vouch(v, 1, 60, 0); vouch(v, 4, 1, 0) }, 1},
+		{"ended within its promise", func(v *voucher) { vouch(v, 1, 60, 8); v.recordEnd("p", at(2), base) }, 8.76},
+		{"away for long after it ended within its promise", func(v *voucher) {
+			vouch(v, 1, 60, 8)
+			for s := 2.0; s < 30; s++ {
+				v.recordEnd("p", at(s), base)
+			}
+		}, 29},
+		{"started again within its promise", func(v *voucher) { vouch(v, 1, 60, 8); vouch(v, 4, 1, 8) }, 11.76},
+		{"started again after it was found to have ended", func(v *voucher) {
+			vouch(v, 1, 60, 8)
+			v.recordEnd("p", at(8), base)
+			vouch(v, 12, 1, 0)
+		}, 12},
+		{"long unseen after it was found to have ended", func(v *voucher) {
+			vouch(v, 1, 60, 8)
+			v.recordEnd("p", at(8), base)
+			vouch(v, 17, 1, 0)
+		}, 8.76},
+	} {
+		v := claimer(base).voucher("p0")
+		tt.events(v)
+		have := 0.0
+		if until := v.until["p"]; !until.IsZero() {
+			have = until.Sub(base).Seconds()
+		}
+		if math.Abs(have-tt.want) > 0.001 {
+			t.Errorf("%s: not claimed until %.3f s, want %.3f", tt.name, have, tt.want)
+		}
+	}
+}
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -131,7 +131,7 @@
 		case errors.Is(err, platform.ErrConflict):
 			applied, current, err := o.readConflict(rows, c.seq)
 			if err == nil {
-				o.status.confirm(sentAt, 0)
+				o.status.confirm(sentAt, 0) // it may show an earlier attempt
 			}
 			if err != nil || applied {
 				return current, err
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -220,8 +220,8 @@
 	HandOver func(name string) bool
 	// NotClaimedUntil returns until when no other process can have claimed the pool, given the
 	// version of the table of processes up to which the store is known to show that this one
-	// knew them; nil if there are no others. It is called without the store.
-	NotClaimedUntil func(members uint64) time.Time
+	// knew them, and when a pause of this one was last found; nil if there are no others.
+	NotClaimedUntil func(members uint64, pausedAt time.Time) time.Time
 	// Members returns the version of the table of processes that this process knows, nil for 0.
 	Members func() uint64
 	Advise  func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -26,22 +26,23 @@
 // ownership is presumed to last until the time up to which no other process can have claimed
 // the pool, as long as this one runs without a pause.
 type ownershipStatus struct {
-	notClaimedUntil func(members uint64) time.Time // nil if there are no other processes
-	bootTime        func() time.Duration           // since the host started, including the time that it was suspended
-	wallTime        func() time.Time               // counts suspensions too, and is set at times
-	paused          func(time.Duration)            // called when a pause is found, nil for nothing
-
-	mu          sync.Mutex
-	confirmedAt time.Time // when the latest request was sent whose answer confirmed the ownership
-	members     uint64    // version of the table of processes in the latest transaction that took effect
-	presumedAt  time.Time // until when the ownership is presumed without the store
-	runningAt   time.Time // when this process was last seen to run, zero before the owner's loop runs
-	runningBoot time.Duration
-	runningWall time.Time
-	pausedAt    time.Time // when a pause was found, zero if the ownership was confirmed since
+	notClaimedUntil func(members uint64, pausedAt time.Time) time.Time // nil if there are no other processes
+	bootTime        func() time.Duration                               // since the host started, including the time that it was suspended
+	wallTime        func() time.Time                                   // counts suspensions too, and is set at times
+	paused          func(time.Duration)                                // called when a pause is found, nil for nothing
+
+	mu            sync.Mutex
+	confirmedAt   time.Time // when the latest request was sent whose answer confirmed the ownership
+	members       uint64    // version of the table of processes in the latest transaction that took effect
+	presumedUntil time.Time // until when the ownership is presumed without the store
+	runningAt     time.Time // when this process was last seen to run, zero before the owner's loop runs
+	runningBoot   time.Duration
+	runningWall   time.Time
+	pausedAt      time.Time // when a pause was found, zero if the ownership was confirmed since
+	lastPausedAt  time.Time // when a pause was last found
 }
 
-func newOwnershipStatus(claimedAt time.Time, notClaimedUntil func(members uint64) time.Time) *ownershipStatus {
+func newOwnershipStatus(claimedAt time.Time, notClaimedUntil func(members uint64, pausedAt time.Time) time.Time) *ownershipStatus {
 	return &ownershipStatus{notClaimedUntil: notClaimedUntil, bootTime: bootTime, wallTime: wallTime, confirmedAt: claimedAt}
 }
 
@@ -83,20 +84,27 @@
 	defer s.mu.Unlock()
 	s.findPause(now)
 	s.runningAt, s.runningBoot, s.runningWall = now, s.bootTime(), s.wallTime()
-	if s.pausedAt.IsZero() && presumed.After(s.presumedAt) {
-		s.presumedAt = presumed
+	if s.pausedAt.IsZero() && presumed.After(s.presumedUntil) {
+		s.presumedUntil = presumed
 	}
 }
 
+// MaxPresumption is for how long an ownership may be presumed without the store. After that a process
+// may claim the pool that the owner never heard of.
+const MaxPresumption = time.Hour
+
 // presume returns until when the ownership lasts at least, as far as other processes tell.
 func (s *ownershipStatus) presume(now time.Time) time.Time {
 	if s.notClaimedUntil == nil {
 		return now
 	}
 	s.mu.Lock()
-	members := s.members
+	members, pausedAt, limit := s.members, s.lastPausedAt, s.confirmedAt.Add(MaxPresumption)
 	s.mu.Unlock()
-	if until := s.notClaimedUntil(members); until.Before(now) {
+	if limit.Before(now) {
+		now = limit
+	}
+	if until := s.notClaimedUntil(members, pausedAt); until.Before(now) {
 		return until
 	}
 	return now
@@ -118,7 +126,7 @@
 		s.runningAt, s.runningBoot, s.runningWall = now, boot, wall
 		return
 	}
-	s.pausedAt = now
+	s.pausedAt, s.lastPausedAt = now, now
 	s.runningAt, s.runningBoot, s.runningWall = now, s.bootTime(), wall
 	metricPauses.Inc()
 	if s.paused != nil {
@@ -135,8 +143,8 @@
 	if !s.pausedAt.IsZero() {
 		return time.Time{}, false
 	}
-	if s.presumedAt.After(s.confirmedAt) {
-		return s.presumedAt, true
+	if s.presumedUntil.After(s.confirmedAt) {
+		return s.presumedUntil, true
 	}
 	return s.confirmedAt, true
 }
@@ -147,6 +155,14 @@
 	return known && now.Sub(base) <= maxConfirmAge
 }
 
+// ConfirmedAt returns when the latest request was sent whose answer confirmed the ownership, and
+// when a pause of the process was last found, zero if none was.
+func (o *Owner) ConfirmedAt() (confirmedAt, pausedAt time.Time) {
+	o.status.mu.Lock()
+	defer o.status.mu.Unlock()
+	return o.status.confirmedAt, o.status.lastPausedAt
+}
+
 // awaitsConfirmation reports whether the store has not confirmed the ownership since a pause.
 func (s *ownershipStatus) awaitsConfirmation() bool {
 	s.mu.Lock()
--- a/internal/pool/ownership_test.go
+++ b/internal/pool/ownership_test.go
@@ -201,7 +201,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			boot, until := time.Hour, base.Add(time.Hour)
-			s := newOwnershipStatus(base, func(uint64) time.Time { return until })
+			s := newOwnershipStatus(base, func(uint64, time.Time) time.Time { return until })
 			s.bootTime, s.wallTime = func() time.Duration { return boot }, func() time.Time { return base }
 			s.recordRunning(base, false)
 			now := tt.run(s, base, &boot, &until)
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -193,8 +193,8 @@
 }
 
 // earlierLeasesEnd returns when all leases of earlier owners have expired. Their leases
-// count from before this owner's claim; takeoverWait is for one without the store, which
-// hears of the claim from other processes.
+// count from before this owner's claim; takeoverWait is for one of a version that presumed its
+// ownership until it heard of the claim.
 func (o *Owner) earlierLeasesEnd() time.Time {
 	return o.claimedAt.Add(takeoverWait + o.maxLeaseTime())
 }
