pool: log on what evidence a worker counts as crashed

Change: a line 'worker may have crashed' when attempts come under suspicion (broken-ms, answered-ms, rack); 'worker crashed' gets the cause, rack-lost, and for each suspect whether it was alone and when it was ordered.

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -38,6 +38,9 @@
 	Task    jobs.Task
 	Attempt int
 	Crashes int // recorded under the task, with this one
+	Alone   bool
+	// OrderedAt is when the attempt was ordered, zero if the board does not hold it any more.
+	OrderedAt time.Time
 }
 
 // GivenUp is a job that was given up because one of its tasks crashes its workers.
@@ -50,6 +53,7 @@
 type CrashReport struct {
 	Suspects []Suspect
 	GivenUp  []GivenUp
+	RackLost bool // another worker of the rack was lost at about the same time
 }
 
 // crashIndex holds the tasks with a recorded crash of each worker, by the key of its
@@ -70,14 +74,35 @@
 
 // SuspectCrash records that a worker may have crashed, and under which attempts: its
 // connections are refused, or its leases have expired. It is known to have run until alive,
-// as far as that is later than its last listing; alive may be zero.
-func (b *Board) SuspectCrash(key string, alive, now time.Time) {
+// as far as that is later than its last listing; alive may be zero. SuspectCrash returns the
+// attempts that were not under suspicion before.
+func (b *Board) SuspectCrash(key string, alive, now time.Time) []Suspect {
 	b.recordStep(Step{Kind: StepSuspectCrash, Key: key, Until: alive, At: now})
 	if w := b.workers[key]; w != nil && alive.After(w.aliveUntil) {
 		w.aliveUntil = alive
 	}
+	known := maps.Clone(b.crashes[key])
 	b.markSuspects(key)
 	b.compareRack(key, now)
+	var suspects []Suspect
+	for _, t := range b.crashes.tasks(key) {
+		if _, suspected := known[t]; suspected {
+			continue
+		}
+		if c, recorded := b.crashOn(t, key); recorded {
+			suspects = append(suspects, b.suspect(t, c))
+		}
+	}
+	return suspects
+}
+
+// suspect returns what is known about a task with a recorded crash.
+func (b *Board) suspect(t jobs.Task, c jobs.Crash) Suspect {
+	s := Suspect{Task: t, Attempt: c.Attempt, Crashes: len(b.jobs[t.Job].progress.Crashes(t)), Alone: c.Alone}
+	if a := b.findAttempt(c.Worker, t, c.Attempt); a != nil {
+		s.OrderedAt = a.OrderedAt
+	}
+	return s
 }
 
 // WorkerCrashed records that a worker's lifetime has ended although it was not ordered
@@ -87,6 +112,9 @@
 	b.markSuspects(key)
 	b.compareRack(key, now)
 	var report CrashReport
+	if w := b.workers[key]; w != nil {
+		report.RackLost = !w.rackLostAt.IsZero()
+	}
 	for _, t := range b.crashes.tasks(key) {
 		e := b.jobs[t.Job]
 		if c, known := b.crashOn(t, key); known {
@@ -94,7 +122,7 @@
 			if e.progress.MarkCrash(t, c) {
 				b.markDirty(e)
 			}
-			report.Suspects = append(report.Suspects, Suspect{t, c.Attempt, len(e.progress.Crashes(t))})
+			report.Suspects = append(report.Suspects, b.suspect(t, c))
 		}
 	}
 	for {
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -132,6 +132,14 @@
 	return a
 }
 
+// rack returns the rack of the worker, empty if it is not known.
+func (a *agent) rack() string {
+	if len(a.entry.Labels) > 1 {
+		return a.entry.Labels[1]
+	}
+	return ""
+}
+
 // close stops the agent. Tasks at the worker run on until their lease ends.
 func (a *agent) close() {
 	a.cancel()
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -85,7 +85,7 @@
 	}
 	for _, key := range o.board.SuspectedWorkers() {
 		if _, unseen := o.unseenUntil[key]; !unseen && o.agents[key] == nil {
-			o.reportCrash(key) // the earlier owner had removed it
+			o.reportCrash(key, "an earlier owner had removed it")
 		}
 	}
 	o.log.WithFields(logrus.Fields{
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -518,13 +518,13 @@
 			o.logLost(a, now, false)
 		}
 		if !a.lifetimeEnded {
-			o.board.SuspectCrash(a.key, a.lastBroken(), now)
+			o.suspectCrash(a, now)
 		}
 		o.board.ExpireLeases(a.key, now)
 	}
 	if gone && (a.lifetimeEnded || a.silent) && o.board.Idle(a.key) {
 		if !a.lifetimeEnded {
-			o.settleCrash(a) // its entry is gone too
+			o.settleCrash(a, "it does not answer, and its entry is gone")
 		}
 		o.board.RemoveWorker(a.key, now)
 		o.removeAgent(a)
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -223,7 +223,7 @@
 		delete(o.unseenUntil, key)
 		o.registrationsStale = true
 		if o.agents[key] == nil {
-			o.reportCrash(key) // an earlier owner suspected it, and nobody will hear of it again
+			o.reportCrash(key, "an earlier owner suspected it, and its leases have expired")
 		}
 	}
 	if len(o.unseenUntil) == 0 {
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -158,15 +158,11 @@
 	if o.agents[a.key] != a {
 		return
 	}
-	rack := ""
-	if len(a.entry.Labels) > 1 {
-		rack = a.entry.Labels[1]
-	}
 	_, vacate := o.vacateUntil[a.entry.ID]
 	gone := !a.missingSince.IsZero() && time.Since(a.missingSince) > missingTimeout
 	a.setLeaving(a.entry.Draining || gone || a.unreadable, vacate)
 	o.board.SetWorker(place.Worker{
-		Key: a.key, ID: a.entry.ID, Rack: rack, Labels: a.entry.Labels, Size: a.entry.Size,
+		Key: a.key, ID: a.entry.ID, Rack: a.rack(), Labels: a.entry.Labels, Size: a.entry.Size,
 		Draining: a.entry.Draining || gone || a.lifetimeEnded, Silent: a.silent || !a.answered || !a.registered, Vacate: vacate, Closed: a.unreadable,
 	})
 	for _, s := range o.board.StartsBeyondCapacity(a.key) {
@@ -205,7 +201,7 @@
 	case how == lifetimeOrdered:
 		o.board.WorkerLeft(a.key)
 	case o.agents[a.key] == a: // otherwise it was settled when the worker was removed
-		o.settleCrash(a)
+		o.settleCrash(a, cause)
 	}
 	o.syncAgent(a)
 	a.cancel()
@@ -336,7 +332,7 @@
 		return
 	}
 	if errors.Is(err, platform.ErrConnectionRefused) && !a.lifetimeEnded && o.agents[a.key] == a {
-		o.board.SuspectCrash(a.key, a.lastBroken(), time.Now()) // stored at once, in case this owner is lost too
+		o.suspectCrash(a, time.Now()) // stored at once, in case this owner is lost too
 	}
 	if !a.silent && a.isUnresponsive() {
 		a.silent = true
