--- /dev/null
+++ b/internal/place/lost_test.go
@@ -0,0 +1,146 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// crashAfter crashes a worker, whose connections are refused at once.
+func (f *testBoard) crashAfter(d time.Duration, key string) place.CrashReport {
+	f.now = f.now.Add(d)
+	return f.crash(key)
+}
+
+// restartUnseen lets a worker start again while it is cut off.
+func (f *testBoard) restartUnseen(key string) {
+	f.SetSilent(key, true)
+	f.now = f.now.Add(2500 * time.Millisecond)
+	f.proveCrash(key)
+}
+
+// Guards against jobs that are shown as failed, though no attempt failed, because their workers
+// went dark, were cut off, or crashed by chance within a second of a start (issue 45, LOST).
+func TestJobOutlivesWorkersLostByChance(t *testing.T) {
+	single, long, gang, copied := batch(1, 1000), batch(1, 1000), batch(2, 1000), batch(1, 1000)
+	long.LongRunning, gang.Gang, copied.Speculative = true, true, true
+	for _, step := range []struct {
+		name string
+		jobs.Step
+	}{{"batch", single}, {"long-running", long}, {"gang", gang}, {"copied", copied}} {
+		for _, loss := range []struct {
+			name string
+			once func(f *testBoard, s place.StartOrder)
+		}{
+			{"dark until its leases have expired", func(f *testBoard, s place.StartOrder) {
+				f.lapse(s.Worker)
+				f.proveCrash(s.Worker)
+			}},
+			{"dark, then its connections are refused", func(f *testBoard, s place.StartOrder) {
+				f.lapse(s.Worker)
+				f.crash(s.Worker)
+			}},
+			{"dark with its rack", func(f *testBoard, s place.StartOrder) {
+				f.lapse(s.Worker)
+				for i := range f.workers {
+					if !f.gone[key(i)] && key(i) != s.Worker && worker(i).Rack == f.rackOf(s.Worker) {
+						f.lapse(key(i))
+						f.proveCrash(key(i))
+					}
+				}
+				f.proveCrash(s.Worker)
+			}},
+			{"starts again behind a cut", func(f *testBoard, s place.StartOrder) { f.restartUnseen(s.Worker) }},
+			{"crashes half a second after the start", func(f *testBoard, s place.StartOrder) { f.crashAfter(500*time.Millisecond, s.Worker) }},
+		} {
+			f := newTestBoard(0, 6)
+			f.t = t
+			j := newJob(1, step.Step)
+			f.add(j)
+			for n := range 8 {
+				f.now = f.now.Add(time.Minute) // a long-running task may wait for its backoff
+				loss.once(f, f.startOf(t, jobs.Task{Job: j.ID}))
+				f.flush(t)
+				if state, _ := f.State(j.ID); state == jobs.Aborted {
+					t.Errorf("%s, %s: the job is given up after %d lost workers", step.name, loss.name, n+1)
+					break
+				}
+				if n%3 == 2 {
+					f.takeOver()
+				}
+			}
+		}
+	}
+}
+
+func (f *testBoard) rackOf(worker string) string {
+	var i int
+	if _, err := fmt.Sscanf(worker, "w%d@", &i); err != nil {
+		f.t.Fatal(err)
+	}
+	return fmt.Sprintf("r%d", i/2)
+}
+
+// Guards against giving jobs up in a busy pool because single workers crash at random moments,
+// whatever they run.
+func TestJobsAreHardlyEverGivenUpForRandomCrashes(t *testing.T) {
+	given, crashes := 0, 0
+	for seed := range uint64(20) {
+		f := newTestBoard(0, 8)
+		random := rand.New(rand.NewPCG(seed, 1))
+		for n := range 1200 { // a minute
+			if n%8 == 0 {
+				f.add(newJob(byte(n/8), batch(6, 600)))
+			}
+			f.decide()
+			for _, a := range f.allAttempts() {
+				if f.now.Sub(a.ConfirmedAt) > 600*time.Millisecond {
+					f.endAttempt(place.StartOrder{Worker: a.Worker, Task: a.Task, Attempt: a.Number}, jobs.Done)
+				}
+			}
+			if random.IntN(20) == 0 { // every second on average
+				for i := range f.workers {
+					if !f.gone[key(i)] && random.IntN(4) == 0 {
+						f.SuspectCrash(key(i), f.now, f.now)
+						given += len(f.proveCrash(key(i)).GivenUp)
+						crashes++
+						break
+					}
+				}
+			}
+			f.now = f.now.Add(50 * time.Millisecond)
+		}
+	}
+	t.Logf("%d jobs given up after %d crashes", given, crashes)
+	if given > 2 {
+		t.Errorf("%d jobs given up after %d crashes, want at most 2", given, crashes)
+	}
+}
+
+// Guards against jobs that are given up for crashes that an earlier version recorded without
+// their evidence, and against such records that keep a deadly task from being given up.
+func TestCrashesRecordedByAnEarlierVersion(t *testing.T) {
+	f := newTestBoard(2000, 4)
+	f.t = t
+	j := newJob(1, batch(1, 1000))
+	p, err := jobs.DecodeProgress(j, []byte(`{"begun":true,"tries":[{"task":"0000000000000001.0.0.0","crashes":[
+		{"worker":"w8@1","attempt":1,"settled":true},{"worker":"w9@1","attempt":2,"alone":true}]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Add(j, p, f.now)
+	if given := f.WorkerCrashed("w9@1", f.now).GivenUp; len(given) > 0 {
+		t.Fatalf("given up %v for crashes without evidence", given)
+	}
+	task := jobs.Task{Job: j.ID}
+	if given := f.crash(f.startOf(t, task).Worker).GivenUp; len(given) > 0 {
+		t.Fatalf("given up %v after one crash with evidence", given)
+	}
+	if given := f.crash(f.startOf(t, task).Worker).GivenUp; len(given) != 1 {
+		t.Errorf("given up %v after two crashes with evidence, want the job", given)
+	}
+}
