place: give a task up only for workers whose connections failed right after its start

Cause: any end of a worker's lifetime within a second of a start counted as a crash by the task, also one of a host that was dark, cut off or lost by chance, so that jobs were shown as failed though no attempt had failed so often. Change: a crash is stored with whether it was prompt: the connections broke off or were refused within 250 ms of the order, as the first sign that something was wrong. Only prompt crashes give a task up: two if it was the only suspect of the last one and no busy worker was lost without a task to blame for 30 s, otherwise three. Long-running tasks are never given up. Others are still started apart. Crashes stored by earlier versions are not prompt. A task holds four crashes and a job 256, so that its row stays within the platform's limit.

--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -135,6 +135,7 @@
 	Attempt int    `json:"attempt"`
 	Alone   bool   `json:"alone,omitempty"`
 	Settled bool   `json:"settled,omitempty"`
+	Prompt  bool   `json:"prompt,omitempty"` // versions that did not store it counted every crash
 }
 
 // Encode returns the stored form of the progress. Checkpoints that do not fit into a row are
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -22,6 +22,7 @@
 	Attempt int
 	Alone   bool // no other attempt there can have caused it
 	Settled bool // the lifetime is known to have ended; before, the worker may only be unreachable
+	Prompt  bool // the worker's connections failed right after the attempt was ordered, not later and not after a silence
 }
 
 // Progress holds which tasks of a job are done, and the failures and checkpoints of
@@ -140,17 +141,22 @@
 // none.
 func (p *Progress) Checkpoint(t Task) string { return p.tries[p.gangTask(t)].Checkpoint }
 
-// maxCrashTasks limits the tasks of a job with recorded crashes. A record takes about 110
-// bytes, and a row of the platform's table holds 64 KiB.
-const maxCrashTasks = 256
+const (
+	// maxCrashes limits the recorded crashes of a job. A record takes about 120 bytes, and a
+	// row of the platform's table holds 64 KiB.
+	maxCrashes        = 256
+	maxCrashesPerTask = 4
+)
 
 // MarkCrash records a crash under a task, or updates the record of the same worker. Unlike
 // failures, crashes of a gang are kept at the task whose worker crashed. It reports whether
-// the records have changed. It has no effect on a task that is done, and on another task
-// once maxCrashTasks tasks have records.
+// the records have changed. It has no effect on a task that is done. Where no further record
+// fits, the crash replaces the oldest of the task, preferably one that is not prompt; a task
+// without one gets none.
 func (p *Progress) MarkCrash(t Task, c Crash) bool {
 	crashes := p.crashes[t]
-	if p.Done(t) || len(crashes) == 0 && len(p.crashes) >= maxCrashTasks {
+	full := len(crashes) >= maxCrashesPerTask || p.countCrashes() >= maxCrashes
+	if p.Done(t) || len(crashes) == 0 && full {
 		return false
 	}
 	i := slices.IndexFunc(crashes, func(known Crash) bool { return known.Worker == c.Worker })
@@ -158,9 +164,12 @@
 		return false
 	}
 	crashes = slices.Clone(crashes)
-	if i >= 0 {
+	switch {
+	case i >= 0:
 		crashes[i] = c
-	} else {
+	case full:
+		crashes[max(0, slices.IndexFunc(crashes, func(known Crash) bool { return !known.Prompt }))] = c
+	default:
 		crashes = append(crashes, c)
 	}
 	slices.SortFunc(crashes, func(x, y Crash) int {
@@ -170,6 +179,14 @@
 	return true
 }
 
+func (p *Progress) countCrashes() int {
+	n := 0
+	for _, crashes := range p.crashes {
+		n += len(crashes)
+	}
+	return n
+}
+
 // DropCrash removes the record of a worker's crash under a task. It reports whether there
 // was one.
 func (p *Progress) DropCrash(t Task, worker string) bool {
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -75,6 +75,7 @@
 	estimates        estimates
 	arrivals         arrivals
 	crashes          crashIndex
+	unexplainedAt    time.Time       // when a busy worker was last lost without a task to blame
 	advisedQueues    map[string]bool // queues whose steps need tickets
 	adviceRequests   int             // under way
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -15,11 +15,19 @@
 // progress. A suspect is started apart from others, so that a second crash shows which task
 // is to blame; a run that survives clears it. The records of a worker that turns out to have
 // been unreachable only, or whose host was ordered elsewhere, are dropped.
+//
+// Only prompt crashes can give a task up: the worker's connections broke off or were refused
+// within Policy.BlameWindow of the order. A host that goes dark or is cut off falls silent, and
+// one that is lost by chance rarely hits a task in that time. A long-running task is never
+// given up: it is to run until its job is cancelled.
 
 const (
-	crashesAlone   = 2 // crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
-	crashesAtMost  = 3 // crashes after which a task is given up in any case; the platform forbids three starts more
-	crashesLasting = 4 // the same for a long-running task, the end of which stops all others of its job: chance alone can crash three workers within a second of its starts
+	crashesAlone  = 2 // prompt crashes after which a task is given up if it was the only suspect at the last one; the platform allows it from two on
+	crashesAtMost = 3 // prompt crashes after which a task is given up in any case; the platform forbids three starts more
+
+	// unexplainedWindow is for how long after the loss of a busy worker that no task explains
+	// chance is as likely a cause of a crash as the only suspect.
+	unexplainedWindow = 30 * time.Second
 
 	// rackWindow is the time in which all workers of a lost rack are noticed, as each is
 	// called every 150 ms once it has not answered.
@@ -39,6 +47,7 @@
 	Attempt int
 	Crashes int // recorded under the task, with this one
 	Alone   bool
+	Prompt  bool
 	// OrderedAt is when the attempt was ordered, zero if the board does not hold it any more.
 	OrderedAt time.Time
 }
@@ -74,12 +83,18 @@
 
 // SuspectCrash records that a worker may have crashed, and under which attempts: its
 // connections are refused, or its leases have expired. It is known to have run until alive,
-// as far as that is later than its last listing; alive may be zero. SuspectCrash returns the
-// attempts that were not under suspicion before.
-func (b *Board) SuspectCrash(key string, alive, now time.Time) []Suspect {
-	b.recordStep(Step{Kind: StepSuspectCrash, Key: key, Until: alive, At: now})
-	if w := b.workers[key]; w != nil && alive.After(w.aliveUntil) {
-		w.aliveUntil = alive
+// as far as that is later than its last listing; alive may be zero. failed is when its
+// connections first broke off or were refused, zero if it fell silent before. SuspectCrash
+// returns the attempts that were not under suspicion before.
+func (b *Board) SuspectCrash(key string, alive, failed, now time.Time) []Suspect {
+	b.recordStep(Step{Kind: StepSuspectCrash, Key: key, Until: alive, Asked: failed, At: now})
+	if w := b.workers[key]; w != nil {
+		if alive.After(w.aliveUntil) {
+			w.aliveUntil = alive
+		}
+		if w.failedAt.IsZero() {
+			w.failedAt = failed
+		}
 	}
 	known := maps.Clone(b.crashes[key])
 	b.markSuspects(key)
@@ -98,7 +113,7 @@
 
 // suspect returns what is known about a task with a recorded crash.
 func (b *Board) suspect(t jobs.Task, c jobs.Crash) Suspect {
-	s := Suspect{Task: t, Attempt: c.Attempt, Crashes: len(b.jobs[t.Job].progress.Crashes(t)), Alone: c.Alone}
+	s := Suspect{Task: t, Attempt: c.Attempt, Crashes: len(b.jobs[t.Job].progress.Crashes(t)), Alone: c.Alone, Prompt: c.Prompt}
 	if a := b.findAttempt(c.Worker, t, c.Attempt); a != nil {
 		s.OrderedAt = a.OrderedAt
 	}
@@ -112,8 +127,10 @@
 	b.markSuspects(key)
 	b.compareRack(key, now)
 	var report CrashReport
+	busy := len(b.crashes[key]) > 0
 	if w := b.workers[key]; w != nil {
 		report.RackLost = !w.rackLostAt.IsZero()
+		busy = busy || len(w.attempts) > 0
 	}
 	for _, t := range b.crashes.tasks(key) {
 		e := b.jobs[t.Job]
@@ -125,8 +142,11 @@
 			report.Suspects = append(report.Suspects, b.suspect(t, c))
 		}
 	}
+	if busy && !slices.ContainsFunc(report.Suspects, func(s Suspect) bool { return s.Prompt }) {
+		b.unexplainedAt = now
+	}
 	for {
-		t, found := b.mostBlamed(key)
+		t, found := b.mostBlamed(key, now)
 		if !found {
 			break
 		}
@@ -169,7 +189,7 @@
 		if e == nil || e.progress.Final != "" || a.survived(b.policy.CrashWindow) {
 			continue
 		}
-		if e.progress.MarkCrash(a.Task, jobs.Crash{Worker: key, Attempt: a.Number, Alone: b.isOnlySuspect(w, a)}) {
+		if e.progress.MarkCrash(a.Task, jobs.Crash{Worker: key, Attempt: a.Number, Alone: b.isOnlySuspect(w, a), Prompt: b.failedPromptly(w, a)}) {
 			b.crashes.add(key, a.Task)
 			b.markDirty(e)
 		}
@@ -204,6 +224,13 @@
 	return !a.shownAt.Before(end) || a.Phase == Live && !a.worker.aliveUntil.Before(end)
 }
 
+// failedPromptly reports whether a worker's connections failed right after an attempt was
+// ordered there. An attempt of an earlier owner was ordered at a time that is not known.
+func (b *Board) failedPromptly(w *worker, a *Attempt) bool {
+	return !w.failedAt.IsZero() && !w.failedAt.Before(a.OrderedAt) && w.failedAt.Sub(a.OrderedAt) <= b.policy.BlameWindow &&
+		b.startedHere(a.entry, a.Task, a.Number)
+}
+
 // isOnlySuspect reports whether no other attempt at its worker can have caused a crash: the
 // others had run for TrialTime before this one was started, and the rest of the rack is there.
 func (b *Board) isOnlySuspect(w *worker, a *Attempt) bool {
@@ -234,7 +261,8 @@
 
 // mostBlamed returns the task that the crash of a worker gives up, the one with the clearest
 // evidence first: that one clears the others of its crashes.
-func (b *Board) mostBlamed(key string) (jobs.Task, bool) {
+func (b *Board) mostBlamed(key string, now time.Time) (jobs.Task, bool) {
+	byChance := !b.unexplainedAt.IsZero() && now.Sub(b.unexplainedAt) < unexplainedWindow
 	type evidence struct {
 		task    jobs.Task
 		alone   bool
@@ -245,17 +273,13 @@
 		if _, known := b.crashOn(t, key); !known {
 			continue
 		}
-		settled := slices.DeleteFunc(slices.Clone(b.jobs[t.Job].progress.Crashes(t)), func(c jobs.Crash) bool { return !c.Settled })
-		if len(settled) == 0 {
+		settled := slices.DeleteFunc(b.promptCrashes(t), func(c jobs.Crash) bool { return !c.Settled })
+		if len(settled) == 0 || b.jobs[t.Job].job.Steps[t.Step].LongRunning {
 			continue
 		}
 		last := settled[len(settled)-1]
-		alone := last.Alone && slices.ContainsFunc(settled, func(c jobs.Crash) bool { return hostOf(c.Worker) != hostOf(last.Worker) })
-		blame := len(settled) >= crashesAtMost || len(settled) >= crashesAlone && alone
-		if b.jobs[t.Job].job.Steps[t.Step].LongRunning {
-			blame = len(settled) >= crashesLasting
-		}
-		if blame {
+		alone := last.Alone && !byChance && slices.ContainsFunc(settled, func(c jobs.Crash) bool { return hostOf(c.Worker) != hostOf(last.Worker) })
+		if len(settled) >= crashesAtMost || len(settled) >= crashesAlone && alone {
 			blamed = append(blamed, evidence{t, alone, len(settled)})
 		}
 	}
@@ -273,6 +297,11 @@
 	}).task, true
 }
 
+// promptCrashes returns a copy of the prompt crashes of a task.
+func (b *Board) promptCrashes(t jobs.Task) []jobs.Crash {
+	return slices.DeleteFunc(slices.Clone(b.jobs[t.Job].progress.Crashes(t)), func(c jobs.Crash) bool { return !c.Prompt })
+}
+
 // hostOf returns the id of the worker in the key of one of its lifetimes.
 func hostOf(key string) string { return key[:max(0, strings.LastIndexByte(key, '@'))] }
 
@@ -281,12 +310,12 @@
 const costSameHost = 1 << 30
 
 // giveUp ends the job of a task that crashes its workers as failed, and clears all other
-// tasks of these crashes.
+// tasks of its prompt crashes.
 func (b *Board) giveUp(t jobs.Task, now time.Time) GivenUp {
 	e := b.jobs[t.Job]
-	given := GivenUp{t, e.progress.Crashes(t)}
+	given, prompt := GivenUp{t, e.progress.Crashes(t)}, b.promptCrashes(t)
 	b.finish(e, jobs.Aborted, now)
-	for _, c := range given.Crashes {
+	for _, c := range prompt {
 		b.dropCrashes(c.Worker)
 	}
 	return given
@@ -458,7 +487,7 @@
 		if slices.ContainsFunc(e.progress.Crashes(t), func(c jobs.Crash) bool { return hostOf(c.Worker) == w.ID }) {
 			cost += costSameHost
 		}
-		if !step.LongRunning {
+		if !step.LongRunning || len(b.promptCrashes(t)) > 0 {
 			cost += int64(len(w.attempts))*costSameStep + int64(w.lasting)*costOtherRack
 		}
 		better := best == nil || isFree && !free || isFree == free && (cost < bestCost || cost == bestCost && w.Key < best.Key)
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -174,7 +174,7 @@
 	b.pending.listed[key] = w
 	b.pending.paceable(w)
 	b.dropCrashes(key) // it was only unreachable
-	w.suspectedAt, w.rackLostAt = time.Time{}, time.Time{}
+	w.suspectedAt, w.rackLostAt, w.failedAt = time.Time{}, time.Time{}, time.Time{}
 	for _, e := range ended {
 		b.applyEnd(w, e, now)
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -40,7 +40,8 @@
 	ReserveShare        float64       // share of the largest worker; a waiting task larger than this may reserve a worker
 	MaxQuarantinedShare float64       // share of the pool's workers that may be quarantined
 	StartTimeout        time.Duration // a long-running task that is not available after this long is restarted
-	CrashWindow         time.Duration // a crash counts against attempts that have not run this long
+	CrashWindow         time.Duration // a crash puts attempts under suspicion that have not run this long
+	BlameWindow         time.Duration // a task may be given up for a worker whose connections failed this soon after the order
 	TrialTime           time.Duration // after the start of a task that may crash its worker, how long no other starts there
 	UnavailableAfter    time.Duration // a long-running task that is not available for this long counts as unavailable
 	StopTime            time.Duration // within which a stopped attempt ends; until then its worker may list it
@@ -59,6 +60,7 @@
 		MaxQuarantinedShare: 0.5,
 		StartTimeout:        4 * time.Second,
 		CrashWindow:         time.Second,             // plays show 6 to 10 ms; answers of a busy worker or owner come later
+		BlameWindow:         250 * time.Millisecond,  // plays show 20 to 30 ms from the start; a busy owner sends it and notices the crash later
 		TrialTime:           150 * time.Millisecond,  // plays show 6 to 10 ms, and 20 ms more until the owner notices
 		UnavailableAfter:    4500 * time.Millisecond, // the platform's notice_ms
 		StopTime:            400 * time.Millisecond,  // the platform's longest stop_ms
@@ -143,6 +145,7 @@
 	trial          *Attempt // latest start of a task with recorded crashes
 	reserved       bool     // by the current decision, for a task that does not fit yet
 
+	failedAt    time.Time // when its connections broke off or were refused, zero if they hold or it fell silent before
 	aliveUntil  time.Time // it is known to have run until then, zero if it has not been found dead
 	suspectedAt time.Time // when it was first suspected to have crashed under a task, zero if it was not
 	rackLostAt  time.Time // when another worker of its rack was, if at about the same time
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -148,7 +148,7 @@
 	case StepStarted:
 		b.Started(s.Key, s.Task, s.Attempt, s.At)
 	case StepSuspectCrash:
-		b.SuspectCrash(s.Key, s.Until, s.At)
+		b.SuspectCrash(s.Key, s.Until, s.Asked, s.At)
 	case StepStopAnswered:
 		b.StopAnswered(s.Key, s.Task, s.Attempt, s.At)
 	case StepStopFailed:
--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -80,7 +80,7 @@
 	}
 	e := b.jobs[a.Task.Job]
 	if e == nil || e.progress.Final != "" || e.progress.Done(a.Task) || len(e.attempts[a.Task]) >= maxParallelAttempts ||
-		len(e.progress.Crashes(a.Task)) >= crashesAlone { // the crashes are about to be proved
+		len(b.promptCrashes(a.Task)) >= crashesAlone { // the crashes are about to be proved
 		return false
 	}
 	return lost || a.Phase == Unconfirmed || b.isStraggler(e, a, now)
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -97,6 +97,8 @@
 	answeredCallAt time.Time         // when the latest hold call that was answered was sent
 	brokenAt       time.Time         // when a hold call under way last broke off: the worker may have crashed then
 	failedCallAt   time.Time         // when the latest hold call that failed should have been answered
+	firstFailureAt time.Time         // when a call first failed since the worker last answered one, zero if none did
+	connsFailed    bool              // that call broke off or was refused, instead of having no answer
 
 	entry         platform.WorkerEntry // used only in the owner's loop, like all fields below
 	missingSince  time.Time            // when its entry disappeared, zero if it is present
@@ -381,6 +383,7 @@
 				metricLateCalls.Inc()
 				continue
 			}
+			a.noteFailure(err, time.Now())
 			a.callFailed(requestedAt.Add(o.Wait))
 			a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 			sleep(ctx, retryDelay)
@@ -429,6 +432,7 @@
 		return // the next renewal shows whether the worker answers
 	}
 	if err != nil {
+		a.noteFailure(err, time.Now())
 		a.callFailed(requestedAt)
 		a.owner.post(func() { a.owner.holdFailed(a, err, late) })
 		return
@@ -465,6 +469,9 @@
 	if sentAt.After(a.answeredCallAt) {
 		a.answeredCallAt = sentAt
 	}
+	if sentAt.After(a.firstFailureAt) {
+		a.firstFailureAt, a.connsFailed = time.Time{}, false
+	}
 }
 
 func (a *agent) setBroken(at time.Time) {
@@ -480,6 +487,28 @@
 	return a.brokenAt
 }
 
+// noteFailure records how calls to the worker began to fail. A process that has crashed breaks
+// its connections off and refuses new ones. A host that is dark or cut off answers nothing, and
+// connections that break later say nothing about when, and why, the worker was lost.
+func (a *agent) noteFailure(err error, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.firstFailureAt.IsZero() && !isLifetimeOver(err) {
+		a.firstFailureAt, a.connsFailed = at, errors.IsAny(err, platform.ErrConnectionBroken, platform.ErrConnectionRefused)
+	}
+}
+
+// connectionsFailed returns when connections to the worker broke off or were refused, zero if
+// it answers or had fallen silent before.
+func (a *agent) connectionsFailed() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.connsFailed {
+		return time.Time{}
+	}
+	return a.firstFailureAt
+}
+
 // callFailed records that a hold call failed that should have been answered by dueAt.
 func (a *agent) callFailed(dueAt time.Time) {
 	if now := time.Now(); now.Before(dueAt) {
@@ -598,6 +627,8 @@
 		})
 		if timedOutLate(err, time.Since(sentAt)-orderTimeout) {
 			a.readLists(ctx) // the attempt may run
+		} else if errors.IsAny(err, platform.ErrOutcomeUnknown, platform.ErrConnectionRefused) {
+			a.noteFailure(err, time.Now())
 		}
 		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -21,8 +21,8 @@
 // suspectCrash records that a worker may have crashed, and logs which tasks have come under
 // suspicion, and on what evidence.
 func (o *Owner) suspectCrash(a *agent, now time.Time) {
-	brokenAt := a.lastBroken()
-	suspects := o.board.SuspectCrash(a.key, brokenAt, now)
+	failedAt := a.connectionsFailed()
+	suspects := o.board.SuspectCrash(a.key, a.lastBroken(), failedAt, now)
 	if len(suspects) == 0 {
 		return
 	}
@@ -30,7 +30,7 @@
 	answeredAt := a.answeredCallAt
 	a.mu.Unlock()
 	o.log.WithFields(logrus.Fields{
-		"worker": a.key, "rack": a.rack(), "broken-ms": age(brokenAt, now), "answered-ms": age(answeredAt, now),
+		"worker": a.key, "rack": a.rack(), "failed-ms": age(failedAt, now), "answered-ms": age(answeredAt, now),
 		"suspects": describeSuspects(suspects, now), "count": len(suspects),
 	}).Info("worker may have crashed")
 }
@@ -43,6 +43,7 @@
 		o.board.WorkerLeft(a.key)
 		return
 	}
+	o.suspectCrash(a, time.Now()) // it may have started again before a call was refused
 	o.reportCrash(a.key, cause)
 }
 
@@ -63,7 +64,7 @@
 		metricGivenUp.Inc()
 		var crashes []string
 		for _, c := range g.Crashes {
-			crashes = append(crashes, fmt.Sprintf("%s under attempt %d, alone %t", c.Worker, c.Attempt, c.Alone))
+			crashes = append(crashes, fmt.Sprintf("%s under attempt %d, alone %t, prompt %t", c.Worker, c.Attempt, c.Alone, c.Prompt))
 		}
 		o.log.WithFields(logrus.Fields{"job": g.Task.Job, "task": g.Task.String(), "crashes": crashes}).
 			Warn("job given up: a task crashes its workers")
@@ -74,7 +75,7 @@
 func describeSuspects(suspects []place.Suspect, now time.Time) []string {
 	var texts []string
 	for _, s := range suspects[:min(len(suspects), maxLoggedSuspects)] {
-		text := fmt.Sprintf("%s attempt %d, crash %d, alone %t", s.Task, s.Attempt, s.Crashes, s.Alone)
+		text := fmt.Sprintf("%s attempt %d, crash %d, alone %t, prompt %t", s.Task, s.Attempt, s.Crashes, s.Alone, s.Prompt)
 		if !s.OrderedAt.IsZero() {
 			text += fmt.Sprintf(", ordered %d ms ago", now.Sub(s.OrderedAt).Milliseconds())
 		}
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -139,3 +139,83 @@
 		})
 	}
 }
+
+// Guards against a host that goes dark or is cut off and looks like the fault of a task, as
+// connections to it fail later (issue 45, LOST), and against a crash that is not put down to a
+// task because no renewal was under way.
+func TestOnlyConnectionsThatFailAtOnceBlameATask(t *testing.T) {
+	refused := errors.Mark(errors.Wrap(platform.ErrNotDone, "test"), platform.ErrConnectionRefused)
+	broken := errors.Mark(errors.Wrap(platform.ErrOutcomeUnknown, "test"), platform.ErrConnectionBroken)
+	silence := errors.Wrap(platform.ErrOutcomeUnknown, "test")
+	for _, tt := range []struct {
+		name   string
+		events func(a *agent)
+		want   bool
+	}{
+		{"a call breaks off", func(a *agent) { a.noteFailure(broken, time.Now()) }, true},
+		{"a call is refused", func(a *agent) { a.noteFailure(refused, time.Now()) }, true},
+		{"a call breaks off, others are refused", func(a *agent) {
+			a.noteFailure(broken, time.Now())
+			time.Sleep(time.Second)
+			a.noteFailure(refused, time.Now())
+		}, true},
+		{"silence, then a call breaks off", func(a *agent) {
+			a.noteFailure(silence, time.Now())
+			a.noteFailure(broken, time.Now())
+		}, false},
+		{"silence, then a call is refused", func(a *agent) {
+			a.noteFailure(silence, time.Now())
+			a.noteFailure(refused, time.Now())
+		}, false},
+		{"a call breaks off half a second later", func(a *agent) {
+			time.Sleep(500 * time.Millisecond)
+			a.noteFailure(broken, time.Now())
+		}, false},
+		{"a call breaks off, the next one is answered, then silence", func(a *agent) {
+			a.noteFailure(broken, time.Now())
+			time.Sleep(time.Millisecond)
+			a.callAnswered(time.Now())
+			a.noteFailure(silence, time.Now())
+		}, false},
+		{"no answer to a start, an earlier renewal is answered, then a call breaks off", func(a *agent) {
+			sentAt := time.Now()
+			time.Sleep(time.Millisecond)
+			a.noteFailure(silence, time.Now())
+			a.callAnswered(sentAt)
+			a.noteFailure(broken, time.Now())
+		}, false},
+		{"another lifetime answers", func(a *agent) { a.noteFailure(platform.ErrLifetimeMismatch, time.Now()) }, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			o, _ := benchOwner(4, 0)
+			for _, a := range o.agents {
+				a.entry.Size.Millicores, a.entry.Size.MemoryMB = 2*a.entry.Size.Millicores, 2*a.entry.Size.MemoryMB
+				o.syncAgent(a)
+			}
+			starts := o.board.Decide(time.Now()).Starts
+			if len(starts) == 0 {
+				t.Fatal("nothing is started")
+			}
+			for _, s := range starts {
+				o.board.Started(s.Worker, s.Task, s.Attempt, time.Now())
+			}
+			a, task := o.agents[starts[0].Worker], starts[0].Task
+			a.worker, a.cancel = &fakeWorker{}, func() {}
+			tt.events(a)
+			o.endLifetime(a, lifetimeCrashed, "another lifetime answers")
+			job, _ := o.board.Job(task.Job)
+			data, _, err := o.board.EncodeProgress(job.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p, err := jobs.DecodeProgress(job, data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			crashes := p.Crashes(task)
+			if len(crashes) != 1 || crashes[0].Prompt != tt.want {
+				t.Errorf("%s: crashes %+v, want one, prompt %t", tt.name, crashes, tt.want)
+			}
+		})
+	}
+}
