jobs: room for the crashes that can give a task up

Cause: where a job had 256 recorded crashes, a prompt one replaced the only record of its task, so that a deadly task of such a job was never given up. Change: 96 further records for prompt crashes; a job's row stays within the platform's limit.

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"slices"
@@ -172,3 +173,43 @@
 		t.Errorf("%d checkpoints kept of 3000, want 300", kept)
 	}
 }
+
+// Guards against a row that outgrows the platform's table because workers are lost again and
+// again, and against records of such losses that push out those which give a deadly task up.
+func TestStoredCrashesAreLimited(t *testing.T) {
+	j := sample()
+	j.Repetitions, j.Steps = 0, []jobs.Step{{Count: jobs.MaxTasks}}
+	p := jobs.NewProgress(j)
+	crash := func(i, attempt int, prompt bool) {
+		p.MarkCrash(jobs.Task{Job: j.ID, Index: i}, jobs.Crash{
+			Worker: fmt.Sprintf("i-462b1b21f2@178555169%04d", attempt), Attempt: 123_000 + attempt, Settled: true, Prompt: prompt,
+		})
+	}
+	for attempt := range 9 {
+		for i := range jobs.MaxTasks {
+			crash(i, attempt, false)
+		}
+	}
+	for attempt := 9; attempt < 12; attempt++ {
+		for i := range 30 {
+			crash(i, attempt, true)
+		}
+	}
+	data, err := p.Encode()
+	if err != nil || len(data) > 48_000 { // a row of 64 KiB in base64
+		t.Errorf("%d bytes, %v", len(data), err)
+	}
+	for attempt := 12; attempt < 16; attempt++ {
+		crash(0, attempt, false)
+	}
+	prompt, latest := 0, 0
+	for _, c := range p.Crashes(jobs.Task{Job: j.ID}) {
+		latest = c.Attempt
+		if c.Prompt {
+			prompt++
+		}
+	}
+	if prompt != 3 || latest != 123_015 {
+		t.Errorf("%d prompt crashes kept, the latest crash of attempt %d; want 3 and 123015", prompt, latest)
+	}
+}
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -143,8 +143,10 @@
 
 const (
 	// maxCrashes limits the recorded crashes of a job. A record takes about 120 bytes, and a
-	// row of the platform's table holds 64 KiB.
+	// row of the platform's table holds 64 KiB in base64. The room for further prompt ones is
+	// for a deadly task of a job of which many tasks have lost their workers.
 	maxCrashes        = 256
+	maxPromptCrashes  = 96
 	maxCrashesPerTask = 4
 )
 
@@ -155,7 +157,11 @@
 // without one gets none.
 func (p *Progress) MarkCrash(t Task, c Crash) bool {
 	crashes := p.crashes[t]
-	full := len(crashes) >= maxCrashesPerTask || p.countCrashes() >= maxCrashes
+	limit := maxCrashes
+	if c.Prompt {
+		limit += maxPromptCrashes
+	}
+	full := len(crashes) >= maxCrashesPerTask || p.countCrashes() >= limit
 	if p.Done(t) || len(crashes) == 0 && full {
 		return false
 	}
