daemon: evidence of an end is of the life in question

Causes: two refused connections of an earlier life counted until the next answer, so that a probe that timed out voided the promise to a later life; a late answer of Peer.Acts voided a newer promise; an answer of an earlier life counted as the end of an owner whose row in the table of processes had not come. By reading: an end was dated by when the request was sent, not when it was refused; Peer.Acts made all processes count as offered.

Change: any other outcome of a probe resets the count of refusals; the answer is bound to the round of the promise; an owner counts as ended only if the row of a later registration has come; an end counts by the time of the refusal.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -364,10 +364,10 @@
 	if p == nil || !p.alive(now) || p.life == own.Owner.Life {
 		return false
 	}
-	if !p.reported {
-		return p.rowLife != own.Owner.Life // else the answer may be of an earlier life
+	if !p.reported && p.rowLife == own.Owner.Life {
+		return false
 	}
-	return p.rowVersion > own.Version // else the row of the owner's life is on its way
+	return p.rowVersion >= own.Version // else the row of the owner's life is on its way
 }
 
 // majority reports whether this process reaches more than half of the processes that
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -206,6 +206,8 @@
 		d.recordAnswer(p, reply, now)
 	case errors.Is(err, wire.ErrNotListening):
 		p.refusedConnections++
+	default:
+		p.refusedConnections = 0 // the process may have been started again since
 	}
 	if err != nil && p.reported && !p.failed && !d.late(now) {
 		p.suspected = true // probed from now on until it answers or is reported as failed
--- a/internal/daemon/vouch.go
+++ b/internal/daemon/vouch.go
@@ -157,6 +157,7 @@
 			continue
 		}
 		made.askedAt = now
+		round := made.round
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 			defer cancel()
@@ -166,7 +167,7 @@
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			if d.promises[key] == made {
+			if d.promises[key] == made && made.round == round {
 				delete(d.promises, key)
 			}
 		}()
@@ -183,8 +184,8 @@
 	defer s.d.mu.Unlock()
 	*reply = args.Life == s.d.self.Life && s.d.owners[args.Pool] != nil
 	if !*reply {
-		for node := range s.d.vouchers {
-			s.d.withdraw(node, args.Pool)
+		for _, v := range s.d.vouchers {
+			v.drop(args.Pool, s.d.vouchRound)
 		}
 	}
 	return nil
@@ -211,13 +212,14 @@
 	from      map[string]time.Time // when the request was sent from whose outcome that follows, by pool
 	endedAt   map[string]time.Time // when the last request was sent that found that no process listened, by pool
 	withdrawn map[string]uint64    // last round whose answer does not count, by pool
+	offered   map[string]bool      // pools that this process has offered to it
 }
 
 // voucher returns what is known of a process. The caller holds d.mu.
 func (d *Daemon) voucher(node string) *voucher {
 	v := d.vouchers[node]
 	if v == nil {
-		v = &voucher{until: map[string]time.Time{}, from: map[string]time.Time{}, endedAt: map[string]time.Time{}, withdrawn: map[string]uint64{}}
+		v = &voucher{until: map[string]time.Time{}, from: map[string]time.Time{}, endedAt: map[string]time.Time{}, withdrawn: map[string]uint64{}, offered: map[string]bool{}}
 		d.vouchers[node] = v
 	}
 	return v
@@ -284,7 +286,7 @@
 		switch {
 		case sentAt.Before(pausedAt):
 		case errors.Is(err, wire.ErrNotListening):
-			v.recordEnd(name, sentAt, confirmedAt)
+			v.recordEnd(name, sentAt, now, confirmedAt)
 		case slices.Contains(reply.Pools, name):
 			v.record(name, args.Round, reply, sentAt, now, confirmedAt)
 		}
@@ -326,10 +328,10 @@
 	}
 }
 
-// recordEnd records that no process listened when a request was sent. The next life claims nothing
-// from an owner that may still act until it has run for promiseTime.
-func (v *voucher) recordEnd(name string, sentAt, confirmedAt time.Time) {
-	if sentAt.After(later(v.until[name], confirmedAt)) && sentAt.Sub(v.endedAt[name]) >= ownClock(promiseTime) {
+// recordEnd records that no process listened between the time when a request was sent and refusedAt.
+// The next life claims nothing from an owner that may still act until it has run for promiseTime.
+func (v *voucher) recordEnd(name string, sentAt, refusedAt, confirmedAt time.Time) {
+	if refusedAt.After(later(v.until[name], confirmedAt)) && refusedAt.Sub(v.endedAt[name]) >= ownClock(promiseTime) {
 		return // it may have claimed the pool before it ended
 	}
 	v.endedAt[name] = sentAt
@@ -352,10 +354,16 @@
 // far, and returns the last round of requests. The caller holds d.mu.
 func (d *Daemon) withdraw(node, name string) (round uint64) {
 	v := d.voucher(node)
+	v.drop(name, d.vouchRound)
+	v.offered[name] = true
+	return d.vouchRound
+}
+
+// drop makes the answers up to a round count no longer for a pool.
+func (v *voucher) drop(name string, round uint64) {
 	delete(v.until, name)
 	delete(v.endedAt, name)
-	v.withdrawn[name], v.vouched = d.vouchRound, false
-	return d.vouchRound
+	v.withdrawn[name], v.vouched = round, false
 }
 
 // notClaimedUntil returns until when no other process can have claimed a pool, zero if that is
@@ -370,7 +378,7 @@
 	earliest := time.Now()
 	for node, p := range d.peers {
 		v := d.voucher(node)
-		if _, offered := v.withdrawn[name]; p.departed && p.rowVersion <= members && !offered {
+		if p.departed && p.rowVersion <= members && !v.offered[name] {
 			continue
 		}
 		v.forget(name, pausedAt)
--- a/internal/daemon/vouch_test.go
+++ b/internal/daemon/vouch_test.go
@@ -42,7 +42,7 @@
 				d.voucher(node).until["p"] = now.Add(until)
 			}
 			for node, at := range tt.ended {
-				d.voucher(node).recordEnd("p", now.Add(at), now.Add(at))
+				d.voucher(node).recordEnd("p", now.Add(at), now.Add(at), now.Add(at))
 			}
 			if tt.left != "" {
 				d.peers[tt.left].departed, d.peers[tt.left].rowVersion = true, 7
@@ -199,24 +199,24 @@
 	}{
 		{"the same life", func(v *voucher) { vouch(v, 1, 60, 0); vouch(v, 5, 64, 0) }, 5},
 		{"started after the confirmation", func(v *voucher) { vouch(v, 2, 1, 0) }, 0},
-		{"ended after it vouched", func(v *voucher) { vouch(v, 1, 60, 0); v.recordEnd("p", at(2), base) }, 1},
+		{"ended after it vouched", func(v *voucher) { vouch(v, 1, 60, 0); v.recordEnd("p", at(2), at(2), base) }, 1},
 		{"started again after it vouched", func(v *voucher) { vouch(v, 1, 60, 0); vouch(v, 4, 1, 0) }, 1},
-		{"ended within its promise", func(v *voucher) { vouch(v, 1, 60, 8); v.recordEnd("p", at(2), base) }, 8.76},
+		{"ended within its promise", func(v *voucher) { vouch(v, 1, 60, 8); v.recordEnd("p", at(2), at(2), base) }, 8.76},
 		{"away for long after it ended within its promise", func(v *voucher) {
 			vouch(v, 1, 60, 8)
 			for s := 2.0; s < 30; s++ {
-				v.recordEnd("p", at(s), base)
+				v.recordEnd("p", at(s), at(s), base)
 			}
 		}, 29},
 		{"started again within its promise", func(v *voucher) { vouch(v, 1, 60, 8); vouch(v, 4, 1, 8) }, 11.76},
 		{"started again after it was found to have ended", func(v *voucher) {
 			vouch(v, 1, 60, 8)
-			v.recordEnd("p", at(8), base)
+			v.recordEnd("p", at(8), at(8), base)
 			vouch(v, 12, 1, 0)
 		}, 12},
 		{"long unseen after it was found to have ended", func(v *voucher) {
 			vouch(v, 1, 60, 8)
-			v.recordEnd("p", at(8), base)
+			v.recordEnd("p", at(8), at(8), base)
 			vouch(v, 17, 1, 0)
 		}, 8.76},
 	} {
