--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -542,9 +542,14 @@
 		d.startKeeper(own)
 		return
 	}
-	s := pool.Settings{Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, HandOver: d.handOverPool, Members: d.knownMembers, Recording: d.Recording, Retention: d.bounds().StateRetention, MaxLease: d.bounds().MaxLease}
-	s.NotClaimedUntil = func(members uint64, pausedAt time.Time) time.Time {
-		return d.notClaimedUntil(own.Pool, members, pausedAt)
+	bounds := d.bounds()
+	s := pool.Settings{
+		Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, Recording: d.Recording,
+		HandOver: d.handOverPool, Members: d.knownMembers,
+		NotClaimedUntil: func(members uint64, pausedAt time.Time) time.Time {
+			return d.notClaimedUntil(own.Pool, members, pausedAt)
+		},
+		Retention: bounds.StateRetention, MaxLease: bounds.MaxLease,
 	}
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
