--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(s *session) error{
 	"silent-channels": silentChannels,
 	"wide-gang":       wideGang,
+	"wide-lasting":    wideLasting,
 }
 
 func main() {
