--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -137,12 +137,18 @@
 
 func (f *fleet) listMachines(rw http.ResponseWriter, _ *http.Request) {
 	var machines []any
+	f.mu.Lock()
 	for _, w := range f.workers {
+		state, id := "up", any(w.id)
+		if w.down {
+			state, id = "down", nil
+		}
 		machines = append(machines, map[string]any{
-			"machine": "m-" + w.id, "pool": f.pool, "state": "up", "zone": "nissa-depo", "labels": []string{"a", w.rack},
-			"capacity": map[string]int{"cpu": w.millicores, "mem_mb": workerMemory, "gpu": 0}, "id": w.id,
+			"machine": "m-" + w.id, "pool": f.pool, "state": state, "zone": "nissa-depo", "labels": []string{"a", w.rack},
+			"capacity": map[string]int{"cpu": w.millicores, "mem_mb": workerMemory, "gpu": 0}, "id": id,
 		})
 	}
+	f.mu.Unlock()
 	writeAnswer(rw, http.StatusOK, map[string]any{"machines": machines, "next_token": nil})
 }
 
@@ -237,6 +243,7 @@
 	addr       string
 
 	// The fields below are guarded by the fleet's lock.
+	down     bool // it has crashed
 	token    uint64
 	leaseEnd time.Duration
 	running  map[string]*run
@@ -276,9 +283,9 @@
 func (w *worker) beat() {
 	for sequence := 1; ; sequence++ {
 		w.fleet.mu.Lock()
-		closed := w.fleet.closed
+		ended := w.fleet.closed || w.down
 		w.fleet.mu.Unlock()
-		if closed {
+		if ended {
 			return
 		}
 		w.report("ready", sequence)
@@ -294,6 +301,20 @@
 
 func (w *worker) clock() time.Duration { return time.Since(w.began) }
 
+// crash ends the worker with all that it runs. Its entry is removed after three heartbeats.
+func (w *worker) crash() {
+	f := w.fleet
+	f.mu.Lock()
+	w.down = true
+	for _, r := range w.running { // nobody learns of these ends
+		r.ended, r.how = time.Now(), "lost"
+	}
+	clear(w.running)
+	f.mu.Unlock()
+	_ = w.server.Close()
+	time.AfterFunc(3*heartbeatPeriod, func() { f.platform.Store.Drop("servers", "", w.id) })
+}
+
 // orderWire is a call of a worker.
 type orderWire struct {
 	Task    string `json:"task"`
@@ -318,6 +339,10 @@
 			return
 		}
 		w.fleet.mu.Lock()
+		if w.down {
+			w.fleet.mu.Unlock()
+			return // its connections are being closed
+		}
 		status, answer := w.execute(f, o, r)
 		w.fleet.mu.Unlock()
 		writeAnswer(rw, status, answer)
