--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"silent-channels": silentChannels,
 	"wide-gang":       wideGang,
 	"wide-lasting":    wideLasting,
+	"schedules":       schedules,
 	"two-crashes":     twoCrashes,
 }
 
--- a/review/standin-2/session.go
+++ b/review/standin-2/session.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	caseTimeout  = 110 * time.Second
+	caseTimeout  = 117 * time.Second
 	readyTimeout = 20 * time.Second
 	settleTime   = 3 * time.Second // until the pools have owners and the workers are registered
 	stopTimeout  = 8 * time.Second // the platform's grace_s and a margin
@@ -48,6 +48,7 @@
 	addr     netip.Addr
 	settings string
 	command  *exec.Cmd
+	startAt  time.Time // when it is started again, zero while it runs
 }
 
 // session is one run of a case.
