--- a/review/standin-2/sched.go
+++ b/review/standin-2/sched.go
@@ -20,7 +20,7 @@
 	memoryLimit      = 284 << 20 // memory_mb
 	memoryPeriod     = 20 * time.Millisecond
 	restartDelay     = 500 * time.Millisecond
-	scheduleRate     = 9.4 // submissions a second, the ordinary rate of the site's busiest queue
+	schedulePeriod   = 106 * time.Millisecond // 9.4 submissions a second, the ordinary rate of the site's busiest queue
 	scheduleCount    = 715
 	scheduleInterval = 10 * time.Second
 )
@@ -61,10 +61,10 @@
 		occurrences = 10_000
 	}
 	startAt := time.Now().Add(time.Hour)
-	s.note("%d submissions come, %.1f a second, each scheduled for %d times every %v from an hour ahead on", scheduleCount, scheduleRate, occurrences, scheduleInterval)
+	s.note("%d submissions come, one every %v, each scheduled for %d times every %v from an hour ahead on", scheduleCount, schedulePeriod, occurrences, scheduleInterval)
 	var answers [600]atomic.Int64
 	var callers sync.WaitGroup
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / scheduleRate))
+	ticker := time.NewTicker(schedulePeriod)
 	for i := range scheduleCount {
 		<-ticker.C
 		callers.Go(func() {
