--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -93,6 +93,7 @@
 
 	mu      sync.Mutex
 	jobs    map[string]submission // by id
+	fails   map[string]bool       // submissions whose runs all end failed, by id
 	workers []*worker
 	runs    []*run
 	closed  bool
@@ -100,7 +101,7 @@
 
 // newFleet starts the workers of a pool and the machine API.
 func newFleet(s *session, p *mimic.Platform, pool string, count, millicores int) (*fleet, error) {
-	f := &fleet{s: s, platform: p, pool: pool, jobs: map[string]submission{}}
+	f := &fleet{s: s, platform: p, pool: pool, jobs: map[string]submission{}, fails: map[string]bool{}}
 	for i := range count {
 		w, err := f.newWorker(i, millicores)
 		if err != nil {
@@ -164,9 +165,14 @@
 
 // submit hands a submission in at a process and returns its id and the status.
 func (f *fleet) submit(d *daemon, route string, j submission) (string, int) {
+	return f.submitAs(d, route, j, false)
+}
+
+// submitAs is submit for a submission that can never be done if it fails.
+func (f *fleet) submitAs(d *daemon, route string, j submission, fails bool) (string, int) {
 	id := newID()
 	f.mu.Lock()
-	f.jobs[id] = j
+	f.jobs[id], f.fails[id] = j, fails
 	f.mu.Unlock()
 	status, _ := f.s.request(http.MethodPost, d, portCallers, "/"+route+"/"+id, j.body())
 	f.s.note("POST /%s/%s at %s: %d", route, id, d.node, status)
@@ -478,7 +484,11 @@
 		case r.step.Gang && r.works.IsZero() && now.Sub(r.started) > gangTimeout:
 			w.end(r, "alone", now)
 		case !r.step.LongRunning && !r.works.IsZero() && now.Sub(r.works) > r.duration:
-			w.end(r, "done", now)
+			how := "done"
+			if w.fleet.fails[r.task[:strings.IndexByte(r.task, '.')]] {
+				how = "failed"
+			}
+			w.end(r, how, now)
 		}
 	}
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,8 @@
 	"wide-gang":       wideGang,
 	"wide-lasting":    wideLasting,
 	"schedules":       schedules,
+	"failed-workers":  failedWorkers,
+	"advised-crash":   advisedCrash,
 	"two-crashes":     twoCrashes,
 }
 
--- a/review/standin-2/session.go
+++ b/review/standin-2/session.go
@@ -58,6 +58,7 @@
 	dir     string
 	client  http.Client
 	daemons []*daemon
+	advice  netip.AddrPort // of the advice service, zero if there is none
 
 	mu     sync.Mutex
 	record *os.File
@@ -141,7 +142,7 @@
 		d := &daemon{node: fmt.Sprintf("frontend-%d", i+1), addr: netip.AddrFrom4([4]byte{prefix[0], prefix[1], prefix[2], byte(i + 1)})}
 		d.settings = filepath.Join(s.dir, d.node+".toml")
 		seeds := netip.AddrPortFrom(netip.AddrFrom4([4]byte{prefix[0], prefix[1], prefix[2], 1}), portControl)
-		if err := os.WriteFile(d.settings, settings(d, seeds, store, machines), 0o600); err != nil {
+		if err := os.WriteFile(d.settings, settings(d, seeds, store, machines, s.advice), 0o600); err != nil {
 			return err
 		}
 		s.daemons = append(s.daemons, d)
@@ -182,7 +183,11 @@
 }
 
 // settings returns the settings file of a process, with the figures of the deployment amcs-cesti.
-func settings(d *daemon, seed, store, machines netip.AddrPort) []byte {
+func settings(d *daemon, seed, store, machines, advice netip.AddrPort) []byte {
+	adviceLine := ""
+	if advice.IsValid() {
+		adviceLine = fmt.Sprintf("advice = %q", advice)
+	}
 	return fmt.Appendf(nil, `node_name = %q
 role = "entry"
 machine_class = "frontend"
@@ -198,6 +203,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 commands = "invocation"
+%s
 [zones]
 nissa-depo = "isola"
 [listen_addresses]
@@ -257,7 +263,7 @@
 address = %q
 rate_per_s = 64.0
 duties_per_s = 64.0
-`, d.node, d.addr, portFirst, portFirst+15, seed,
+`, d.node, d.addr, portFirst, portFirst+15, seed, adviceLine,
 		d.addr, portCallers, d.addr, portReadiness, d.addr, portControl, store, machines)
 }
 
@@ -289,5 +295,15 @@
 	return response.StatusCode, string(data)
 }
 
+// alive reports whether a process runs, as /proc tells.
+func alive(pid int) bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	return len(fields) > 0 && fields[0] != "Z" && fields[0] != "X"
+}
+
 // newID returns the id of a submission.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
