--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -153,6 +153,17 @@
 	writeAnswer(rw, http.StatusOK, map[string]any{"machines": machines, "next_token": nil})
 }
 
+// serveLoopback starts a server on a free port.
+func serveLoopback(handler http.Handler) (*http.Server, netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
+	return server, listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
 func writeAnswer(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- /dev/null
+++ b/review/standin-2/holders.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httputil"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/papayarudder/papayarudder/platform/mimic"
+)
+
+// Figures of the case of two holders.
+const (
+	slowAnswer      = 240 * time.Millisecond // 60 times 4 ms, platform_slow
+	slowTransaction = 480 * time.Millisecond // 60 times transaction_ms
+	maxSlow         = 4500 * time.Millisecond
+	maintenanceTime = 2 * time.Second // maintenance_s
+	waveCount       = 3
+	waveHosts       = 8
+	waveAtOnce      = 2 // max_count
+	rounds          = 5
+)
+
+// slowStore is a proxy of the platform's store whose answers take long while it is slow.
+type slowStore struct {
+	proxy *httputil.ReverseProxy
+	slow  atomic.Bool
+	claim func() // called when a process claims the fleet
+}
+
+func newSlowStore(store netip.AddrPort) (*slowStore, *http.Server, netip.AddrPort, error) {
+	p := &slowStore{proxy: httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store.String()})}
+	p.proxy.ErrorLog = log.New(io.Discard, "", 0) // calls that the processes gave up
+	server, addr, err := serveLoopback(p)
+	return p, server, addr, err
+}
+
+// ServeHTTP forwards a call. The answer to one that came while the store was slow is slow.
+func (p *slowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	transaction := r.URL.Path == "/api/rows-tx"
+	if _, writes, found := strings.Cut(string(body), `"write":`); transaction && found && strings.Contains(writes, `"table":"own","part":"@fleet"`) {
+		p.claim()
+	}
+	answer := &heldAnswer{header: http.Header{}, status: http.StatusOK}
+	slow := p.slow.Load()
+	p.proxy.ServeHTTP(answer, r)
+	switch {
+	case slow && transaction:
+		time.Sleep(slowTransaction)
+	case slow:
+		time.Sleep(slowAnswer)
+	}
+	for name, values := range answer.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body.Bytes()) // the caller may have closed the connection
+}
+
+// heldAnswer keeps an answer until it is due.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (h *heldAnswer) Header() http.Header         { return h.header }
+func (h *heldAnswer) WriteHeader(status int)      { h.status = status }
+func (h *heldAnswer) Write(b []byte) (int, error) { return h.body.Write(b) }
+
+// twoHolders plays the case of the fleet that moves to another process during maintenance waves.
+// The process that gives it away goes on, on what it was authorized to before.
+func twoHolders(s *session) error {
+	held := 0
+	for round := range rounds {
+		s.note("round %d", round+1)
+		err := s.twoHoldersRound()
+		if errors.Is(err, errBroken) {
+			return err
+		}
+		if err == nil {
+			held++
+		} else {
+			s.note("this round could not run: %v", err)
+		}
+		s.stopAll()
+	}
+	if held == 0 {
+		return errors.New("no round could run")
+	}
+	return nil
+}
+
+func (s *session) twoHoldersRound() error {
+	var store, machines netip.AddrPort
+	p, err := mimic.New(mimic.Options{
+		Pools:      []mimic.Pool{{Name: "banco-nord", Hosts: 3}, {Name: "banco-sud", Hosts: 3}, {Name: "assistenza", Hosts: waveCount * waveHosts, Standby: true}},
+		Millicores: workerMillicores, MemoryMB: workerMemory, Transaction: 8 * time.Millisecond, Migration: 1500 * time.Millisecond, Maintenance: maintenanceTime,
+		Via: func(server netip.AddrPort) netip.AddrPort {
+			switch { // the first server is the store, the second one the machine API
+			case !store.IsValid():
+				store = server
+			case !machines.IsValid():
+				machines = server
+			}
+			return server
+		},
+	})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	proxy, server, addr, err := newSlowStore(store)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	proxy.claim = func() {}
+	p.Configure(mimic.Config(1, queues("banco-nord", "cartellini"), []mimic.Pool{{Name: "banco-nord"}, {Name: "banco-sud"}, {Name: "assistenza", Standby: true}}))
+	if err := s.start(processes, addr, machines); err != nil {
+		return err
+	}
+	if s.trouble {
+		for _, d := range s.daemons[1:] {
+			_ = d.command.Process.Kill()
+			_ = d.command.Wait()
+			d.command = nil
+		}
+		s.note("all processes but one are killed")
+	}
+	time.Sleep(3 * time.Second) // until the remaining one holds the fleet and the pools
+
+	wave := map[string]int{}
+	for n := range waveCount {
+		var hosts []string
+		for i := range waveHosts {
+			host := fmt.Sprintf("m-%d", 6+n*waveHosts+i)
+			hosts = append(hosts, host)
+			wave[host] = n + 1
+		}
+		p.Wave(n+1, hosts, 26*time.Second, waveAtOnce)
+	}
+	s.note("operator: %d waves of %d machines that are off, %d at once", waveCount, waveHosts, waveAtOnce)
+	time.Sleep(2 * time.Second)
+	proxy.claim = func() {
+		if proxy.slow.CompareAndSwap(true, false) {
+			s.note("the store is not slow any more; another process claims the fleet")
+		}
+	}
+	if s.trouble {
+		proxy.slow.Store(true)
+		s.note("the store is slow: 60 times")
+		time.AfterFunc(maxSlow, func() {
+			if proxy.slow.CompareAndSwap(true, false) {
+				s.note("the store is not slow any more")
+			}
+		})
+	}
+	time.Sleep(900 * time.Millisecond) // the next machines are due 2.5 s after the first ones
+	if s.trouble {
+		for _, d := range s.daemons[1:] {
+			if err := s.launch(d); err != nil {
+				return err
+			}
+		}
+		s.note("the other processes are started again")
+	}
+	time.Sleep(9 * time.Second)
+
+	type span struct{ from, to time.Time }
+	down := map[int][]span{}
+	holders := map[string]string{}
+	broken := 0
+	var last string
+	for _, o := range p.Orders() {
+		if o.Kind != "maintain" {
+			continue
+		}
+		n := wave[o.Host]
+		beside := 0
+		for _, d := range down[n] {
+			if !o.At.Before(d.from) && o.At.Before(d.to) {
+				beside++
+			}
+		}
+		down[n] = append(down[n], span{o.At, o.At.Add(maintenanceTime)})
+		s.note("upkeep of %s (wave %d) at %.3f by %s, token %s, beside %d others", o.Host, n, o.At.Sub(s.began).Seconds(), o.Holder, o.Token, beside)
+		if holders[o.Token] != "" && o.Token != last {
+			s.note("a holder with token %s acts after one with token %s", o.Token, last)
+		}
+		holders[o.Token], last = o.Holder, o.Token
+		if beside >= waveAtOnce {
+			broken++
+		}
+	}
+	if len(holders) == 0 {
+		return errors.New("no upkeep was ordered")
+	}
+	if broken > 0 {
+		return errors.Wrapf(errBroken, "LIMIT: %d upkeeps began while %d machines of their wave were down for theirs; the holders were %v", broken, waveAtOnce, holders)
+	}
+	return nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 	"schedules":       schedules,
 	"failed-workers":  failedWorkers,
 	"advised-crash":   advisedCrash,
+	"two-holders":     twoHolders,
 	"two-crashes":     twoCrashes,
 }
 
--- a/review/standin-2/session.go
+++ b/review/standin-2/session.go
@@ -93,15 +93,21 @@
 	fmt.Println(line)
 }
 
-// close stops all processes of the system.
-func (s *session) close() {
+// stopAll stops all processes of the system.
+func (s *session) stopAll() {
 	for _, d := range s.daemons {
 		if d.command != nil {
 			_ = d.command.Process.Signal(syscall.SIGCONT)
 			_ = d.command.Process.Kill()
 			_ = d.command.Wait()
+			d.command = nil
 		}
 	}
+}
+
+// close stops all processes of the system, and ends the record.
+func (s *session) close() {
+	s.stopAll()
 	_ = os.RemoveAll(s.dir)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,6 +140,7 @@
 
 // start starts processes of the system, and waits until they are ready.
 func (s *session) start(count int, store, machines netip.AddrPort) error {
+	s.daemons = nil
 	prefix, err := freePrefix(count)
 	if err != nil {
 		return err
