--- a/review/standin-2/holders.go
+++ b/review/standin-2/holders.go
@@ -24,9 +24,9 @@
 	slowTransaction = 480 * time.Millisecond // 60 times transaction_ms
 	maxSlow         = 4500 * time.Millisecond
 	maintenanceTime = 2 * time.Second // maintenance_s
-	activeHosts     = 13 // of each of two pools
-	waveHosts       = 24 // of 50, a share of 0.48
-	waveAtOnce      = 2  // max_count
+	activeHosts     = 13              // of each of two pools
+	waveHosts       = 24              // of 50, a share of 0.48
+	waveAtOnce      = 2               // max_count
 	waveTime        = 26 * time.Second
 	rounds          = 5
 )
