--- a/review/standin-2/holders.go
+++ b/review/standin-2/holders.go
@@ -29,6 +29,8 @@
 	waveAtOnce      = 2               // max_count
 	waveTime        = 26 * time.Second
 	rounds          = 5
+	firstRestart    = 500 * time.Millisecond // after the store has turned slow, in the first round
+	restartStep     = 100 * time.Millisecond // later in each further round
 )
 
 // slowStore is a proxy of the platform's store whose answers take long while it is slow.
@@ -89,7 +91,7 @@
 	held := 0
 	for round := range rounds {
 		s.note("round %d", round+1)
-		err := s.twoHoldersRound()
+		err := s.twoHoldersRound(firstRestart + time.Duration(round)*restartStep)
 		if errors.Is(err, errBroken) {
 			return err
 		}
@@ -106,7 +108,7 @@
 	return nil
 }
 
-func (s *session) twoHoldersRound() error {
+func (s *session) twoHoldersRound(restartAfter time.Duration) error {
 	var store, machines netip.AddrPort
 	p, err := mimic.New(mimic.Options{
 		Pools:      []mimic.Pool{{Name: "banco-nord", Hosts: activeHosts}, {Name: "banco-sud", Hosts: activeHosts}, {Name: "assistenza", Hosts: waveHosts, Standby: true}},
@@ -166,7 +168,7 @@
 			}
 		})
 	}
-	time.Sleep(900 * time.Millisecond) // the next machines are due 2.5 s after the first ones
+	time.Sleep(restartAfter) // the next machines are due 2.5 s after the first ones
 	if s.trouble {
 		for _, d := range s.daemons[1:] {
 			if err := s.launch(d); err != nil {
