--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -563,6 +563,7 @@
 	d.mu.Unlock()
 	if c := d.config.Load(); c != nil {
 		o.SetQueues(c.Queues)
+		o.SetOrganisations(c.Organisations, c.Version)
 	}
 	d.sendWorkers(o, entries)
 	go d.sendLatestWorkers(o)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -216,6 +216,7 @@
 	d.mu.Unlock()
 	for _, o := range owners {
 		o.SetQueues(c.Queues)
+		o.SetOrganisations(c.Organisations, c.Version)
 	}
 	d.log.WithFields(logrus.Fields{"version": c.Version, "queues": len(c.Queues), "pools": len(c.Pools), "from": from}).Info("configuration in force")
 }
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -48,6 +48,8 @@
 	Pool        string    `json:"pool"`
 	Route       string    `json:"route,omitempty"`
 	SubmittedMS int64     `json:"submitted-ms"`
+
+	Organisation string `json:"organisation,omitempty"`
 }
 
 // Encode returns the stored form of a job. The error wraps [ErrInvalid] if it does not fit
@@ -56,7 +58,7 @@
 	row := jobRow{
 		ID: string(j.ID), Spec: j.Spec, Repetitions: j.Repetitions, EveryMS: j.Every.Milliseconds(),
 		Priority: j.Priority, MaxAttempts: j.MaxAttempts, Slack: j.Slack, TargetMS: j.Target.Milliseconds(),
-		Queue: j.Queue, Pool: j.Pool, Route: j.Route, SubmittedMS: j.Submitted.UnixMilli(),
+		Queue: j.Queue, Pool: j.Pool, Route: j.Route, SubmittedMS: j.Submitted.UnixMilli(), Organisation: j.Organisation,
 	}
 	if j.Repetitions > 0 {
 		row.FirstMS = j.FirstAt.UnixMilli()
@@ -96,7 +98,7 @@
 		Every:    Milliseconds(row.EveryMS),
 		Priority: row.Priority, MaxAttempts: row.MaxAttempts, Slack: row.Slack,
 		Target: Milliseconds(row.TargetMS),
-		Queue:  row.Queue, Pool: row.Pool, Route: row.Route, Submitted: time.UnixMilli(row.SubmittedMS),
+		Queue:  row.Queue, Pool: row.Pool, Route: row.Route, Submitted: time.UnixMilli(row.SubmittedMS), Organisation: row.Organisation,
 	}
 	if row.Repetitions > 0 {
 		j.FirstAt = time.UnixMilli(row.FirstMS)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -84,6 +84,9 @@
 	return Resources{s.Millicores - o.Millicores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Unlimited is a limit that no claim reaches.
+const Unlimited = math.MaxInt
+
 // Fits reports whether s fits into capacity.
 func (s Resources) Fits(capacity Resources) bool {
 	return s.Millicores <= capacity.Millicores && s.MemoryMB <= capacity.MemoryMB && s.Accelerators <= capacity.Accelerators
@@ -139,6 +142,8 @@
 	Pool      string    // the pool whose workers run it
 	Route     string    // the address by which it was submitted, empty from a version without this field
 	Submitted time.Time // when an entry host received it
+
+	Organisation string // whose key its caller sent, empty on a public queue or where there are no organisations
 }
 
 // Milliseconds returns a number of milliseconds as a duration. One that overflows becomes
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -83,7 +83,8 @@
 	adviceRequests   int             // under way
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
 	suspectsTurnAt   time.Time       // when that last changed
-	focus            focus           // of the present decision, or of one that panicked
+	organisations    map[string]*organisation
+	focus            focus // of the present decision, or of one that panicked
 	examined         uint64
 	listings         uint64 // applied so far
 }
@@ -92,7 +93,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, routes: map[string]int{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{}, organisations: map[string]*organisation{},
 	}
 }
 
@@ -562,6 +563,7 @@
 	w.count(a.step, 1)
 	b.setUsed(w, w.used.Add(a.step.Claim()))
 	b.pending.attemptAdded(a)
+	b.organisationOf(e).use(a.step.Claim())
 	e.attempts[a.Task] = append(e.attempts[a.Task], a)
 	e.lastAttempt[a.Task] = max(e.lastAttempt[a.Task], a.Number)
 	b.lastingChanged(a)
@@ -577,6 +579,7 @@
 		}
 		w.count(a.step, -1)
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
+		b.organisationOf(a.entry).release(a.step.Claim())
 		b.pending.paceable(w)
 	}
 	b.pending.noLongerCopyable(a)
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -14,6 +14,7 @@
 	StepAdd             StepKind = "add"
 	StepAdvised         StepKind = "advised"
 	StepAdviceFailed    StepKind = "advice-failed"
+	StepAllotment       StepKind = "allotment"
 	StepSetAdvised      StepKind = "queues-with-advice"
 	StepCancel          StepKind = "cancel"
 	StepCrashed         StepKind = "crashed"
@@ -26,6 +27,7 @@
 	StepLifetimeEnded   StepKind = "lifetime-ended"
 	StepListed          StepKind = "listed"
 	StepListedInPart    StepKind = "listed-in-part"
+	StepOrganisations   StepKind = "organisations"
 	StepRefused         StepKind = "refused"
 	StepRemoveWorker    StepKind = "remove-worker"
 	StepSilent          StepKind = "silent"
@@ -67,6 +69,9 @@
 	Tickets  map[string]string
 	Queues   map[string]bool
 	Limit    int
+	Size     jobs.Resources
+
+	Organisations map[string]Organisation
 
 	Orders          Orders      // result of Decide
 	UnexpectedStops []StopOrder // result of Listed
@@ -112,6 +117,10 @@
 		b.AdviceFailed(s.adviceOrder(), s.At)
 	case StepSetAdvised:
 		b.SetAdvised(s.Queues)
+	case StepAllotment:
+		b.SetAllotment(s.Key, s.Size)
+	case StepOrganisations:
+		b.SetOrganisations(s.Organisations)
 	case StepCancel:
 		b.Cancel(s.ID, s.At)
 	case StepCrashed:
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -199,8 +199,11 @@
 	deposed             bool
 	panicked            bool // read by others once the ownership has ended
 	queues              map[string]platform.Queue
-	advise              func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
-	entries             map[string]platform.WorkerEntry // of this pool, by id
+	organisations       []platform.Organisation
+	// organisationsVersion is the version of the configuration that organisations are from.
+	organisationsVersion uint64
+	advise               func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	entries              map[string]platform.WorkerEntry // of this pool, by id
 }
 
 // Settings configures an owner.
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -365,6 +365,21 @@
 	})
 }
 
+// SetOrganisations sets the organisations of a version of the configuration.
+func (o *Owner) SetOrganisations(organisations []platform.Organisation, version uint64) {
+	o.post(func() {
+		if version < o.organisationsVersion || len(organisations) == 0 && len(o.organisations) == 0 {
+			return
+		}
+		o.organisations, o.organisationsVersion = organisations, version
+		shares := map[string]place.Organisation{}
+		for _, org := range organisations {
+			shares[org.Name] = place.Organisation{Weight: org.Weight}
+		}
+		o.board.SetOrganisations(shares)
+	})
+}
+
 // Flush stops scheduling and makes all pending changes durable, so that another
 // process can take the pool over.
 func (o *Owner) Flush(ctx context.Context) {
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -97,31 +97,35 @@
 
 // boardStepWire is the JSON form of a [place.Step].
 type boardStepWire struct {
-	Kind     string            `json:"kind"`
-	At       time.Time         `json:"at,omitzero"`
-	Job      json.RawMessage   `json:"job,omitempty"`
-	Progress json.RawMessage   `json:"progress,omitempty"`
-	ID       string            `json:"id,omitempty"`
-	State    string            `json:"state,omitempty"`
-	Worker   *placeWorkerWire  `json:"worker,omitempty"`
-	Key      string            `json:"key,omitempty"`
-	Task     string            `json:"task,omitempty"`
-	Attempt  int               `json:"attempt,omitempty"`
-	Flag     bool              `json:"flag,omitempty"`
-	Limit    int               `json:"limit,omitempty"`
-	Running  []runningWire     `json:"running,omitempty"`
-	Ended    []endedWire       `json:"ended,omitempty"`
-	Asked    time.Time         `json:"asked,omitzero"`
-	Until    time.Time         `json:"until,omitzero"`
-	Kept     time.Duration     `json:"kept-ns,omitempty"`
-	Workers  []string          `json:"workers,omitempty"`
-	Tickets  map[string]string `json:"tickets,omitempty"`
-	Queues   map[string]bool   `json:"queues,omitempty"`
-	Starts   []startWire       `json:"starts,omitempty"`
-	Stops    []stopWire        `json:"stops,omitempty"`
-	Paces    []paceWire        `json:"paces,omitempty"`
-	Advice   []adviceWire      `json:"advice,omitempty"`
-	Strays   []stopWire        `json:"strays,omitempty"`
+	Kind     string           `json:"kind"`
+	At       time.Time        `json:"at,omitzero"`
+	Job      json.RawMessage  `json:"job,omitempty"`
+	Progress json.RawMessage  `json:"progress,omitempty"`
+	ID       string           `json:"id,omitempty"`
+	State    string           `json:"state,omitempty"`
+	Worker   *placeWorkerWire `json:"worker,omitempty"`
+	Key      string           `json:"key,omitempty"`
+	Task     string           `json:"task,omitempty"`
+	Attempt  int              `json:"attempt,omitempty"`
+	Flag     bool             `json:"flag,omitempty"`
+	Limit    int              `json:"limit,omitempty"`
+	Size     *sizeWire        `json:"size,omitempty"`
+
+	Organisations map[string]organisationWire `json:"organisations,omitempty"`
+
+	Running []runningWire     `json:"running,omitempty"`
+	Ended   []endedWire       `json:"ended,omitempty"`
+	Asked   time.Time         `json:"asked,omitzero"`
+	Until   time.Time         `json:"until,omitzero"`
+	Kept    time.Duration     `json:"kept-ns,omitempty"`
+	Workers []string          `json:"workers,omitempty"`
+	Tickets map[string]string `json:"tickets,omitempty"`
+	Queues  map[string]bool   `json:"queues,omitempty"`
+	Starts  []startWire       `json:"starts,omitempty"`
+	Stops   []stopWire        `json:"stops,omitempty"`
+	Paces   []paceWire        `json:"paces,omitempty"`
+	Advice  []adviceWire      `json:"advice,omitempty"`
+	Strays  []stopWire        `json:"strays,omitempty"`
 }
 
 type placeWorkerWire struct {
@@ -138,6 +142,17 @@
 	Closed       bool     `json:"closed,omitempty"`
 }
 
+// sizeWire is the JSON form of [jobs.Resources].
+type sizeWire struct {
+	Millicores   int `json:"millicores"`
+	MemoryMB     int `json:"memory-mb"`
+	Accelerators int `json:"accelerators"`
+}
+
+type organisationWire struct {
+	Weight int `json:"weight"`
+}
+
 type runningWire struct {
 	Task       string `json:"task"`
 	Attempt    int    `json:"attempt"`
@@ -206,6 +221,15 @@
 			p.Key, p.ID, p.Rack, p.Labels, p.Size.Millicores, p.Size.MemoryMB, p.Size.Accelerators, p.Draining, p.Silent, p.Vacate, p.Closed,
 		}
 	}
+	if s.Kind == place.StepAllotment {
+		w.Size = &sizeWire{s.Size.Millicores, s.Size.MemoryMB, s.Size.Accelerators}
+	}
+	for name, o := range s.Organisations {
+		if w.Organisations == nil {
+			w.Organisations = map[string]organisationWire{}
+		}
+		w.Organisations[name] = organisationWire{o.Weight}
+	}
 	for _, r := range s.Running {
 		w.Running = append(w.Running, runningWire{formatTask(r.Task), r.Attempt, r.Checkpoint, r.Percent, r.Load})
 	}
@@ -281,6 +305,15 @@
 			Draining: p.Draining, Silent: p.Silent, Vacate: p.Vacate, Closed: p.Closed,
 		}
 	}
+	if z := w.Size; z != nil {
+		s.Size = jobs.Resources{Millicores: z.Millicores, MemoryMB: z.MemoryMB, Accelerators: z.Accelerators}
+	}
+	if w.Organisations != nil {
+		s.Organisations = map[string]place.Organisation{}
+	}
+	for name, o := range w.Organisations {
+		s.Organisations[name] = place.Organisation{Weight: o.Weight}
+	}
 	for _, o := range w.Running {
 		s.Running = append(s.Running, place.Running{Task: r.parse(o.Task), Attempt: o.Attempt, Checkpoint: o.Checkpoint, Percent: o.Percent, Load: o.Load})
 	}
