place: no start takes an organisation beyond its allotment

Change: starts of tasks, copies, gangs as a whole, suspects and long-running tasks keep to the allotment, which counts whole sizes, also of best-effort tasks. Unexpected attempts that a worker lists count for their organisation until they are gone. Tasks that a full allotment holds up reserve no worker, ask for no ticket and no host, and hold up no other organisation.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -153,7 +153,9 @@
 			work += e.estimatedWork(i, j.Steps[i].Count)
 		}
 		b.admission.work += float64(b.estimates.factor(j.Queue) * work)
-		b.arrivals.add(work, now)
+		if b.organisationOf(e).attempts == 0 || !b.heldUp(e, &j.Steps[0]) { // hosts would not help it otherwise
+			b.arrivals.add(work, now)
+		}
 	}
 }
 
@@ -435,6 +437,7 @@
 	b.recordStep(Step{Kind: StepRemoveWorker, Key: key, At: now})
 	b.removeAttempts(key, now)
 	if w := b.workers[key]; w != nil {
+		b.countUnexpected(w, nil)
 		b.pending.removeWorker(w)
 		delete(b.idleChanged, key)
 		delete(b.workers, key)
@@ -446,6 +449,9 @@
 func (b *Board) ExpireLeases(key string, now time.Time) {
 	b.recordStep(Step{Kind: StepLapse, Key: key, At: now})
 	b.removeAttempts(key, now)
+	if w := b.workers[key]; w != nil {
+		b.countUnexpected(w, nil)
+	}
 }
 
 // LifetimeEnded records that a worker's lifetime has ended and a later one may have carried
@@ -459,6 +465,9 @@
 			b.removeAttempt(a, now)
 		}
 	}
+	if w := b.workers[key]; w != nil {
+		b.countUnexpected(w, nil)
+	}
 }
 
 // MoveUnlisted moves the attempts that a worker has not listed to a later lifetime, whose next
@@ -563,7 +572,7 @@
 	w.count(a.step, 1)
 	b.setUsed(w, w.used.Add(a.step.Claim()))
 	b.pending.attemptAdded(a)
-	b.organisationOf(e).use(a.step.Claim())
+	b.organisationOf(e).use(a)
 	e.attempts[a.Task] = append(e.attempts[a.Task], a)
 	e.lastAttempt[a.Task] = max(e.lastAttempt[a.Task], a.Number)
 	b.lastingChanged(a)
@@ -579,7 +588,7 @@
 		}
 		w.count(a.step, -1)
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
-		b.organisationOf(a.entry).release(a.step.Claim())
+		b.organisationOf(a.entry).release(a)
 		b.pending.paceable(w)
 	}
 	b.pending.noLongerCopyable(a)
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -431,7 +431,7 @@
 		}
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
 		innocent, suspects := b.splitSuspects(c)
-		if len(suspects) == 0 || b.unconfirmed(e, now) && !step.Speculative ||
+		if len(suspects) == 0 || b.unconfirmed(e, now) && !step.Speculative || b.heldUp(e, step) ||
 			b.advisedQueues[e.job.Queue] && !b.ensureTickets(o, e, c.key, suspects[0], now) {
 			continue
 		}
@@ -441,7 +441,7 @@
 			count = &unplacedLasting
 		}
 		for _, t := range suspects {
-			if *count >= maxUnplaced {
+			if *count >= maxUnplaced || b.heldUp(e, step) {
 				waiting = append(waiting, t)
 				continue
 			}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -307,6 +307,9 @@
 			continue
 		}
 		step := &c.entry.job.Steps[c.key.step]
+		if b.heldUp(c.entry, step) {
+			continue
+		}
 		if !step.LongRunning && b.startsLeft <= 0 {
 			b.noteLimit(step, now)
 			continue
@@ -323,7 +326,7 @@
 		if !step.LongRunning && !mayReserve && b.rejected.covers(step.Claim()) {
 			continue // in a load peak most steps wait for room of which there is none
 		}
-		if left := b.placeStep(o, c, tasks, suspects, now); len(left) > 0 && mayReserve {
+		if left := b.placeStep(o, c, tasks, suspects, now); len(left) > 0 && mayReserve && !b.heldUp(c.entry, step) {
 			b.reserveWorker(c.entry, step, left[0], now)
 			b.reservationsLeft--
 		}
@@ -373,7 +376,7 @@
 	e := c.entry
 	step := &e.job.Steps[c.key.step]
 	for len(tasks) > 0 {
-		if b.unconfirmed(e, now) && !step.Speculative {
+		if b.unconfirmed(e, now) && !step.Speculative || b.heldUp(e, step) {
 			break
 		}
 		t := tasks[0]
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -181,13 +181,24 @@
 	}
 	var unexpected []StopOrder
 	var unexpectedClaims jobs.Resources
+	var organisationClaims map[*organisation]jobs.Resources
 	b.listings++
 	for _, r := range running {
 		if !b.applyRunning(w, r, asked, now) {
 			unexpected = append(unexpected, StopOrder{Worker: key, Task: r.Task, Attempt: r.Attempt, Cause: "not wanted here"})
 			unexpectedClaims = unexpectedClaims.Add(b.unexpectedClaim(w, r.Task))
+			if e := b.jobs[r.Task.Job]; e != nil && e.progress.Has(r.Task) {
+				if organisationClaims == nil {
+					organisationClaims = map[*organisation]jobs.Resources{}
+				}
+				o := b.organisationOf(e)
+				organisationClaims[o] = organisationClaims[o].Add(e.job.Steps[r.Task.Step].Size)
+			}
 		}
 	}
+	if newest && (len(organisationClaims) > 0 || w.unexpectedClaims != nil) {
+		b.countUnexpected(w, organisationClaims)
+	}
 	if newest && unexpectedClaims != w.unexpected {
 		used := w.used.Sub(w.unexpected).Add(unexpectedClaims)
 		w.unexpected = unexpectedClaims
@@ -306,7 +317,7 @@
 	if len(e.attempts[r.Task]) > 0 && !step.Speculative {
 		return nil
 	}
-	a := &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, OrderedAt: now, PercentChangedAt: now, stoppedUntil: now.Add(b.policy.StopTime)}
+	a := &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, OrderedAt: now, PercentChangedAt: now, adopted: true, stoppedUntil: now.Add(b.policy.StopTime)}
 	b.addAttempt(e, w, a)
 	b.confirm(a, now)
 	e.dequeue(r.Task)
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -62,8 +62,13 @@
 	}
 	l.Rate = toMillicores(b.arrivals.at(now))
 	slices.SortFunc(l.Workers, func(x, y WorkerLoad) int { return strings.Compare(x.ID, y.ID) })
+	taken := map[*organisation]jobs.Resources{} // of the allotments, by tasks that count as wanted
+	required := map[*organisation]int{}         // millicores that the jobs of organisations with an allotment need
 	for _, e := range b.pending.unfinished {
-		if e.job.Repetitions == 0 {
+		o := b.organisationOf(e)
+		if e.job.Repetitions == 0 && o.allotment.Millicores != jobs.Unlimited {
+			required[o] += toMillicores(e.requiredMillicores(0, b.estimates.factor(e.job.Queue), now))
+		} else if e.job.Repetitions == 0 {
 			l.Density += toMillicores(e.requiredMillicores(0, b.estimates.factor(e.job.Queue), now))
 		}
 		for _, s := range e.job.Steps {
@@ -71,17 +76,24 @@
 		}
 		for key, tasks := range e.waiting {
 			step := &e.job.Steps[key.step]
-			if len(tasks) == 0 {
-				continue
+			waiting := o.room(step.Size, taken[o], len(tasks))
+			if waiting == 0 || step.Gang && waiting < len(tasks) {
+				continue // no host is missing where the organisation's quota holds its tasks up
+			}
+			if o.allotment != unlimited {
+				taken[o] = taken[o].Add(times(step.Size, waiting))
 			}
 			if step.LongRunning && !step.BestEffort {
-				l.Lasting += len(tasks)
+				l.Lasting += waiting
 			}
-			l.MemoryHosts += memoryHosts(step.Claim(), len(tasks), largest)
-			l.Wanted += len(tasks) * step.Claim().Millicores
+			l.MemoryHosts += memoryHosts(step.Claim(), waiting, largest)
+			l.Wanted += waiting * step.Claim().Millicores
 			l.Largest = max(l.Largest, step.Claim().Millicores)
 		}
 	}
+	for o, millicores := range required {
+		l.Density += max(0, min(millicores, o.allotment.Millicores))
+	}
 	return l
 }
 
--- a/internal/place/org.go
+++ b/internal/place/org.go
@@ -12,16 +12,23 @@
 	Organisation
 	allotment jobs.Resources // what its tasks may claim in this pool
 	claimed   jobs.Resources // by its attempts, until they are known to have ended
+	adopted   jobs.Resources // the part of claimed for attempts that an earlier owner started
 	attempts  int
 }
 
-func (o *organisation) use(claim jobs.Resources) {
-	o.claimed = o.claimed.Add(claim)
+func (o *organisation) use(a *Attempt) {
+	o.claimed = o.claimed.Add(a.step.Size)
+	if a.adopted {
+		o.adopted = o.adopted.Add(a.step.Size)
+	}
 	o.attempts++
 }
 
-func (o *organisation) release(claim jobs.Resources) {
-	o.claimed = o.claimed.Sub(claim)
+func (o *organisation) release(a *Attempt) {
+	o.claimed = o.claimed.Sub(a.step.Size)
+	if a.adopted {
+		o.adopted = o.adopted.Sub(a.step.Size)
+	}
 	o.attempts--
 }
 
@@ -55,6 +62,9 @@
 
 // SetAllotment sets what the tasks of an organisation may claim in this pool from now on.
 func (b *Board) SetAllotment(name string, allotment jobs.Resources) {
+	if b.organisation(name).allotment == allotment {
+		return
+	}
 	b.recordStep(Step{Kind: StepAllotment, Key: name, Size: allotment})
 	b.organisation(name).allotment = allotment
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -105,6 +105,7 @@
 	reschedule    bool      // its task may be queued again without a backoff
 	stalled       bool      // stopped because its percentage did not change
 	awaitsListing bool      // its start was not answered; the next listing shows whether it runs
+	adopted       bool      // an earlier owner started it
 	stoppedUntil  time.Time // an earlier owner may have stopped it: until then its worker may list it though it is about to end
 
 	copyable  bool       // a copy of its task may be started
@@ -138,14 +139,15 @@
 	used     jobs.Resources
 	attempts map[jobs.Task]*Attempt
 	// unexpected is the part of used for listed attempts that should not run here.
-	unexpected     jobs.Resources
-	lasting        int            // attempts of long-running tasks
-	filling        int            // attempts of best-effort tasks
-	promised       int            // long-running tasks about to move here
-	promisedClaims jobs.Resources // of those; part of used
-	health         health
-	trial          *Attempt // latest start of a task with recorded crashes
-	reserved       bool     // by the current decision, for a task that does not fit yet
+	unexpected       jobs.Resources
+	unexpectedClaims map[*organisation]jobs.Resources // of those attempts, nil if there are none
+	lasting          int                              // attempts of long-running tasks
+	filling          int                              // attempts of best-effort tasks
+	promised         int                              // long-running tasks about to move here
+	promisedClaims   jobs.Resources                   // of those; part of used
+	health           health
+	trial            *Attempt // latest start of a task with recorded crashes
+	reserved         bool     // by the current decision, for a task that does not fit yet
 
 	failedAt    time.Time // when its connections broke off or were refused, zero if they hold or it fell silent before
 	busyAtLoss  bool      // it had attempts then, and was not leaving
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -51,7 +51,7 @@
 func (a *Account) Row() (Row, uint64) { return a.row, a.rowVersion }
 
 // Inherited returns the allotment that the pool had before this owner wrote it: what its earlier
-// owners have started claims no more.
+// owners have started claims no more. Amounts that were not limited then are very large.
 func (a *Account) Inherited() jobs.Resources { return a.inherited }
 
 // Fenced reports whether a later owner has written the allotment.
@@ -71,7 +71,13 @@
 		return
 	}
 	if own := row.Pools[a.pool]; own.Token < a.token {
-		a.inherited = most(a.inherited, own.Size)
+		size := vectorOf(own.Size)
+		for i := range size {
+			if own.Token > 0 && (vectorOf(row.Limit)[i] == 0 || own.Version < row.Since[i]) {
+				size[i] = maxAmount
+			}
+		}
+		a.inherited = most(a.inherited, size.resources())
 	}
 	if version != a.rowVersion {
 		a.unresolved = nil
@@ -113,7 +119,7 @@
 		switch {
 		case limit[i] == 0:
 			allotment[i] = jobs.Unlimited
-		case a.lowered(i) || sum[i] > limit[i]:
+		case a.lowered(i) || sum[i] > limit[i] || a.row.undeclared(i):
 		default:
 			allotment[i] = held[i]
 			if target, _ := a.target(i, u); a.othersWait(i) {
@@ -193,7 +199,7 @@
 	before, exists := a.row.Pools[a.pool]
 	limit := vectorOf(a.Limit())
 	if a.version > row.Version && a.limit != row.Limit {
-		row.Version, row.Limit = a.version, a.limit
+		row.setLimit(a.version, a.limit)
 	}
 	over, held := a.sumExceeds(limit), vectorOf(a.held())
 	var size, want, unit vector
@@ -223,7 +229,7 @@
 		}
 		outdated := vectorOf(before.Want)[i] > want[i]+want[i]/4
 		switch {
-		case claimed > current, size[i] > held[i] && needed > held[i], a.lowered(i):
+		case claimed > current, exists && before.Version < row.Since[i] && a.version >= row.Since[i], size[i] > held[i] && needed > held[i], a.lowered(i):
 			due, urgent = true, true
 		case size[i] < current && (over[i] || waits):
 			due, urgent = true, true
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -59,8 +59,11 @@
 type Row struct {
 	Version uint64         // of the configuration
 	Limit   jobs.Resources // the quota as of it; a field that is 0 is not limited
-	Turn    string         // pool that last had more than its fair share for its largest task
-	Pools   map[string]Allotment
+	// Since holds for each resource the version that limited it. An allotment of an earlier
+	// version does not tell what its pool claims.
+	Since [3]uint64
+	Turn  string // pool that last had more than its fair share for its largest task
+	Pools map[string]Allotment
 }
 
 // clone returns a copy that shares nothing with r.
@@ -81,6 +84,28 @@
 	return sum
 }
 
+// setLimit sets the quota as of a version of the configuration.
+func (r *Row) setLimit(version uint64, limit jobs.Resources) {
+	before, now := vectorOf(r.Limit), vectorOf(limit)
+	for i := range now {
+		if before[i] == 0 && now[i] > 0 {
+			r.Since[i] = version
+		}
+	}
+	r.Version, r.Limit = version, limit
+}
+
+// undeclared reports whether a pool may claim more than its allotment tells, as its owner had no
+// limit when it wrote it.
+func (r *Row) undeclared(i int) bool {
+	for _, a := range r.Pools {
+		if a.Version < r.Since[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // allotmentWire is the stored form of an [Allotment].
 type allotmentWire struct {
 	Token   uint64 `json:"token"`
@@ -94,13 +119,14 @@
 type rowWire struct {
 	Version uint64                   `json:"version"`
 	Limit   vector                   `json:"limit"`
+	Since   [3]uint64                `json:"since"`
 	Turn    string                   `json:"turn,omitempty"`
 	Pools   map[string]allotmentWire `json:"pools"`
 }
 
 // Encode returns the stored form of a row.
 func (r Row) Encode() ([]byte, error) {
-	w := rowWire{r.Version, vectorOf(r.Limit), r.Turn, map[string]allotmentWire{}}
+	w := rowWire{r.Version, vectorOf(r.Limit), r.Since, r.Turn, map[string]allotmentWire{}}
 	for pool, a := range r.Pools {
 		w.Pools[pool] = allotmentWire{a.Token, a.Version, vectorOf(a.Size), vectorOf(a.Want), vectorOf(a.Unit)}
 	}
@@ -117,7 +143,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return Row{}, errors.Wrapf(ErrMalformed, "%v", err)
 	}
-	r := Row{Version: w.Version, Limit: w.Limit.resources(), Turn: w.Turn, Pools: map[string]Allotment{}}
+	r := Row{Version: w.Version, Limit: w.Limit.resources(), Since: w.Since, Turn: w.Turn, Pools: map[string]Allotment{}}
 	valid := w.Limit.valid()
 	for pool, a := range w.Pools {
 		valid = valid && a.Size.valid() && a.Want.valid() && a.Unit.valid()
