quota: the model bounds what former owners start by the workers that have not answered

Change: a former owner's start has to fit the unseen workers of all later owners; owners start all that they may at a time.

--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -43,6 +43,7 @@
 
 type owner struct {
 	pool    int
+	token   uint64
 	account *quota.Account
 	version uint64
 	unseen  bool // tasks of an earlier owner may run that it does not know of
@@ -91,7 +92,7 @@
 		m.former = append(m.former, o)
 	}
 	m.tokens++
-	o := &owner{pool: pool, account: quota.NewAccount(fmt.Sprint("pool-", pool), m.tokens), unseen: true, fault: m.fault}
+	o := &owner{pool: pool, token: m.tokens, account: quota.NewAccount(fmt.Sprint("pool-", pool), m.tokens), unseen: true, fault: m.fault}
 	m.pools[pool] = o
 	o.unseenRoom = m.unseenBy(o).Add(jobs.Resources{Millicores: m.rng.IntN(60), MemoryMB: m.rng.IntN(100)})
 	m.configure(o, uint64(1+m.rng.IntN(len(m.limits))))
@@ -124,10 +125,10 @@
 	return u, unseen
 }
 
-// unseenBy returns what runs in a pool without its owner's knowledge.
+// unseenBy returns what earlier owners of a pool have started without an owner's knowledge.
 func (m *model) unseenBy(o *owner) (sum jobs.Resources) {
 	for _, t := range m.tasks {
-		if t.pool == o.pool && t.starter != o {
+		if t.pool == o.pool && t.starter.token < o.token {
 			sum = sum.Add(t.size)
 		}
 	}
@@ -215,8 +216,10 @@
 	}
 	u, unseen := m.usage(o)
 	size := o.waiting[0]
-	if now := m.pools[o.pool]; now != o && !m.unseenBy(now).Add(size).Fits(now.unseenRoom) {
-		return nil
+	for _, later := range append(m.former, m.pools[o.pool]) {
+		if later.pool == o.pool && later.token > o.token && !m.unseenBy(later).Add(size).Fits(later.unseenRoom) {
+			return nil // no worker that has not answered the later owner has room
+		}
 	}
 	if !u.Claimed.Sub(unseen).Add(size).Fits(o.account.Allotment(u).Sub(unseen)) {
 		return nil
@@ -296,7 +299,11 @@
 			m.reach(m.late[m.rng.IntN(len(m.late))]) // late, and perhaps again
 		}
 	case n < 84:
-		return m.start(o)
+		for range len(o.waiting) {
+			if err := m.start(o); err != nil {
+				return err
+			}
+		}
 	case n < 88:
 		if len(m.tasks) > 0 {
 			i := m.rng.IntN(len(m.tasks))
