pool: owners deal the quotas of organisations out between pools

Change: an owner keeps an account of each organisation with a quota, asks for what its tasks and arriving jobs need beside the commits that make them durable, gives back what it did not need for a second or two, or at once when another owner's hint (Peer.GiveBack) says that tasks wait elsewhere, and reads a row again at most 4 times a second while its own tasks wait. What earlier owners may have started on workers that have not answered counts until they have. Without quotas there is no row and no call.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -551,6 +551,7 @@
 		},
 		Retention: bounds.StateRetention, MaxLease: bounds.MaxLease, Suspensions: d.suspensions, Looked: d.Looked,
 	}
+	s.HintQuota = d.hintQuota
 	if d.advisor != nil {
 		s.Advise = d.advisor.Advise
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -386,6 +386,12 @@
 	})
 }
 
+// GiveBack tells that tasks of an organisation wait in another pool for what this pool does not
+// need of its allotment.
+func (s *peerService) GiveBack(args JobArgs, reply *Reply) error {
+	return s.withOwner(args.Pool, reply, func(_ context.Context, o *pool.Owner) { o.GiveBack(args.Name) })
+}
+
 // withOwner calls f with the pool's owner and sets reply.Owner. It does nothing if the
 // pool is not owned by this process.
 func (s *peerService) withOwner(name string, reply *Reply, f func(ctx context.Context, o *pool.Owner)) error {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -202,6 +202,8 @@
 	organisations       []platform.Organisation
 	// organisationsVersion is the version of the configuration that organisations are from.
 	organisationsVersion uint64
+	quotas               quotas
+	hintQuota            func(name, organisation string)
 	advise               func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 	entries              map[string]platform.WorkerEntry // of this pool, by id
 }
@@ -234,6 +236,9 @@
 	// Looked, if set, receives each job that a decision looks at.
 	Looked func(jobs.ID)
 	Advise func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
+	// HintQuota tells the owner of a pool that tasks of an organisation wait elsewhere for what it
+	// does not need of its allotment, nil if there are no others.
+	HintQuota func(name, organisation string)
 }
 
 const claimTimeout = 900 * time.Millisecond
@@ -307,6 +312,7 @@
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
+		quotas: newQuotas(), hintQuota: s.HintQuota,
 	}
 	o.taskLog = logs.NewFrequent(o.log)
 	o.board.Missing, o.board.Looked = o.logMissing, s.Looked
@@ -399,6 +405,7 @@
 	for id := range o.cancels {
 		o.answerCancels(id, Unknown)
 	}
+	o.endQuotas()
 	o.log.Info("pool ownership ended")
 }
 
@@ -440,6 +447,7 @@
 	} else if now.Before(o.decideAfter) {
 		o.decideTimer.Reset(o.decideAfter.Sub(now))
 	}
+	o.dealQuotas(now)
 	if o.started {
 		o.maybeCommit(now)
 	}
--- /dev/null
+++ b/internal/pool/quota.go
@@ -0,0 +1,507 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+	"github.com/papayarudder/papayarudder/internal/quota"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+var (
+	metricQuotaWrites    = metrics.NewCounter("papayarudder_quota_writes_total")
+	metricQuotaConflicts = metrics.NewCounter("papayarudder_quota_conflicts_total")
+	metricQuotaReads     = metrics.NewCounter("papayarudder_quota_reads_total")
+	metricQuotaHints     = metrics.NewCounter("papayarudder_quota_hints_total")
+	quotaHeldUp          atomic.Int64 // over all pools of the process
+	_                    = metrics.NewGauge("papayarudder_quota_held_up_tasks", func() float64 { return float64(quotaHeldUp.Load()) })
+)
+
+const (
+	quotaInterval   = 10 * time.Millisecond  // between looks at the demands, unless something has changed
+	quotaRetryDelay = 100 * time.Millisecond // after a call that failed
+	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more
+	quotaNeedWindow = time.Second            // an allotment that was not needed for one to two of these is given back
+	quotaIdleWrites = time.Second            // between writes for which nobody waits
+	quotaBurst      = 6                      // urgent writes of a row that may follow each other at once
+	quotaWriteRate  = 2                      // of them a second after that
+	declareTime     = time.Second            // for the owners of other pools to tell what an organisation claims that was not limited before
+	unusedTime      = 2 * time.Second        // after which tasks that wait for a worker give up more than their fair share
+	conflictDelay   = 4 * time.Millisecond   // longest delay after each conflict in a row
+	maxConflicts    = 10                     // that make the delay longer
+	maxQuotaRows    = 45                     // in a transaction; each is expected and written
+	maxQuotaAmount  = 1 << 50                // stands for a capacity that is not known
+)
+
+// quotaAccount is an owner's account of an organisation with a quota.
+type quotaAccount struct {
+	*quota.Account
+	name  string
+	usage quota.Usage
+	// unseen is the part of usage.Claimed that earlier owners may have started on workers that have not
+	// answered.
+	unseen jobs.Resources
+	// needs holds the most that was needed in the present window and the one before.
+	needs       [2]jobs.Resources
+	windowSince time.Time
+	unusedSince time.Time // since when tasks wait for workers and not for the quota, zero if none do
+	hinted      bool      // another pool waits: what is not needed now is given back
+	readDue     bool
+	readAt      time.Time
+	hintedAt    time.Time // when the owners of other pools were last given a hint
+	wroteAt     time.Time
+	budget      float64 // urgent writes that may be sent now
+	budgetAt    time.Time
+	declared    time.Time // nothing starts before
+	blocked     bool
+}
+
+// quotaPart is the state of a part of the table of quotas.
+type quotaPart struct {
+	busy      bool // a call is under way
+	retryAt   time.Time
+	conflicts int  // transactions in a row that found other versions
+	lastRead  bool // the last call was a read
+}
+
+// quotas is the state of an owner for the quotas of organisations. It is used only in the loop.
+type quotas struct {
+	accounts map[string]*quotaAccount // by organisation; none without a limit
+	parts    map[string]*quotaPart
+	dirty    bool // something has changed since the last look
+	lookedAt time.Time
+	heldUp   int64
+}
+
+func newQuotas() quotas {
+	return quotas{accounts: map[string]*quotaAccount{}, parts: map[string]*quotaPart{}}
+}
+
+// setQuotas takes in the quotas of a version of the configuration. An organisation that it lacks
+// keeps its quota until its jobs are gone.
+func (o *Owner) setQuotas(organisations []platform.Organisation, version uint64, now time.Time) {
+	known := map[string]bool{}
+	for _, org := range o.organisations {
+		known[org.Name] = true
+	}
+	for _, org := range organisations {
+		a := o.quotas.accounts[org.Name]
+		switch {
+		case !quota.Limited(org.Quota) && a == nil:
+			continue
+		case !quota.Limited(org.Quota):
+			delete(o.quotas.accounts, org.Name)
+			o.board.SetAllotment(org.Name, jobs.Resources{Millicores: jobs.Unlimited, MemoryMB: jobs.Unlimited, Accelerators: jobs.Unlimited})
+			continue
+		case a == nil:
+			a = o.addQuotaAccount(org.Name)
+			if known[org.Name] { // it had no limit
+				a.declared = now.Add(declareTime)
+			}
+		case a.Limit() != org.Quota:
+			a.readDue = true
+			o.log.WithFields(logrus.Fields{"organisation": org.Name, "quota": org.Quota, "before": a.Limit()}).Info("quota has changed")
+		}
+		a.SetLimit(version, org.Quota)
+		o.applyAllotment(a, now)
+	}
+	o.quotas.dirty = true
+}
+
+func (o *Owner) addQuotaAccount(name string) *quotaAccount {
+	a := &quotaAccount{Account: quota.NewAccount(o.name, o.token), name: name, budget: quotaBurst}
+	o.quotas.accounts[name] = a
+	if part := quota.PartOf(name); o.quotas.parts[part] == nil {
+		o.quotas.parts[part] = &quotaPart{}
+	}
+	return a
+}
+
+// quotaDemandChanged records that a job may need more of a quota than the last look has shown.
+func (o *Owner) quotaDemandChanged(j jobs.Job) {
+	if j.Organisation != "" && o.quotas.accounts[j.Organisation] != nil {
+		o.quotas.dirty = true
+	}
+}
+
+// GiveBack gives back what an organisation does not need of its allotment, since another pool
+// waits for it.
+func (o *Owner) GiveBack(organisation string) {
+	o.post(func() {
+		if a := o.quotas.accounts[organisation]; a != nil {
+			a.hinted, a.readDue = true, true
+			o.quotas.dirty = true
+		}
+	})
+}
+
+// dealQuotas asks for what the tasks of organisations need, and gives back what they don't.
+func (o *Owner) dealQuotas(now time.Time) {
+	q := &o.quotas
+	if len(q.accounts) == 0 || o.flushing || !q.dirty && now.Sub(q.lookedAt) < quotaInterval {
+		return
+	}
+	q.dirty, q.lookedAt = false, now
+	demands := o.board.Demands()
+	arriving := o.arrivingSizes()
+	capacity := o.unseenCapacity()
+	heldUp := 0
+	for name, a := range q.accounts {
+		heldUp += demands[name].HeldUp
+		o.updateUsage(a, demands[name], arriving[name], capacity, now)
+		o.applyAllotment(a, now)
+	}
+	quotaHeldUp.Add(int64(heldUp) - q.heldUp)
+	q.heldUp = int64(heldUp)
+	for part, p := range q.parts {
+		if !p.busy && !now.Before(p.retryAt) {
+			o.callQuotaPart(part, p, now)
+		}
+	}
+}
+
+// arrivingSizes returns what the jobs that are not durable yet need by organisation.
+func (o *Owner) arrivingSizes() map[string]quota.Usage {
+	sizes := map[string]quota.Usage{}
+	for _, s := range o.pending {
+		if s.job.Organisation == "" || s.progress != nil || o.quotas.accounts[s.job.Organisation] == nil {
+			continue
+		}
+		u := sizes[s.job.Organisation]
+		for i := range s.job.Steps {
+			step := &s.job.Steps[i]
+			if len(step.After) > 0 {
+				continue
+			}
+			all := multiply(step.Size, step.Count)
+			u.Needed = u.Needed.Add(all)
+			if step.Gang {
+				u.Unit = larger(u.Unit, all)
+			} else {
+				u.Unit = larger(u.Unit, step.Size)
+			}
+		}
+		sizes[s.job.Organisation] = u
+	}
+	return sizes
+}
+
+// unseenCapacity returns the capacity of the workers that may run tasks unseen by this owner. It
+// is very large if it is not known.
+func (o *Owner) unseenCapacity() jobs.Resources {
+	unknown := jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount}
+	if !o.started {
+		return unknown
+	}
+	var sum jobs.Resources
+	for key := range o.unseenUntil {
+		entry, known := o.entries[lifetimeID(key)]
+		if a := o.agents[key]; a != nil {
+			entry, known = a.entry, true
+		}
+		if !known {
+			return unknown
+		}
+		sum = sum.Add(entry.Size)
+	}
+	return sum
+}
+
+// updateUsage takes in what an organisation uses and needs now. What earlier owners may have
+// started on workers that have not answered counts as claimed.
+func (o *Owner) updateUsage(a *quotaAccount, d place.OrganisationDemand, arriving quota.Usage, capacity jobs.Resources, now time.Time) {
+	unseen := larger(smaller(capacity, a.Inherited().Sub(d.Adopted)), jobs.Resources{})
+	u := quota.Usage{Claimed: smaller(d.Claimed.Add(unseen), jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount})}
+	u.Needed = u.Claimed.Add(d.Waiting).Add(arriving.Needed)
+	u.Unit = larger(d.Largest, arriving.Unit)
+	if now.Sub(a.windowSince) >= quotaNeedWindow {
+		a.needs = [2]jobs.Resources{{}, a.needs[0]}
+		a.windowSince = now
+	}
+	a.needs[0] = larger(a.needs[0], u.Needed)
+	u.Recent = larger(a.needs[0], a.needs[1])
+	if a.hinted {
+		u.Recent = u.Needed
+	}
+	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
+		a.unusedSince = time.Time{}
+	} else if a.unusedSince.IsZero() {
+		a.unusedSince = now
+	}
+	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
+	a.usage = u
+	a.unseen, a.blocked = unseen, a.Blocked(u)
+}
+
+// applyAllotment tells the board what an organisation's tasks may claim.
+func (o *Owner) applyAllotment(a *quotaAccount, now time.Time) {
+	allotment := a.Allotment(a.usage)
+	limit := a.Limit()
+	set := func(limit, unseen int, amount *int) {
+		switch {
+		case limit == 0:
+		case now.Before(a.declared):
+			*amount = 0
+		default:
+			*amount -= unseen
+		}
+	}
+	set(limit.Millicores, a.unseen.Millicores, &allotment.Millicores)
+	set(limit.MemoryMB, a.unseen.MemoryMB, &allotment.MemoryMB)
+	set(limit.Accelerators, a.unseen.Accelerators, &allotment.Accelerators)
+	o.board.SetAllotment(a.name, allotment)
+}
+
+// callQuotaPart sends the call that is due for a part: rows are read before they are written.
+func (o *Owner) callQuotaPart(part string, p *quotaPart, now time.Time) {
+	var reads, writes []*quotaAccount
+	rows := map[*quotaAccount]quota.Row{}
+	for _, name := range sortedNames(o.quotas.accounts) {
+		a := o.quotas.accounts[name]
+		if quota.PartOf(name) != part {
+			continue
+		}
+		polls := a.blocked && now.Sub(a.readAt) >= quotaPollPeriod
+		if a.NeedsRead() || (a.readDue || polls) && now.Sub(a.readAt) >= quotaPollPeriod/5 {
+			reads = append(reads, a)
+			continue
+		}
+		row, due, urgent := a.Propose(a.usage)
+		if due && (urgent && a.mayWrite(now) || now.Sub(a.wroteAt) >= quotaIdleWrites) && len(writes) < maxQuotaRows && o.mayDeclare(a) {
+			rows[a] = row
+			writes = append(writes, a)
+		}
+		if !a.readDue && (!due || !urgent) {
+			a.hinted = false
+		}
+		if a.blocked {
+			o.hintOthers(a, now)
+		}
+	}
+	switch {
+	case len(writes) > 0 && (p.lastRead || len(reads) == 0):
+		p.busy, p.lastRead = true, false
+		o.writeQuotas(part, p, writes, rows, now)
+	case len(reads) > 0:
+		p.busy, p.lastRead = true, true
+		o.readQuotas(part, p, reads, now)
+	}
+}
+
+// mayDeclare reports whether it is known what an organisation may claim. Before the workers have
+// answered, it may be more than a row can tell.
+func (o *Owner) mayDeclare(a *quotaAccount) bool {
+	return o.started || smaller(a.usage.Claimed, a.Inherited()) == a.usage.Claimed && a.Inherited().Fits(a.Limit())
+}
+
+// mayWrite reports whether the budget of urgent writes allows one.
+func (a *quotaAccount) mayWrite(now time.Time) bool {
+	if !a.budgetAt.IsZero() {
+		a.budget = min(quotaBurst, a.budget+now.Sub(a.budgetAt).Seconds()*quotaWriteRate)
+	}
+	a.budgetAt = now
+	return a.budget >= 1
+}
+
+// hintOthers tells the owners of other pools that tasks of an organisation wait here.
+func (o *Owner) hintOthers(a *quotaAccount, now time.Time) {
+	if o.hintQuota == nil || now.Sub(a.hintedAt) < quotaPollPeriod {
+		return
+	}
+	row, _ := a.Row()
+	for name, other := range row.Pools {
+		if name != o.name && other.Size != (jobs.Resources{}) {
+			a.hintedAt = now
+			metricQuotaHints.Inc()
+			go o.hintQuota(name, a.name)
+		}
+	}
+}
+
+// writeQuotas writes the rows of some organisations of a part in one transaction.
+func (o *Owner) writeQuotas(part string, p *quotaPart, accounts []*quotaAccount, rows map[*quotaAccount]quota.Row, now time.Time) {
+	var t platform.Transaction
+	for _, a := range accounts {
+		value, err := rows[a].Encode()
+		if err != nil {
+			o.log.WithField("organisation", a.name).WithError(err).Error("can't encode the quota of an organisation")
+			p.busy = false
+			return
+		}
+		_, version := a.Row()
+		t.Expect = append(t.Expect, platform.Row{Table: quota.Table, Part: part, Key: a.name, Version: version})
+		t.Write = append(t.Write, platform.Row{Table: quota.Table, Part: part, Key: a.name, Value: value})
+	}
+	for _, a := range accounts {
+		a.Sent(rows[a])
+		o.applyAllotment(a, now) // what is given back is not used from now on
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
+		defer cancel()
+		version, found, err := o.store.Commit(ctx, t)
+		o.post(func() { o.quotasWritten(p, accounts, version, found, err) })
+	}()
+}
+
+// quotasWritten applies the result of a transaction of writeQuotas.
+func (o *Owner) quotasWritten(p *quotaPart, accounts []*quotaAccount, version uint64, found []platform.Row, err error) {
+	now := time.Now()
+	p.busy = false
+	o.quotas.dirty = true
+	p.conflicts++
+	if !errors.Is(err, platform.ErrConflict) {
+		p.conflicts = 0
+	} else if p.conflicts > 1 { // many owners write at the same time
+		p.retryAt = now.Add(rand.N(time.Duration(min(p.conflicts, maxConflicts)) * conflictDelay))
+	}
+	for _, a := range accounts {
+		switch {
+		case err == nil:
+			before, _ := a.Row()
+			a.Written(version)
+			a.wroteAt, a.budget = now, a.budget-1
+			metricQuotaWrites.Inc()
+			o.logQuota(a, before)
+		case errors.Is(err, platform.ErrConflict):
+			metricQuotaConflicts.Inc()
+			i := slices.IndexFunc(found, func(r platform.Row) bool { return r.Key == a.name && r.Table == quota.Table })
+			if i < 0 {
+				a.NotDone()
+			} else {
+				o.quotaRead(a, found[i], now)
+			}
+		case errors.Is(err, platform.ErrNotDone):
+			a.NotDone()
+			p.retryAt = now.Add(quotaRetryDelay)
+		default:
+			a.Unanswered()
+			p.retryAt = now.Add(quotaRetryDelay)
+		}
+		o.applyAllotment(a, now)
+	}
+}
+
+// logQuota logs a change of a pool's allotment.
+func (o *Owner) logQuota(a *quotaAccount, before quota.Row) {
+	row, _ := a.Row()
+	last, next := before.Pools[o.name], row.Pools[o.name]
+	message := "quota taken over"
+	switch {
+	case next.Size != last.Size && last.Size.Fits(next.Size):
+		message = "quota raised"
+	case next.Size != last.Size:
+		message = "quota given back"
+	case next.Token == last.Token:
+		message = "quota asked for"
+	}
+	o.log.WithFields(logrus.Fields{
+		"organisation": a.name, "allotment": next.Size, "before": last.Size, "want": next.Want, "dealt": row.Sum(), "quota": row.Limit, "version": row.Version,
+	}).Info(message)
+}
+
+// quotaRead applies a row as it stands in the store.
+func (o *Owner) quotaRead(a *quotaAccount, r platform.Row, now time.Time) {
+	a.readAt, a.readDue = now, false
+	var row quota.Row
+	if r.Version > 0 {
+		var err error
+		if row, err = quota.Decode(r.Value); err != nil {
+			o.log.WithField("organisation", a.name).WithError(err).Error("can't decode the quota of an organisation")
+			a.Unanswered()
+			return
+		}
+	}
+	a.Learned(row, r.Version)
+}
+
+// wholePart is the number of rows above which all of a part are read in one call.
+const wholePart = 2
+
+// readQuotas reads the rows of some organisations of a part.
+func (o *Owner) readQuotas(part string, p *quotaPart, accounts []*quotaAccount, now time.Time) {
+	for _, a := range accounts {
+		a.readAt = now
+	}
+	metricQuotaReads.Inc()
+	names := make([]string, len(accounts))
+	for i, a := range accounts {
+		names[i] = a.name
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(o.ctx, commitTimeout)
+		defer cancel()
+		rows := map[string]platform.Row{}
+		var err error
+		if len(names) > wholePart {
+			var all []platform.Row
+			all, _, err = o.store.ReadAll(ctx, quota.Table, part)
+			for _, r := range all {
+				rows[r.Key] = r
+			}
+		} else {
+			for _, name := range names {
+				var r platform.Row
+				if r, err = o.store.ReadRow(ctx, quota.Table, part, name); err != nil {
+					break
+				}
+				rows[name] = r
+			}
+		}
+		o.post(func() { o.quotasRead(p, accounts, rows, err) })
+	}()
+}
+
+// quotasRead applies the result of readQuotas.
+func (o *Owner) quotasRead(p *quotaPart, accounts []*quotaAccount, rows map[string]platform.Row, err error) {
+	now := time.Now()
+	p.busy = false
+	o.quotas.dirty = true
+	if err != nil {
+		p.retryAt = now.Add(quotaRetryDelay)
+		o.log.WithError(err).Info("can't read the quotas of organisations")
+		return
+	}
+	for _, a := range accounts {
+		o.quotaRead(a, rows[a.name], now)
+		o.applyAllotment(a, now)
+	}
+}
+
+// endQuotas takes the pool out of the process's metrics.
+func (o *Owner) endQuotas() {
+	quotaHeldUp.Add(-o.quotas.heldUp)
+	o.quotas.heldUp = 0
+}
+
+func sortedNames(accounts map[string]*quotaAccount) []string {
+	names := make([]string, 0, len(accounts))
+	for name := range accounts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func multiply(r jobs.Resources, n int) jobs.Resources {
+	return jobs.Resources{Millicores: r.Millicores * n, MemoryMB: r.MemoryMB * n, Accelerators: r.Accelerators * n}
+}
+
+// larger returns the larger amount of each resource.
+func larger(x, y jobs.Resources) jobs.Resources {
+	return jobs.Resources{Millicores: max(x.Millicores, y.Millicores), MemoryMB: max(x.MemoryMB, y.MemoryMB), Accelerators: max(x.Accelerators, y.Accelerators)}
+}
+
+// smaller returns the smaller amount of each resource.
+func smaller(x, y jobs.Resources) jobs.Resources {
+	return jobs.Resources{Millicores: min(x.Millicores, y.Millicores), MemoryMB: min(x.MemoryMB, y.MemoryMB), Accelerators: min(x.Accelerators, y.Accelerators)}
+}
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -140,6 +140,7 @@
 func (o *Owner) queueSubmission(s *submission) {
 	o.pending[s.job.ID] = s
 	o.queue = append(o.queue, s)
+	o.quotaDemandChanged(s.job)
 }
 
 // Limits of the retry delay given to callers while the store is down.
@@ -371,6 +372,7 @@
 		if version < o.organisationsVersion || len(organisations) == 0 && len(o.organisations) == 0 {
 			return
 		}
+		o.setQuotas(organisations, version, time.Now())
 		o.organisations, o.organisationsVersion = organisations, version
 		shares := map[string]place.Organisation{}
 		for _, org := range organisations {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -153,8 +153,16 @@
 	return a.rowVersion > 0 && a.version > a.row.Version && now > 0 && (before == 0 || now < before)
 }
 
-// Blocked reports whether tasks wait for a larger allotment.
-func (a *Account) Blocked(u Usage) bool { return !u.Needed.Fits(a.Allotment(u)) }
+// Blocked reports whether tasks wait for a larger allotment and the pool has not the whole quota.
+func (a *Account) Blocked(u Usage) bool {
+	limit, needed := vectorOf(a.Limit()), vectorOf(u.Needed)
+	for i, allotted := range vectorOf(a.Allotment(u)) {
+		if limit[i] > 0 && needed[i] > allotted && allotted < limit[i] {
+			return true
+		}
+	}
+	return false
+}
 
 // othersWait reports whether another pool has less than it wants.
 func (a *Account) othersWait(i int) bool {
