pool: a route stays open without its row in the store

Cause: a process that has just started, or taken a pool over, read the row of a route before it accepted the route's jobs. That row is in another part of the store than the pool.

Change: a pool's own part tells that a route leads to it, in the row that tells when it was closed. It holds until the route is closed there, which the same owner decides, so that nothing is read in another part, and a queue that never moved costs no read after a takeover. With earlier pools the row is still read first, as it may name fewer.

--- a/internal/daemon/route_pools_test.go
+++ b/internal/daemon/route_pools_test.go
@@ -25,6 +25,7 @@
 type routedPools struct {
 	t         *testing.T
 	platform  *mimic.Platform
+	settings  platform.Settings
 	owners    map[string]*pool.Owner
 	processes []*Daemon
 }
@@ -41,27 +42,11 @@
 		t.Fatal(err)
 	}
 	logger, _ := test.NewNullLogger()
-	r := &routedPools{t: t, platform: p, owners: map[string]*pool.Owner{}}
+	r := &routedPools{t: t, platform: p, settings: settings, owners: map[string]*pool.Owner{}}
 	var pools []platform.PoolConfig
 	for _, name := range names {
-		store := platform.NewStore(settings.Store)
-		own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, pool.Ownership{Pool: name}, pool.Conditions{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		o := pool.New(t.Context(), own, pool.Settings{Store: store, Log: logrus.NewEntry(logger), Retention: time.Second})
-		go o.Run()
-		t.Cleanup(o.Close)
-		r.owners[name] = o
+		r.own(pool.Ownership{Pool: name})
 		pools = append(pools, platform.PoolConfig{Name: name})
-		for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			if _, v := o.Pending(t.Context(), "q"); v == pool.Accepted {
-				break
-			}
-			if time.Now().After(end) {
-				t.Fatal("the owner does not answer")
-			}
-		}
 	}
 	for range processes {
 		d := New(settings, logrus.NewEntry(logger))
@@ -72,6 +57,49 @@
 	return r
 }
 
+// own claims a pool from its last owner and waits until the new one answers.
+func (r *routedPools) own(last pool.Ownership) pool.Ownership {
+	r.t.Helper()
+	logger, _ := test.NewNullLogger()
+	store := platform.NewStore(r.settings.Store)
+	own, err := pool.Claim(r.t.Context(), store, pool.Identity{Node: "entry-1"}, last, pool.Conditions{})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	o := pool.New(r.t.Context(), own, pool.Settings{Store: store, Log: logrus.NewEntry(logger), Retention: time.Second})
+	go o.Run()
+	r.t.Cleanup(o.Close)
+	r.owners[last.Pool] = o
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, v := o.Pending(r.t.Context(), "q"); v == pool.Accepted {
+			return own
+		}
+		if time.Now().After(end) {
+			r.t.Fatal("the owner does not answer")
+		}
+	}
+}
+
+// restart replaces the owner of a pool, and makes all processes forget the routes.
+func (r *routedPools) restart(name string) {
+	r.t.Helper()
+	r.owners[name].Close()
+	row, err := platform.NewStore(r.settings.Store).ReadRow(r.t.Context(), pool.TableOwner, name, "owner")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	last, err := pool.DecodeOwnership(row)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.own(last)
+	for _, d := range r.processes {
+		d.mu.Lock()
+		clear(d.routes)
+		d.mu.Unlock()
+	}
+}
+
 // submit submits a job at a process to a pool, where the route leads in a version of the
 // configuration.
 func (r *routedPools) submit(process int, id jobs.ID, to string, version uint64) pool.Verdict {
@@ -418,3 +446,29 @@
 		t.Errorf("%d jobs wait, want 2", reply.Count)
 	}
 }
+
+// Guards against a queue that accepts nothing after a restart because the part of the store with
+// its route's row is away, and against one that does though its route leads elsewhere by now.
+func TestRouteIsOpenWithoutItsRow(t *testing.T) {
+	t.Parallel()
+	r := newRoutedPools(t, 1, "p1", "p2")
+	submit := func(id jobs.ID, to string, version uint64, want pool.Verdict) {
+		t.Helper()
+		if v := r.submit(0, id, to, version); v != want {
+			t.Errorf("job %s, pool %s, version %d: verdict %v, want %v", id, to, version, v, want)
+		}
+	}
+	submit("0000000000000001", "p1", 1, pool.Accepted)
+	submit("0000000000000002", "p1", 1, pool.Accepted) // its transaction stores the opening
+	r.restart("p1")
+	r.platform.Store.FailPart(testRoute, true)
+	submit("0000000000000003", "p1", 1, pool.Accepted)
+	r.platform.Store.FailPart(testRoute, false)
+	submit("0000000000000004", "p2", 2, pool.Accepted)
+	r.restart("p1")
+	r.platform.Store.FailPart(testRoute, true)
+	submit("0000000000000005", "p1", 1, pool.Unknown)
+	if in := r.where("0000000000000005"); len(in) > 0 {
+		t.Errorf("the job of a closed route is in %v", in)
+	}
+}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -281,7 +281,7 @@
 	}
 	refused := uint64(0)
 	for range routeTries {
-		row, err := d.openRoute(ctx, j.Route, o.Name(), version, refused)
+		row, err := d.openRouteAt(ctx, o, j.Route, version, refused)
 		if err != nil {
 			d.log.WithFields(logrus.Fields{"job": j.ID, "route": j.Route, "pool": o.Name(), "version": version}).WithError(err).Info("opening a route failed")
 			return Reply{Verdict: pool.Unknown}
@@ -301,6 +301,26 @@
 	return Reply{Verdict: pool.Unknown}
 }
 
+// openRouteAt is openRoute for a pool whose owner is in this process. If the owner knows that the
+// route leads to its pool, nothing is read: the route's row is in another part of the store, which
+// may be away while the pool's is not.
+func (d *Daemon) openRouteAt(ctx context.Context, o *pool.Owner, name string, version, refused uint64) (routeRow, error) {
+	opening, open := o.Opening(name)
+	open = open && opening.Version > refused
+	known := routeRow{Pool: o.Name(), Version: opening.Version, Earlier: opening.Earlier}
+	if open && len(known.Earlier) == 0 {
+		return known, nil
+	}
+	row, err := d.openRoute(ctx, name, o.Name(), version, refused) // which forgets earlier pools
+	switch {
+	case err == nil:
+		o.RecordOpening(name, pool.Opening{Version: row.Version, Earlier: row.Earlier})
+	case open && !errors.Is(err, errStaleRoute):
+		return known, nil
+	}
+	return row, err
+}
+
 // findEarlier asks the earlier pools of a job's route for the job, and removes those from the
 // route's row that have no job of the route any more.
 func (d *Daemon) findEarlier(ctx context.Context, row routeRow, j jobs.Job) Reply {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -20,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -141,6 +142,7 @@
 	startsSent       atomic.Int64  // starts sent so far
 	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 	status           *ownershipStatus
+	openings         sync.Map // of routes that lead to the pool: [Opening] by route
 
 	// The fields below are used only in the loop.
 	board            *place.Board
--- a/internal/pool/routes.go
+++ b/internal/pool/routes.go
@@ -20,13 +20,22 @@
 // the route from a process whose route to it was opened at that version or before, so that
 // whether it has a job is certain.
 
-// closure tells from which version on a route leads to another pool.
+// closure tells from which version on a route leads to another pool, and when it was opened
+// here last.
 type closure struct {
-	version uint64
+	version uint64 // 0 if the route was never closed
 	stored  uint64 // as far as it is durable
+	opening Opening
 	waiters []closureWaiter
 }
 
+// Opening is that a route leads to a pool. It holds until the route is closed there, so that the
+// pool's owner needs no other part of the store to accept jobs of the route.
+type Opening struct {
+	Version uint64   // of the configuration; 0 if the route is not known to be open
+	Earlier []string // pools that may still have jobs of the route
+}
+
 type closureWaiter struct {
 	version uint64
 	reply   chan Verdict
@@ -34,8 +43,10 @@
 
 // closureRow is the stored form of a [closure].
 type closureRow struct {
-	Route   string `json:"route"`
-	Version uint64 `json:"version"`
+	Route   string   `json:"route"`
+	Version uint64   `json:"version"`
+	Opened  uint64   `json:"opened,omitempty"`
+	Earlier []string `json:"earlier,omitempty"`
 }
 
 // maxKey is the length of a key that the store takes.
@@ -60,26 +71,73 @@
 			reply <- Unknown
 			return
 		}
-		c := o.closures[route]
-		if c == nil {
-			c = &closure{}
-			o.closures[route] = c
-		}
+		c := o.closureOf(route)
 		if c.stored >= version {
 			reply <- Accepted
 			return
 		}
 		if c.version < version {
 			c.version = version
+			o.publishOpening(route, c)
 			o.log.WithField("route", route).WithField("version", version).Info("route closed: it leads to another pool")
 		}
 		c.waiters = append(c.waiters, closureWaiter{version, reply})
-		if !slices.Contains(o.closureQueue, route) {
-			o.closureQueue = append(o.closureQueue, route)
+		o.queueClosure(route)
+	})
+}
+
+// closureOf returns what is known of a route, nothing at first.
+func (o *Owner) closureOf(route string) *closure {
+	c := o.closures[route]
+	if c == nil {
+		c = &closure{}
+		o.closures[route] = c
+	}
+	return c
+}
+
+// queueClosure makes what is known of a route durable with the next transaction.
+func (o *Owner) queueClosure(route string) {
+	if !slices.Contains(o.closureQueue, route) {
+		o.closureQueue = append(o.closureQueue, route)
+	}
+}
+
+// Opening returns the last opening of a route, if the route has not been closed since. It may be
+// outdated: [Owner.SubmitRouted] decides.
+func (o *Owner) Opening(route string) (Opening, bool) {
+	opening, known := o.openings.Load(route)
+	if !known {
+		return Opening{}, false
+	}
+	return opening.(Opening), true
+}
+
+// RecordOpening records that the store's row of a route names this pool.
+func (o *Owner) RecordOpening(route string, opening Opening) {
+	if known, ok := o.Opening(route); ok && known.Version == opening.Version && slices.Equal(known.Earlier, opening.Earlier) {
+		return
+	}
+	o.post(func() {
+		c := o.closureOf(route)
+		if c.opening.Version > opening.Version || !o.started || o.flushing {
+			return
 		}
+		c.opening = opening
+		o.publishOpening(route, c)
+		o.queueClosure(route)
 	})
 }
 
+// publishOpening makes a route's opening known to [Owner.Opening], unless the route is closed.
+func (o *Owner) publishOpening(route string, c *closure) {
+	if c.opening.Version > c.version {
+		o.openings.Store(route, c.opening)
+	} else {
+		o.openings.Delete(route)
+	}
+}
+
 // routeClosed reports whether a route that was opened at a version has been closed since.
 func (o *Owner) routeClosed(route string, opened uint64) bool {
 	c := o.closures[route]
@@ -110,8 +168,9 @@
 	for len(o.closureQueue) > 0 && len(c.closures) < maxQueuedRows {
 		route := o.closureQueue[0]
 		o.closureQueue = o.closureQueue[1:]
-		version := o.closures[route].version
-		value, err := json.Marshal(closureRow{route, version})
+		known := o.closures[route]
+		version := known.version
+		value, err := json.Marshal(closureRow{route, version, known.opening.Version, known.opening.Earlier})
 		if err != nil { // can't happen: it holds a text and a number
 			o.log.WithField("route", route).WithError(err).Error("can't encode a closed route")
 			continue
@@ -139,9 +198,7 @@
 // requeueClosures queues closures again after a transaction that had no effect.
 func (o *Owner) requeueClosures(versions map[string]uint64) {
 	for route := range versions {
-		if !slices.Contains(o.closureQueue, route) {
-			o.closureQueue = append(o.closureQueue, route)
-		}
+		o.queueClosure(route)
 	}
 }
 
@@ -153,7 +210,9 @@
 			o.log.WithField("route", r.Key).WithError(err).Error("can't decode a closed route")
 			continue
 		}
-		o.closures[w.Route] = &closure{version: w.Version, stored: w.Version}
+		c := &closure{version: w.Version, stored: w.Version, opening: Opening{w.Opened, w.Earlier}}
+		o.closures[w.Route] = c
+		o.publishOpening(w.Route, c)
 	}
 }
 
