daemon: calls of jobs need the key of an organisation

Cause: no key was looked at: calls whose key was taken away, or that no configuration ever held, were answered 200.

Calls between processes name the organisation: an owner whose later configuration lacks it answers so (pool.Outdated), and the entry answers 401. The calls in route_pools_test.go name a caller that is not checked, as the functions take one now; system.call is split so that a test can send a header over open connections.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -197,7 +197,7 @@
 	case pool.Accepted:
 	case pool.Refused, pool.Overloaded:
 		return nil, errors.Newf("job %s was refused and has not run", j.ID)
-	case pool.Unknown, pool.Missing, pool.Closed:
+	case pool.Unknown, pool.Missing, pool.Closed, pool.Forbidden, pool.Outdated:
 		return nil, errors.Wrapf(errStateUnknown, "job %s may have been accepted; submit it again under its id", j.ID)
 	}
 	views, err := d.jobViews(ctx, q.Pool, string(j.ID))
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -54,30 +54,31 @@
 // route answers a request and returns its kind and the status of the answer, which are
 // labels of the answer metric.
 func (d *Daemon) route(w http.ResponseWriter, r *http.Request, began time.Time) (kind string, status int) {
-	c := d.config.Load()
-	if c == nil {
+	ctx, cancel := context.WithDeadline(r.Context(), began.Add(callerTimeout(r)))
+	defer cancel()
+	a := d.admit(ctx, r)
+	switch {
+	case a.config == nil:
 		return "none", d.refuse(w, http.StatusServiceUnavailable, "no configuration yet")
-	}
-	q, rest, found := findQueue(c.Queues, r.Host, r.URL.Path)
-	if !found {
+	case !a.found:
 		return "none", d.refuse(w, http.StatusNotFound, "no such queue")
+	case a.cause != "":
+		return "none", d.refuseCaller(w, http.StatusUnauthorized, a.cause, a.queue, "")
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), began.Add(callerTimeout(r)))
-	defer cancel()
-	if rest == "" && r.Method == http.MethodGet {
-		return "pending", d.servePending(ctx, w, q)
+	if a.rest == "" && r.Method == http.MethodGet {
+		return "pending", d.servePending(ctx, w, a)
 	}
-	id, err := jobs.ParseID(rest)
+	id, err := jobs.ParseID(a.rest)
 	if err != nil {
 		return "none", d.refuse(w, http.StatusBadRequest, err.Error())
 	}
 	switch r.Method {
 	case http.MethodPost:
-		return "submit", d.serveSubmit(ctx, w, r, c, q, id)
+		return "submit", d.serveSubmit(ctx, w, r, a, id)
 	case http.MethodGet:
-		return "state", d.serveState(ctx, w, q, id)
+		return "state", d.serveState(ctx, w, a, id)
 	case http.MethodDelete:
-		return "cancel", d.serveCancel(ctx, w, c, q, id)
+		return "cancel", d.serveCancel(ctx, w, a, id)
 	}
 	return "none", d.refuse(w, http.StatusMethodNotAllowed, "no such method")
 }
@@ -136,8 +137,8 @@
 	return http.StatusOK
 }
 
-func (d *Daemon) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, c *configuration, q platform.Queue, id jobs.ID) int {
-	limit := c.MaxBodyBytes
+func (d *Daemon) serveSubmit(ctx context.Context, w http.ResponseWriter, r *http.Request, a admission, id jobs.ID) int {
+	limit := a.config.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
@@ -148,9 +149,18 @@
 	if int64(len(body)) > limit {
 		return d.refuse(w, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
+	a = d.admitAgain(a, r)
+	switch {
+	case !a.found:
+		return d.refuse(w, http.StatusNotFound, "no such queue")
+	case a.cause != "":
+		return d.refuseCaller(w, http.StatusUnauthorized, a.cause, a.queue, "")
+	}
+	c, q := a.config, a.queue
 	j, err := platform.DecodeJob(body)
 	if err == nil {
 		j.ID, j.Queue, j.Pool, j.Route, j.Submitted = id, q.Name, q.Pool, q.Route(), time.Now()
+		j.Organisation = a.caller.organisation
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
 		err = j.Validate()
 	}
@@ -174,15 +184,18 @@
 	case pool.Overloaded:
 		setRetryAfter(w, reply.After)
 		return d.refuse(w, http.StatusTooManyRequests, "too much waits already; the job has not run")
+	case pool.Forbidden, pool.Outdated:
+		return d.refuseByOwner(ctx, w, a, reply.Verdict)
 	case pool.Unknown, pool.Missing, pool.Closed:
 	}
 	d.log.WithFields(logrus.Fields{"job": id, "pool": q.Pool}).Info("no verdict on a job in time")
 	return d.refuse(w, http.StatusGatewayTimeout, "not known whether the job was accepted; send it again")
 }
 
-func (d *Daemon) serveState(ctx context.Context, w http.ResponseWriter, q platform.Queue, id jobs.ID) int {
-	reply := d.askOwner(ctx, q.Pool, "Peer.State", RoutedArgs{Pool: q.Pool, Name: string(id), Route: q.Route()}, func(o *pool.Owner) Reply {
-		return d.state(ctx, o, id, q.Route())
+func (d *Daemon) serveState(ctx context.Context, w http.ResponseWriter, a admission, id jobs.ID) int {
+	q := a.queue
+	reply := d.askOwner(ctx, q.Pool, "Peer.State", a.args(string(id)), func(o *pool.Owner) Reply {
+		return d.state(ctx, o, id, q.Route(), a.caller)
 	})
 	switch reply.Verdict {
 	case pool.Accepted:
@@ -190,15 +203,18 @@
 	case pool.Missing:
 		d.log.WithFields(logrus.Fields{"job": id, "pool": q.Pool, "token": reply.Token}).Info("state of an unknown job requested")
 		return d.refuse(w, http.StatusGone, "no such job")
+	case pool.Forbidden, pool.Outdated:
+		return d.refuseByOwner(ctx, w, a, reply.Verdict)
 	case pool.Refused, pool.Unknown, pool.Overloaded, pool.Closed:
 	}
 	return d.refuse(w, http.StatusGatewayTimeout, "the job's state is not known now")
 }
 
-func (d *Daemon) serveCancel(ctx context.Context, w http.ResponseWriter, c *configuration, q platform.Queue, id jobs.ID) int {
+func (d *Daemon) serveCancel(ctx context.Context, w http.ResponseWriter, a admission, id jobs.ID) int {
+	q := a.queue
 	began := time.Now()
-	reply := d.askOwner(ctx, q.Pool, "Peer.Cancel", RoutedArgs{q.Pool, string(id), q.Route(), c.Version}, func(o *pool.Owner) Reply {
-		return d.cancelJob(ctx, o, id, q.Route(), c.Version)
+	reply := d.askOwner(ctx, q.Pool, "Peer.Cancel", a.args(string(id)), func(o *pool.Owner) Reply {
+		return d.cancelJob(ctx, o, id, q.Route(), a.caller)
 	})
 	log := d.log.WithFields(logrus.Fields{"job": id, "pool": q.Pool, "token": reply.Token, "ms": time.Since(began).Milliseconds()})
 	switch reply.Verdict {
@@ -208,15 +224,21 @@
 	case pool.Missing:
 		log.Info("cancel acknowledged: no such job")
 		return d.refuse(w, http.StatusGone, "no such job")
+	case pool.Forbidden, pool.Outdated:
+		return d.refuseByOwner(ctx, w, a, reply.Verdict)
 	case pool.Refused, pool.Unknown, pool.Overloaded, pool.Closed:
 	}
 	return d.refuse(w, http.StatusGatewayTimeout, "not known whether the job was cancelled; send it again")
 }
 
-func (d *Daemon) servePending(ctx context.Context, w http.ResponseWriter, q platform.Queue) int {
-	reply := d.askOwner(ctx, q.Pool, "Peer.Pending", RoutedArgs{Pool: q.Pool, Name: q.Name, Route: q.Route()}, func(o *pool.Owner) Reply {
-		return d.pendingJobs(ctx, o, q.Name, q.Route())
+func (d *Daemon) servePending(ctx context.Context, w http.ResponseWriter, a admission) int {
+	q := a.queue
+	reply := d.askOwner(ctx, q.Pool, "Peer.Pending", a.args(q.Name), func(o *pool.Owner) Reply {
+		return d.pendingJobs(ctx, o, q.Name, q.Route(), a.caller)
 	})
+	if reply.Verdict == pool.Outdated {
+		return d.refuseByOwner(ctx, w, a, reply.Verdict)
+	}
 	if reply.Verdict != pool.Accepted {
 		return d.refuse(w, http.StatusGatewayTimeout, "the queue's length is not known now")
 	}
@@ -232,7 +254,7 @@
 		switch {
 		case err != nil:
 			lost = lost || errors.Is(err, wire.ErrLost)
-		case lost && (reply.Verdict == pool.Refused || reply.Verdict == pool.Overloaded):
+		case lost && (reply.Verdict == pool.Refused || reply.Verdict == pool.Overloaded || reply.Verdict == pool.Outdated):
 			return Reply{Verdict: pool.Unknown, Token: reply.Token}
 		case reply.Verdict != pool.Unknown:
 			return reply
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/gossip"
 	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/upkeep"
 	"github.com/papayarudder/papayarudder/internal/wire"
@@ -48,6 +49,8 @@
 	setGCPercent func(percent int) int
 
 	config          atomic.Pointer[configuration]
+	fresh           freshness      // of config
+	refusals        *logs.Frequent // calls refused for their keys
 	stopping        atomic.Bool
 	storeAnsweredAt atomic.Int64 // Unix time in ms of the store's last answer
 	storeFailing    atomic.Bool  // the last call for a table or a feed failed
@@ -99,7 +102,7 @@
 func New(settings platform.Settings, log *logrus.Entry) *Daemon {
 	addr := netip.AddrPortFrom(settings.Callers.Addr(), settings.FirstInternalPort)
 	d := &Daemon{
-		settings: settings, log: log, suspensions: pool.NewSuspensions(),
+		settings: settings, log: log, refusals: logs.NewFrequent(log), suspensions: pool.NewSuspensions(),
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
 		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
--- /dev/null
+++ b/internal/daemon/keys.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/papayarudder/papayarudder/internal/logs"
+	"github.com/papayarudder/papayarudder/internal/pool"
+	"github.com/papayarudder/papayarudder/platform"
+)
+
+// refusalCause says why a call was refused for its key.
+type refusalCause string
+
+const (
+	causeKeyMissing        refusalCause = "key-missing"
+	causeKeyUnknown        refusalCause = "key-unknown"
+	causeOtherOrganisation refusalCause = "other-organisation"
+)
+
+var refusalReasons = map[refusalCause]string{
+	causeKeyMissing:        "the header " + platform.KeyHeader + " has no key, and this queue needs one",
+	causeKeyUnknown:        "the key belongs to no organisation",
+	causeOtherOrganisation: "the job belongs to another organisation",
+}
+
+var metricCallsRefused = func(cause refusalCause) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`papayarudder_calls_refused_total{cause="` + string(cause) + `"}`)
+}
+
+// caller tells on whose behalf a call is made.
+type caller struct {
+	organisation string // empty if it is not checked
+	version      uint64 // of the configuration of the process that checked its key, 0 if that is not known
+}
+
+// args returns the arguments of a call about a pool whatever the route.
+func (c caller) args(pool, name string) RoutedArgs {
+	return RoutedArgs{Pool: pool, Name: name, Version: c.version, Organisation: c.organisation}
+}
+
+// rejects reports whether this process has a later configuration than the one that checked the
+// caller's key, and the organisation is not in it any more.
+func (d *Daemon) rejects(c caller) bool {
+	config := d.config.Load()
+	return c.organisation != "" && config != nil && config.Version > c.version && c.version > 0 &&
+		!slices.ContainsFunc(config.Organisations, func(o platform.Organisation) bool { return o.Name == c.organisation })
+}
+
+// checkKey returns the organisation of a caller's key, empty if the queue needs none, or the
+// cause for which the call is refused.
+func (c *configuration) checkKey(r *http.Request, q platform.Queue) (organisation string, cause refusalCause) {
+	if q.Public || c.keys == nil {
+		return "", ""
+	}
+	key := r.Header.Get(platform.KeyHeader)
+	if key == "" {
+		return "", causeKeyMissing
+	}
+	organisation, known := c.keys.Organisation(key)
+	if !known {
+		return "", causeKeyUnknown
+	}
+	return organisation, ""
+}
+
+// admission is what the configuration says of a call.
+type admission struct {
+	config *configuration
+	queue  platform.Queue
+	rest   string // of the path
+	found  bool   // there is such a queue
+	caller caller
+	cause  refusalCause // empty if the call is admitted
+}
+
+// args returns the arguments of a call about a job or a queue.
+func (a admission) args(name string) RoutedArgs {
+	args := a.caller.args(a.queue.Pool, name)
+	args.Route = a.queue.Route()
+	return args
+}
+
+func (c *configuration) admit(r *http.Request) admission {
+	a := admission{config: c}
+	a.queue, a.rest, a.found = findQueue(c.Queues, r.Host, r.URL.Path)
+	if a.found {
+		a.caller.organisation, a.cause = c.checkKey(r, a.queue)
+		a.caller.version = c.Version
+	}
+	return a
+}
+
+// admit decides a call by the configuration in force. What a newer one may allow is refused only
+// once the store was asked for one. The configuration of the result is nil if there is none yet.
+func (d *Daemon) admit(ctx context.Context, r *http.Request) admission {
+	c := d.config.Load()
+	if c == nil {
+		return admission{}
+	}
+	if c.keys == nil {
+		return c.admit(r)
+	}
+	if d.fresh.paused(time.Now()) {
+		c = d.refreshConfig(ctx)
+	}
+	a := c.admit(r)
+	if a.cause == causeKeyUnknown || (!a.found || a.cause != "") && d.configMayBeStale(time.Now()) {
+		a = d.refreshConfig(ctx).admit(r)
+	}
+	return a
+}
+
+// admitAgain decides a call anew whose body has come: that may have taken long, and a key may
+// have been removed meanwhile.
+func (d *Daemon) admitAgain(a admission, r *http.Request) admission {
+	if c := d.config.Load(); c != a.config && c.keys != nil {
+		return c.admit(r)
+	}
+	return a
+}
+
+// refuseCaller refuses a call for its key. It is answered without waiting for a body that may
+// never come.
+func (d *Daemon) refuseCaller(w http.ResponseWriter, status int, cause refusalCause, q platform.Queue, organisation string) int {
+	_ = http.NewResponseController(w).EnableFullDuplex() // an error means that the body is read first
+	metricCallsRefused(cause).Inc()
+	d.refusals.Info("call refused for its key", logs.Text("cause", string(cause)), logs.Text("queue", q.Name), logs.Text("organisation", organisation))
+	return d.refuse(w, status, refusalReasons[cause])
+}
+
+// refuseByOwner answers a call that a pool's owner rejected for its caller.
+func (d *Daemon) refuseByOwner(ctx context.Context, w http.ResponseWriter, a admission, v pool.Verdict) int {
+	if v == pool.Outdated {
+		d.refreshConfig(ctx)
+		return d.refuseCaller(w, http.StatusUnauthorized, causeKeyUnknown, a.queue, a.caller.organisation)
+	}
+	return d.refuseCaller(w, http.StatusForbidden, causeOtherOrganisation, a.queue, a.caller.organisation)
+}
--- /dev/null
+++ b/internal/daemon/keys_process_test.go
@@ -0,0 +1,165 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/platform/mimic"
+)
+
+// orgConfig returns a version of the configuration with organisations: each has its name and
+// keys, separated by spaces. The queue trucks is public.
+func orgConfig(version int, organisations ...string) string {
+	var tenants []string
+	for _, o := range organisations {
+		fields := strings.Fields(o)
+		tenants = append(tenants, fmt.Sprintf(`{"name":%q,"api_keys":["%s"],"weight":10}`, fields[0], strings.Join(fields[1:], `","`)))
+	}
+	text := fmt.Sprintf(config, version, "")
+	text = strings.Replace(text, `"service":"p2"`, `"service":"p2","public":true`, 1)
+	return strings.Replace(text, `"services":`, `"tenants":[`+strings.Join(tenants, ",")+`],"services":`, 1)
+}
+
+// callWith is call with a key, over the client's connections.
+func (s *system) callWith(client *http.Client, key, method string, p *process, path, body string) (string, int) {
+	s.t.Helper()
+	header := http.Header{}
+	if key != "" {
+		header.Set("Credential", key)
+	}
+	return s.exchange(client, header, method, p, path, body)
+}
+
+// Guards against calls with a key that was removed, that is unknown or that belongs to another
+// organisation, also over connections that stay open and at a process that stood still.
+func TestKeysOfCallers(t *testing.T) {
+	s := newConfiguredSystem(t, 2, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 2}, {Name: "p2", Hosts: 1}}}, fmt.Sprintf(config, 1, ""))
+	s.submit(s.processes[0], "/labels/"+id(1), oneStep) // before there are organisations
+	s.platform.Configure(orgConfig(2, "north n-1 n-2", "south s-1"))
+	client := &http.Client{Timeout: 4 * time.Second}
+	defer client.CloseIdleConnections()
+	expect := func(p *process, key, method, path string, want int) {
+		t.Helper()
+		body := ""
+		if method == http.MethodPost {
+			body = oneStep
+		}
+		if answer, status := s.callWith(client, key, method, p, path, body); status != want {
+			t.Errorf("%s %s at %s with key %q: %d %.100s, want %d", method, path, p.node, key, status, answer, want)
+		} else if key != "" && strings.Contains(answer, key) {
+			t.Errorf("%s %s: the answer has the key: %s", method, path, answer)
+		}
+	}
+	for _, p := range s.processes {
+		s.waitFor("keys to be checked", 5*time.Second, func() bool {
+			_, status := s.callWith(client, "", http.MethodGet, p, "/labels/", "")
+			return status == http.StatusUnauthorized
+		})
+	}
+	for i, p := range s.processes { // the owner and a process that asks it
+		own, theirs := "/labels/"+id(10+i), "/labels/"+id(20+i)
+		expect(p, "n-1", http.MethodPost, own, 200)
+		expect(p, "s-1", http.MethodPost, theirs, 200)
+		expect(p, "n-2", http.MethodPost, own, 200) // another key of the same organisation
+		expect(p, "s-1", http.MethodPost, own, 403)
+		expect(p, "n-2", http.MethodGet, own, 200)
+		expect(p, "s-1", http.MethodGet, own, 403)
+		expect(p, "s-1", http.MethodDelete, own, 403)
+		expect(p, "n-1", http.MethodGet, theirs, 403)
+		expect(p, "n-1", http.MethodGet, "/labels/"+id(1), 200) // belongs to no organisation
+		expect(p, "n-1", http.MethodGet, "/labels/"+id(99), 410)
+		for _, key := range []string{"", "odd", "N-1", strings.Repeat("n", 300)} {
+			expect(p, key, http.MethodPost, "/labels/"+id(30), 401)
+			expect(p, key, http.MethodGet, own, 401)
+			expect(p, key, http.MethodDelete, own, 401)
+			expect(p, key, http.MethodGet, "/labels/", 401)
+			expect(p, key, http.MethodGet, "/nowhere/", 404)
+			expect(p, key, http.MethodGet, "/labels/trucks/", 200) // public
+		}
+		expect(p, "odd", http.MethodPost, "/labels/trucks/"+id(40+i), 200)
+		expect(p, "n-1", http.MethodGet, "/labels/", 200)
+		expect(p, "s-1", http.MethodGet, "/labels/trucks/"+id(40+i), 200) // belongs to no organisation
+	}
+
+	s.platform.Configure(orgConfig(3, "north n-2 n-3", "south s-1"))
+	for _, p := range s.processes {
+		s.waitFor("n-1 to be refused on an open connection", 2*time.Second, func() bool {
+			_, status := s.callWith(client, "n-1", http.MethodGet, p, "/labels/", "")
+			return status == http.StatusUnauthorized
+		})
+		expect(p, "n-3", http.MethodGet, "/labels/"+id(10), 200) // handed in with n-1
+		expect(p, "n-1", http.MethodGet, "/labels/"+id(10), 401)
+	}
+	s.platform.Configure(orgConfig(2, "north n-1 n-2", "south s-1")) // an older version
+	s.platform.Configure(strings.Replace(orgConfig(4, "north n-1", "south s-1"), `"weight":10`, `"weight":0`, 1))
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range s.processes {
+		expect(p, "n-1", http.MethodGet, "/labels/", 401)
+		expect(p, "n-3", http.MethodGet, "/labels/", 200)
+	}
+
+	// A process stands still while the organisation south is removed and n-4 added.
+	p := s.other(s.owner("p1"))
+	s.signal(p, syscall.SIGSTOP)
+	s.platform.Configure(orgConfig(5, "north n-4"))
+	type outcome struct {
+		key    string
+		status int
+	}
+	outcomes := make(chan outcome, 6)
+	for i := range cap(outcomes) {
+		key := []string{"n-3", "s-1", "n-4"}[i%3]
+		go func() {
+			_, status := s.callWith(client, key, http.MethodPost, p, "/labels/"+id(50+i), oneStep)
+			outcomes <- outcome{key, status}
+		}()
+	}
+	time.Sleep(900 * time.Millisecond)
+	s.signal(p, syscall.SIGCONT)
+	for range cap(outcomes) {
+		if o := <-outcomes; (o.key == "n-4") != (o.status == 200) || o.key != "n-4" && o.status != 401 {
+			t.Errorf("key %s at a process that stood still while it changed: %d", o.key, o.status)
+		}
+	}
+	for _, p := range s.processes {
+		for _, key := range []string{"n-1", "n-2", "n-3", "n-4", "s-1"} {
+			if strings.Contains(p.log.String(), key+`"`) {
+				t.Errorf("the log of %s has the key %s", p.node, key)
+			}
+		}
+	}
+	s.check()
+}
+
+// Guards against callers without a key that hold a process by bodies that never come.
+func TestKeyIsCheckedBeforeTheBody(t *testing.T) {
+	s := newConfiguredSystem(t, 1, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}, {Name: "p2", Hosts: 1}}}, fmt.Sprintf(config, 1, ""))
+	s.platform.Configure(orgConfig(2, "north n-1"))
+	p := s.processes[0]
+	s.waitFor("keys to be checked", 5*time.Second, func() bool {
+		_, status := s.call(http.MethodGet, p, "/labels/", "")
+		return status == http.StatusUnauthorized
+	})
+	connection, err := net.Dial("tcp", netip.AddrPortFrom(p.addr, mimic.PortCallers).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST /labels/%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000\r\n\r\n{", id(1))
+	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second)) // an error shows in the answer
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("no answer before the body has come: %v", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusUnauthorized {
+		t.Errorf("status %d, want 401", response.StatusCode)
+	}
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -160,9 +160,14 @@
 	Pool    string
 	Name    string
 	Route   string
-	Version uint64 // of the configuration that leads to this pool; set for cancels
+	Version uint64 // of the configuration that leads to this pool; 0 for a state or a length from a process of the last version
+
+	Organisation string // of the caller, empty if it is not checked, and from a process of a version without this field
 }
 
+// caller returns on whose behalf the call is made.
+func (a RoutedArgs) caller() caller { return caller{a.Organisation, a.Version} }
+
 // CloseRouteArgs names a pool that is to accept no more jobs of a route that was opened at
 // this version of the configuration or before.
 type CloseRouteArgs struct {
@@ -313,14 +318,14 @@
 // State returns a job's state.
 func (s *peerService) State(args RoutedArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.set(s.d.state(ctx, o, jobs.ID(args.Name), args.Route))
+		reply.set(s.d.state(ctx, o, jobs.ID(args.Name), args.Route, args.caller()))
 	})
 }
 
 // Find reports whether a pool has a job of a route that is closed there.
 func (s *peerService) Find(args RoutedArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.Verdict, reply.Holds = o.Find(ctx, jobs.ID(args.Name), args.Route)
+		reply.Verdict, reply.Holds = o.FindFor(ctx, jobs.ID(args.Name), args.Route, args.Organisation)
 	})
 }
 
@@ -334,14 +339,14 @@
 // Cancel cancels a job.
 func (s *peerService) Cancel(args RoutedArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.set(s.d.cancelJob(ctx, o, jobs.ID(args.Name), args.Route, args.Version))
+		reply.set(s.d.cancelJob(ctx, o, jobs.ID(args.Name), args.Route, args.caller()))
 	})
 }
 
 // Pending returns how many jobs of a queue have not started.
 func (s *peerService) Pending(args RoutedArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.set(s.d.pendingJobs(ctx, o, args.Name, args.Route))
+		reply.set(s.d.pendingJobs(ctx, o, args.Name, args.Route, args.caller()))
 	})
 }
 
--- a/internal/daemon/route_pools_test.go
+++ b/internal/daemon/route_pools_test.go
@@ -151,7 +151,7 @@
 				}
 				for p, d := range r.processes {
 					for name, o := range r.owners {
-						if v := d.state(t.Context(), o, id, testRoute).Verdict; v != want && (v != pool.Missing || name == c.to) {
+						if v := d.state(t.Context(), o, id, testRoute, caller{}).Verdict; v != want && (v != pool.Missing || name == c.to) {
 							t.Errorf("call %d: state from process %d at %s: verdict %v, want %v", i, p, name, v, want)
 						}
 					}
@@ -230,7 +230,7 @@
 	if row := r.row(); fmt.Sprint(row) != "{p2 2 [p1]}" {
 		t.Fatalf("row %v", row)
 	}
-	if v := d.cancelJob(t.Context(), r.owners["p2"], "0000000000000001", testRoute, 2).Verdict; v != pool.Accepted {
+	if v := d.cancelJob(t.Context(), r.owners["p2"], "0000000000000001", testRoute, caller{version: 2}).Verdict; v != pool.Accepted {
 		t.Fatalf("cancel of a job in the earlier pool: verdict %v", v)
 	}
 	for end := time.Now().Add(10 * time.Second); len(r.where("0000000000000001")) > 0; time.Sleep(50 * time.Millisecond) {
@@ -242,7 +242,7 @@
 	if row := r.row(); len(row.Earlier) != 0 {
 		t.Errorf("row %v, want no earlier pools", row)
 	}
-	if v := d.cancelJob(t.Context(), r.owners["p1"], "0000000000000004", testRoute, 1).Verdict; v != pool.Missing {
+	if v := d.cancelJob(t.Context(), r.owners["p1"], "0000000000000004", testRoute, caller{version: 1}).Verdict; v != pool.Missing {
 		t.Errorf("cancel of an unknown job: verdict %v, want %v", v, pool.Missing)
 	}
 	r.submit(0, "0000000000000005", "p1", 3) // the cancelled id is in both pools
@@ -299,7 +299,7 @@
 			if tt.first.to != "" {
 				r.submit(1, "0000000000000002", tt.first.to, tt.first.version)
 			}
-			if v := r.processes[0].cancelJob(t.Context(), r.owners[tt.cancel.to], id, testRoute, tt.cancel.version).Verdict; v != pool.Missing {
+			if v := r.processes[0].cancelJob(t.Context(), r.owners[tt.cancel.to], id, testRoute, caller{version: tt.cancel.version}).Verdict; v != pool.Missing {
 				t.Errorf("cancel: verdict %v, want %v", v, pool.Missing)
 			}
 			if v := r.submit(1, id, tt.then.to, tt.then.version); v != tt.want {
@@ -327,12 +327,12 @@
 	for n := range callers {
 		id := jobs.ID(fmt.Sprintf("%016x", 100+n))
 		wait.Go(func() {
-			if v := d.state(t.Context(), o, id, testRoute).Verdict; v != pool.Missing {
+			if v := d.state(t.Context(), o, id, testRoute, caller{}).Verdict; v != pool.Missing {
 				t.Errorf("state: verdict %v, want %v", v, pool.Missing)
 			}
 		})
 		wait.Go(func() {
-			if v := d.cancelJob(t.Context(), o, id, testRoute, 1).Verdict; v != pool.Missing {
+			if v := d.cancelJob(t.Context(), o, id, testRoute, caller{version: 1}).Verdict; v != pool.Missing {
 				t.Errorf("cancel: verdict %v, want %v", v, pool.Missing)
 			}
 		})
@@ -376,7 +376,7 @@
 	r.platform.Store.Fail(mimic.Silent)
 	d := r.processes[0]
 	for range 8 {
-		go d.state(t.Context(), r.owners["p1"], "0000000000000002", testRoute)
+		go d.state(t.Context(), r.owners["p1"], "0000000000000002", testRoute, caller{})
 	}
 	time.Sleep(50 * time.Millisecond)
 	began := time.Now()
@@ -414,7 +414,7 @@
 	old.readAt = old.readAt.Add(-2 * pendingRouteMaxAge)
 	d.findRoute(testRoute).known.Store(&old)
 	r.platform.Store.Fail(mimic.Busy)
-	if reply := d.pendingJobs(t.Context(), r.owners["p2"], "q", testRoute); reply.Count != 2 {
+	if reply := d.pendingJobs(t.Context(), r.owners["p2"], "q", testRoute, caller{}); reply.Count != 2 {
 		t.Errorf("%d jobs wait, want 2", reply.Count)
 	}
 }
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -253,7 +253,7 @@
 	return reply, err
 }
 
-// askOthers calls ask for each pool until one has the job. The verdict is Missing if none has
+// askOthers calls ask for each pool until one has the job or rejects the caller. The verdict is Missing if none has
 // it, and Unknown if one can't be asked.
 func askOthers(names []string, ask func(name string) (Reply, error)) Reply {
 	result := Reply{Verdict: pool.Missing}
@@ -262,7 +262,7 @@
 		switch {
 		case err != nil:
 			result.Verdict = pool.Unknown
-		case reply.Verdict == pool.Accepted:
+		case reply.Verdict == pool.Accepted, reply.Verdict == pool.Forbidden, reply.Verdict == pool.Outdated:
 			return reply
 		case reply.Verdict != pool.Missing:
 			result.Verdict = pool.Unknown
@@ -275,6 +275,9 @@
 // with the given version of the configuration. If an earlier pool of the route has the job, it
 // stays there.
 func (d *Daemon) submit(ctx context.Context, o *pool.Owner, j jobs.Job, version uint64) Reply {
+	if d.rejects(caller{j.Organisation, version}) {
+		return Reply{Verdict: pool.Outdated}
+	}
 	if j.Route == "" || version == 0 { // from a process of a version without routes
 		v, after := o.Submit(ctx, j)
 		return Reply{Verdict: v, After: after}
@@ -287,7 +290,7 @@
 			return Reply{Verdict: pool.Unknown}
 		}
 		if reply := d.findEarlier(ctx, row, j); reply.Verdict != pool.Missing {
-			if _, v := o.State(ctx, j.ID); v == pool.Accepted {
+			if _, v := o.StateFor(ctx, j.ID, j.Organisation); v == pool.Accepted {
 				return Reply{Verdict: v}
 			}
 			return reply
@@ -306,8 +309,8 @@
 func (d *Daemon) findEarlier(ctx context.Context, row routeRow, j jobs.Job) Reply {
 	var left []string
 	reply := askOthers(row.Earlier, func(name string) (Reply, error) {
-		reply, err := d.askPool(ctx, name, row.Version, "Peer.Find", RoutedArgs{Pool: name, Name: string(j.ID), Route: j.Route}, func(o *pool.Owner) Reply {
-			v, holds := o.Find(ctx, j.ID, j.Route)
+		reply, err := d.askPool(ctx, name, row.Version, "Peer.Find", RoutedArgs{Pool: name, Name: string(j.ID), Route: j.Route, Organisation: j.Organisation}, func(o *pool.Owner) Reply {
+			v, holds := o.FindFor(ctx, j.ID, j.Route, j.Organisation)
 			return Reply{Verdict: v, Holds: holds}
 		})
 		if err != nil || reply.Verdict != pool.Missing || reply.Holds {
@@ -338,8 +341,11 @@
 
 // state returns the state of a job that is at an owner in this process, or at another pool of
 // its route.
-func (d *Daemon) state(ctx context.Context, o *pool.Owner, id jobs.ID, name string) Reply {
-	s, v := o.State(ctx, id)
+func (d *Daemon) state(ctx context.Context, o *pool.Owner, id jobs.ID, name string, from caller) Reply {
+	if d.rejects(from) {
+		return Reply{Verdict: pool.Outdated}
+	}
+	s, v := o.StateFor(ctx, id, from.organisation)
 	if v != pool.Missing || name == "" {
 		return Reply{Verdict: v, State: string(s)}
 	}
@@ -348,8 +354,8 @@
 		return Reply{Verdict: pool.Unknown}
 	}
 	return askOthers(row.others(o.Name()), func(other string) (Reply, error) {
-		return d.askPool(ctx, other, row.Version, "Peer.State", RoutedArgs{Pool: other, Name: string(id)}, func(o *pool.Owner) Reply {
-			return d.state(ctx, o, id, "")
+		return d.askPool(ctx, other, row.Version, "Peer.State", from.args(other, string(id)), func(o *pool.Owner) Reply {
+			return d.state(ctx, o, id, "", from)
 		})
 	})
 }
@@ -357,28 +363,34 @@
 // cancelJob cancels a job that is at an owner in this process, or at another pool of its
 // route. A job that none of them has is cancelled at each, in case its submission is still on
 // its way.
-func (d *Daemon) cancelJob(ctx context.Context, o *pool.Owner, id jobs.ID, name string, version uint64) Reply {
-	v := o.Cancel(ctx, id)
+func (d *Daemon) cancelJob(ctx context.Context, o *pool.Owner, id jobs.ID, name string, from caller) Reply {
+	if d.rejects(from) {
+		return Reply{Verdict: pool.Outdated}
+	}
+	v := o.CancelFor(ctx, id, from.organisation)
 	if v != pool.Missing || name == "" {
 		return Reply{Verdict: v}
 	}
 	row, err := d.readRoute(ctx, name, time.Now())
-	if err == nil && row.Pool == "" && version > 0 { // the next pool has to ask this one
-		row, err = d.openRoute(ctx, name, o.Name(), version, 0)
+	if err == nil && row.Pool == "" && from.version > 0 { // the next pool has to ask this one
+		row, err = d.openRoute(ctx, name, o.Name(), from.version, 0)
 	}
 	if err != nil {
 		return Reply{Verdict: pool.Unknown}
 	}
 	return askOthers(row.others(o.Name()), func(other string) (Reply, error) {
-		return d.askPool(ctx, other, row.Version, "Peer.Cancel", RoutedArgs{Pool: other, Name: string(id)}, func(o *pool.Owner) Reply {
-			return d.cancelJob(ctx, o, id, "", 0)
+		return d.askPool(ctx, other, row.Version, "Peer.Cancel", from.args(other, string(id)), func(o *pool.Owner) Reply {
+			return d.cancelJob(ctx, o, id, "", from)
 		})
 	})
 }
 
 // pendingJobs returns how many jobs of a queue have not started, at an owner in this process
 // and at the other pools of the queue's route.
-func (d *Daemon) pendingJobs(ctx context.Context, o *pool.Owner, queue, name string) Reply {
+func (d *Daemon) pendingJobs(ctx context.Context, o *pool.Owner, queue, name string, from caller) Reply {
+	if d.rejects(from) {
+		return Reply{Verdict: pool.Outdated}
+	}
 	n, v := o.Pending(ctx, queue)
 	if v != pool.Accepted || name == "" {
 		return Reply{Verdict: v, Count: n}
@@ -388,8 +400,8 @@
 		d.log.WithField("route", name).WithError(err).Debug("a queue's length is that by what was known of its route before")
 	}
 	for _, other := range row.others(o.Name()) {
-		reply, err := d.askPool(ctx, other, row.Version, "Peer.Pending", RoutedArgs{Pool: other, Name: queue}, func(o *pool.Owner) Reply {
-			return d.pendingJobs(ctx, o, queue, "")
+		reply, err := d.askPool(ctx, other, row.Version, "Peer.Pending", from.args(other, queue), func(o *pool.Owner) Reply {
+			return d.pendingJobs(ctx, o, queue, "", from)
 		})
 		if err != nil || reply.Verdict == pool.Unknown {
 			return Reply{Verdict: pool.Unknown}
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -207,14 +207,19 @@
 // call sends a caller's request. It returns the body and the status, 0 if there was no
 // answer.
 func (s *system) call(method string, p *process, path, body string) (string, int) {
+	s.t.Helper()
+	return s.exchange(&http.Client{Timeout: 4 * time.Second}, http.Header{}, method, p, path, body)
+}
+
+// exchange is call with a header and over the connections of a client.
+func (s *system) exchange(client *http.Client, header http.Header, method string, p *process, path, body string) (string, int) {
 	s.t.Helper()
 	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", p.addr, mimic.PortCallers, path), strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	request.Host = "a.example"
+	request.Host, request.Header = "a.example", header
 	request.Header.Set("Deadline-Ms", "3000")
-	client := http.Client{Timeout: 4 * time.Second}
 	response, err := client.Do(request)
 	if err != nil {
 		return "", 0
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/xxh3"
 
+	"github.com/papayarudder/papayarudder/internal/creds"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
 )
@@ -34,7 +35,16 @@
 // configuration is the active configuration and its encoded form.
 type configuration struct {
 	platform.Config
-	raw []byte
+	raw  []byte
+	keys *creds.Index // nil if there are no organisations
+}
+
+func newConfiguration(c platform.Config, raw []byte) *configuration {
+	active := &configuration{Config: c, raw: slices.Clone(raw)}
+	if len(c.Organisations) > 0 {
+		active.keys = creds.NewIndex(c.Organisations)
+	}
+	return active
 }
 
 // watch returns a service that follows a table. It calls read for the whole table, then
@@ -129,6 +139,9 @@
 		sleep(ctx, batchPause-time.Since(began)) // in case the store does not wait for a change
 	}
 	apply(page.Rows)
+	if table == platform.TableOperator {
+		d.fresh.confirm(began)
+	}
 	return max(after, page.Version), nil
 }
 
@@ -163,6 +176,7 @@
 }
 
 func (d *Daemon) readOperator(ctx context.Context) (uint64, error) {
+	began := time.Now()
 	rows, version, err := d.store.ReadAll(ctx, platform.TableOperator, "")
 	if err != nil {
 		return 0, err
@@ -171,6 +185,7 @@
 	for _, r := range rows {
 		d.applyOperatorRow(r)
 	}
+	d.fresh.confirm(began)
 	return version, nil
 }
 
@@ -201,13 +216,18 @@
 		d.log.WithError(err).Error("decoding the configuration failed; the previous one stays in force")
 		return
 	}
-	d.mu.Lock()
 	old := d.config.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	active := newConfiguration(c, raw)
+	d.mu.Lock()
+	old = d.config.Load()
 	if old != nil && old.Version >= c.Version {
 		d.mu.Unlock()
 		return
 	}
-	d.config.Store(&configuration{c, slices.Clone(raw)})
+	d.config.Store(active)
 	d.configFetch.applied(c.Version)
 	owners := make([]*pool.Owner, 0, len(d.owners))
 	for _, o := range d.owners {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -111,6 +111,8 @@
 	Missing            // there is no such job or worker
 	Overloaded         // like Refused, because the backlog is too long
 	Closed             // the job's route leads to another pool
+	Forbidden          // the job belongs to another organisation
+	Outdated           // a later configuration than the caller's process has lacks the caller's organisation
 )
 
 // submission is a job that is not durable yet.
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -96,6 +96,8 @@
 		switch s := o.pending[j.ID]; {
 		case !o.started, o.undecoded[j.ID]:
 			reply <- Unknown // it may be among the stored jobs, which are still being loaded
+		case !o.mayAccess(j.ID, j.Organisation):
+			reply <- Forbidden
 		case o.board.Known(j.ID):
 			reply <- Accepted
 		case s != nil:
@@ -132,11 +134,22 @@
 		return v, retryAfter
 	case Refused:
 		return v, o.outageRetry()
-	case Accepted, Unknown, Missing, Closed:
+	case Accepted, Unknown, Missing, Closed, Forbidden, Outdated:
 	}
 	return v, 0
 }
 
+// mayAccess reports whether an organisation may see and cancel a job. The name is empty if the
+// caller is not checked. Jobs that the pool does not have, and those without an organisation,
+// are open to all.
+func (o *Owner) mayAccess(id jobs.ID, organisation string) bool {
+	j, known := o.board.Job(id)
+	if s := o.pending[id]; !known && s != nil {
+		j = s.job
+	}
+	return organisation == "" || j.Organisation == "" || j.Organisation == organisation
+}
+
 func (o *Owner) queueSubmission(s *submission) {
 	o.pending[s.job.ID] = s
 	o.queue = append(o.queue, s)
@@ -160,9 +173,15 @@
 
 // Cancel cancels a job. Accepted means that its final state is durable, Missing that there is
 // no such job and that one with this id will not run if it is submitted yet.
-func (o *Owner) Cancel(ctx context.Context, id jobs.ID) Verdict {
+func (o *Owner) Cancel(ctx context.Context, id jobs.ID) Verdict { return o.CancelFor(ctx, id, "") }
+
+// CancelFor is [Owner.Cancel] for a caller with the key of an organisation. Forbidden means that
+// the job belongs to another one.
+func (o *Owner) CancelFor(ctx context.Context, id jobs.ID, organisation string) Verdict {
 	return o.ask(ctx, func(reply chan Verdict) {
 		switch {
+		case !o.mayAccess(id, organisation):
+			reply <- Forbidden
 		case !o.started || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
 		case !o.board.Known(id) && o.flushing:
@@ -187,10 +206,18 @@
 
 // State returns a job's state. Accepted means that the state is valid.
 func (o *Owner) State(ctx context.Context, id jobs.ID) (jobs.State, Verdict) {
+	return o.StateFor(ctx, id, "")
+}
+
+// StateFor is [Owner.State] for a caller with the key of an organisation. Forbidden means that
+// the job belongs to another one.
+func (o *Owner) StateFor(ctx context.Context, id jobs.ID, organisation string) (jobs.State, Verdict) {
 	var state jobs.State
 	v := o.ask(ctx, func(reply chan Verdict) {
 		s, known := o.board.State(id)
 		switch {
+		case !o.mayAccess(id, organisation):
+			reply <- Forbidden
 		case !o.started && !known || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
 		case !known && o.flushing:
