org list, org show: what organisations use, wait for and were refused

Cause: operators could not see what an organisation has running in which pool, nor why its calls were refused.

Change: the owners tell of each organisation its jobs, claims, waiting tasks, allotment and refusals by cause (Peer.Organisations); admin paths /organisations and /organisations/NAME; papayarudder org list and org show.

--- a/cmd/papayarudder/main.go
+++ b/cmd/papayarudder/main.go
@@ -40,6 +40,7 @@
 	CheckSettings *settingsCommand   `arg:"subcommand:check-settings" help:"check settings files whole"`
 	Job           *jobCommand        `arg:"subcommand:job" help:"submit, show, watch, cancel and list jobs"`
 	Wave          *waveCommand       `arg:"subcommand:wave" help:"list maintenance waves"`
+	Org           *orgCommand        `arg:"subcommand:org" help:"list and show organisations"`
 	Explain       *explainCommand    `arg:"subcommand:explain" help:"tell the story of a job from logs"`
 	Ticket        *ticketCommand     `arg:"subcommand:ticket" help:"submit, show and list change tickets"`
 	Pool          *poolCommand       `arg:"subcommand:pool" help:"list pools"`
--- a/internal/admin/jobs.go
+++ b/internal/admin/jobs.go
@@ -14,6 +14,8 @@
 	PathJobs     = "/jobs"
 	PathJobPools = "/job-pools"
 	PathWaves    = "/waves"
+
+	PathOrganisations = "/organisations"
 )
 
 // JobWire is the JSON form of a job's state.
@@ -50,6 +52,50 @@
 	MaxAway      int      `json:"at-once"`
 }
 
+// NoLimit is the value of an allotment's field that has no limit.
+const NoLimit = -1
+
+// ResourcesWire is the JSON form of what tasks claim or may claim.
+type ResourcesWire struct {
+	Millicores   int `json:"millicores"`
+	MemoryMB     int `json:"memory-mb"`
+	Accelerators int `json:"accelerators"`
+}
+
+// OrganisationPoolWire is the JSON form of what an organisation has in a pool.
+type OrganisationPoolWire struct {
+	Pool         string         `json:"pool"`
+	Known        bool           `json:"known"` // whether the pool's owner answered
+	Jobs         int            `json:"jobs"`
+	Running      int            `json:"running"`
+	Claimed      ResourcesWire  `json:"claimed"`
+	WaitingTasks int            `json:"waiting-tasks"`
+	Waiting      ResourcesWire  `json:"waiting"`
+	Allotment    ResourcesWire  `json:"allotment"` // NoLimit where there is none
+	Refused      map[string]int `json:"refused,omitempty"`
+}
+
+// OrganisationWire is the JSON form of an organisation. It has no keys.
+type OrganisationWire struct {
+	Name       string                 `json:"name"`
+	Configured bool                   `json:"configured"` // false if only jobs of it are left
+	Weight     int                    `json:"weight"`
+	Quota      ResourcesWire          `json:"quota"` // 0 where there is no limit
+	Pools      []OrganisationPoolWire `json:"pools"`
+}
+
+// Organisations returns all organisations.
+func (c *Client) Organisations(ctx context.Context) ([]OrganisationWire, error) {
+	var w []OrganisationWire
+	return w, c.get(ctx, PathOrganisations, &w)
+}
+
+// Organisation returns one organisation.
+func (c *Client) Organisation(ctx context.Context, name string) (OrganisationWire, error) {
+	var w OrganisationWire
+	return w, c.get(ctx, PathOrganisations+"/"+url.PathEscape(name), &w)
+}
+
 // Jobs returns the jobs of a pool.
 func (c *Client) Jobs(ctx context.Context, pool string) ([]JobWire, error) {
 	var w []JobWire
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -23,6 +23,7 @@
 var (
 	errNoJob        = errors.New("no such job")
 	errNoQueue      = errors.New("no such queue")
+	errNoOrg        = errors.New("no such organisation")
 	errStateUnknown = errors.New("the state is not known now")
 )
 
@@ -38,6 +39,8 @@
 	mux.HandleFunc("DELETE "+admin.PathJobs+"/{id}", d.adminHandler(d.adminCancel))
 	mux.HandleFunc("GET "+admin.PathJobPools, d.adminHandler(d.adminPools))
 	mux.HandleFunc("GET "+admin.PathWaves, d.adminHandler(d.adminWaves))
+	mux.HandleFunc("GET "+admin.PathOrganisations, d.adminHandler(d.adminOrganisations))
+	mux.HandleFunc("GET "+admin.PathOrganisations+"/{name}", d.adminHandler(d.adminOrganisation))
 	return mux
 }
 
@@ -48,7 +51,7 @@
 		status := http.StatusOK
 		switch {
 		case err == nil:
-		case errors.Is(err, errNoJob), errors.Is(err, errNoQueue):
+		case errors.Is(err, errNoJob), errors.Is(err, errNoQueue), errors.Is(err, errNoOrg):
 			status = http.StatusNotFound
 		case errors.Is(err, jobs.ErrInvalid):
 			status = http.StatusBadRequest
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -211,6 +211,8 @@
 	Load     place.Load
 	Jobs     []place.JobView
 	Vacated  map[string]pool.Vacated // by worker; those that the pool does not have are missing
+
+	Organisations []pool.OrganisationView
 }
 
 // set replaces the reply, but for what tells who answers.
@@ -391,6 +393,13 @@
 	})
 }
 
+// Organisations returns what the organisations have in a pool.
+func (s *peerService) Organisations(name string, reply *Reply) error {
+	return s.withOwner(name, reply, func(ctx context.Context, o *pool.Owner) {
+		reply.Organisations, reply.Verdict = o.Organisations(ctx)
+	})
+}
+
 // withOwner calls f with the pool's owner and sets reply.Owner. It does nothing if the
 // pool is not owned by this process.
 func (s *peerService) withOwner(name string, reply *Reply, f func(ctx context.Context, o *pool.Owner)) error {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -204,6 +204,7 @@
 	organisations       []platform.Organisation
 	// organisationsVersion is the version of the configuration that organisations are from.
 	organisationsVersion uint64
+	refused              map[string]map[RefusalCause]int // calls, by organisation
 	advise               func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 	entries              map[string]platform.WorkerEntry // of this pool, by id
 }
@@ -306,7 +307,7 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, refused: map[string]map[RefusalCause]int{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
 	}
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -97,6 +97,7 @@
 		case !o.started, o.undecoded[j.ID]:
 			reply <- Unknown // it may be among the stored jobs, which are still being loaded
 		case !o.mayAccess(j.ID, j.Organisation):
+			o.countRefusal(j.Organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case o.board.Known(j.ID):
 			reply <- Accepted
@@ -123,6 +124,7 @@
 				o.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "retry-ms": retry.Milliseconds()}).
 					Info("job refused: the estimated wait exceeds its deadline")
 				retryAfter = retry
+				o.countRefusal(j.Organisation, CauseTooLate)
 				reply <- Overloaded
 				return
 			}
@@ -181,6 +183,7 @@
 	return o.ask(ctx, func(reply chan Verdict) {
 		switch {
 		case !o.mayAccess(id, organisation):
+			o.countRefusal(organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case !o.started || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
@@ -217,6 +220,7 @@
 		s, known := o.board.State(id)
 		switch {
 		case !o.mayAccess(id, organisation):
+			o.countRefusal(organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case !o.started && !known || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
