--- a/internal/daemon/route_pools_test.go
+++ b/internal/daemon/route_pools_test.go
@@ -25,6 +25,7 @@
 type routedPools struct {
 	t         *testing.T
 	platform  *mimic.Platform
+	settings  platform.Settings
 	owners    map[string]*pool.Owner
 	processes []*Daemon
 }
@@ -41,27 +42,11 @@
 		t.Fatal(err)
 	}
 	logger, _ := test.NewNullLogger()
-	r := &routedPools{t: t, platform: p, owners: map[string]*pool.Owner{}}
+	r := &routedPools{t: t, platform: p, settings: settings, owners: map[string]*pool.Owner{}}
 	var pools []platform.PoolConfig
 	for _, name := range names {
-		store := platform.NewStore(settings.Store)
-		own, err := pool.Claim(t.Context(), store, pool.Identity{Node: "entry-1"}, pool.Ownership{Pool: name}, pool.Conditions{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		o := pool.New(t.Context(), own, pool.Settings{Store: store, Log: logrus.NewEntry(logger), Retention: time.Second})
-		go o.Run()
-		t.Cleanup(o.Close)
-		r.owners[name] = o
+		r.own(pool.Ownership{Pool: name})
 		pools = append(pools, platform.PoolConfig{Name: name})
-		for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			if _, v := o.Pending(t.Context(), "q"); v == pool.Accepted {
-				break
-			}
-			if time.Now().After(end) {
-				t.Fatal("the owner does not answer")
-			}
-		}
 	}
 	for range processes {
 		d := New(settings, logrus.NewEntry(logger))
@@ -72,6 +57,49 @@
 	return r
 }
 
+// own claims a pool from its last owner and waits until the new one answers.
+func (r *routedPools) own(last pool.Ownership) pool.Ownership {
+	r.t.Helper()
+	logger, _ := test.NewNullLogger()
+	store := platform.NewStore(r.settings.Store)
+	own, err := pool.Claim(r.t.Context(), store, pool.Identity{Node: "entry-1"}, last, pool.Conditions{})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	o := pool.New(r.t.Context(), own, pool.Settings{Store: store, Log: logrus.NewEntry(logger), Retention: time.Second})
+	go o.Run()
+	r.t.Cleanup(o.Close)
+	r.owners[last.Pool] = o
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, v := o.Pending(r.t.Context(), "q"); v == pool.Accepted {
+			return own
+		}
+		if time.Now().After(end) {
+			r.t.Fatal("the owner does not answer")
+		}
+	}
+}
+
+// restart replaces the owner of a pool, and makes all processes forget the routes.
+func (r *routedPools) restart(name string) {
+	r.t.Helper()
+	r.owners[name].Close()
+	row, err := platform.NewStore(r.settings.Store).ReadRow(r.t.Context(), pool.TableOwner, name, "owner")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	last, err := pool.DecodeOwnership(row)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.own(last)
+	for _, d := range r.processes {
+		d.mu.Lock()
+		clear(d.routes)
+		d.mu.Unlock()
+	}
+}
+
 // submit submits a job at a process to a pool, where the route leads in a version of the
 // configuration.
 func (r *routedPools) submit(process int, id jobs.ID, to string, version uint64) pool.Verdict {
@@ -151,7 +179,7 @@
 				}
 				for p, d := range r.processes {
 					for name, o := range r.owners {
-						if v := d.state(t.Context(), o, id, testRoute).Verdict; v != want && (v != pool.Missing || name == c.to) {
+						if v := d.state(t.Context(), o, id, testRoute, caller{}).Verdict; v != want && (v != pool.Missing || name == c.to) {
 							t.Errorf("call %d: state from process %d at %s: verdict %v, want %v", i, p, name, v, want)
 						}
 					}
@@ -230,7 +258,7 @@
 	if row := r.row(); fmt.Sprint(row) != "{p2 2 [p1]}" {
 		t.Fatalf("row %v", row)
 	}
-	if v := d.cancelJob(t.Context(), r.owners["p2"], "0000000000000001", testRoute, 2).Verdict; v != pool.Accepted {
+	if v := d.cancelJob(t.Context(), r.owners["p2"], "0000000000000001", testRoute, caller{version: 2}).Verdict; v != pool.Accepted {
 		t.Fatalf("cancel of a job in the earlier pool: verdict %v", v)
 	}
 	for end := time.Now().Add(10 * time.Second); len(r.where("0000000000000001")) > 0; time.Sleep(50 * time.Millisecond) {
@@ -242,7 +270,7 @@
 	if row := r.row(); len(row.Earlier) != 0 {
 		t.Errorf("row %v, want no earlier pools", row)
 	}
-	if v := d.cancelJob(t.Context(), r.owners["p1"], "0000000000000004", testRoute, 1).Verdict; v != pool.Missing {
+	if v := d.cancelJob(t.Context(), r.owners["p1"], "0000000000000004", testRoute, caller{version: 1}).Verdict; v != pool.Missing {
 		t.Errorf("cancel of an unknown job: verdict %v, want %v", v, pool.Missing)
 	}
 	r.submit(0, "0000000000000005", "p1", 3) // the cancelled id is in both pools
@@ -299,7 +327,7 @@
 			if tt.first.to != "" {
 				r.submit(1, "0000000000000002", tt.first.to, tt.first.version)
 			}
-			if v := r.processes[0].cancelJob(t.Context(), r.owners[tt.cancel.to], id, testRoute, tt.cancel.version).Verdict; v != pool.Missing {
+			if v := r.processes[0].cancelJob(t.Context(), r.owners[tt.cancel.to], id, testRoute, caller{version: tt.cancel.version}).Verdict; v != pool.Missing {
 				t.Errorf("cancel: verdict %v, want %v", v, pool.Missing)
 			}
 			if v := r.submit(1, id, tt.then.to, tt.then.version); v != tt.want {
@@ -327,12 +355,12 @@
 	for n := range callers {
 		id := jobs.ID(fmt.Sprintf("%016x", 100+n))
 		wait.Go(func() {
-			if v := d.state(t.Context(), o, id, testRoute).Verdict; v != pool.Missing {
+			if v := d.state(t.Context(), o, id, testRoute, caller{}).Verdict; v != pool.Missing {
 				t.Errorf("state: verdict %v, want %v", v, pool.Missing)
 			}
 		})
 		wait.Go(func() {
-			if v := d.cancelJob(t.Context(), o, id, testRoute, 1).Verdict; v != pool.Missing {
+			if v := d.cancelJob(t.Context(), o, id, testRoute, caller{version: 1}).Verdict; v != pool.Missing {
 				t.Errorf("cancel: verdict %v, want %v", v, pool.Missing)
 			}
 		})
@@ -376,7 +404,7 @@
 	r.platform.Store.Fail(mimic.Silent)
 	d := r.processes[0]
 	for range 8 {
-		go d.state(t.Context(), r.owners["p1"], "0000000000000002", testRoute)
+		go d.state(t.Context(), r.owners["p1"], "0000000000000002", testRoute, caller{})
 	}
 	time.Sleep(50 * time.Millisecond)
 	began := time.Now()
@@ -414,7 +442,33 @@
 	old.readAt = old.readAt.Add(-2 * pendingRouteMaxAge)
 	d.findRoute(testRoute).known.Store(&old)
 	r.platform.Store.Fail(mimic.Busy)
-	if reply := d.pendingJobs(t.Context(), r.owners["p2"], "q", testRoute); reply.Count != 2 {
+	if reply := d.pendingJobs(t.Context(), r.owners["p2"], "q", testRoute, caller{}); reply.Count != 2 {
 		t.Errorf("%d jobs wait, want 2", reply.Count)
 	}
 }
+
+// Guards against a queue that accepts nothing after a restart because the part of the store with
+// its route's row is away, and against one that does though its route leads elsewhere by now.
+func TestRouteIsOpenWithoutItsRow(t *testing.T) {
+	t.Parallel()
+	r := newRoutedPools(t, 1, "p1", "p2")
+	submit := func(id jobs.ID, to string, version uint64, want pool.Verdict) {
+		t.Helper()
+		if v := r.submit(0, id, to, version); v != want {
+			t.Errorf("job %s, pool %s, version %d: verdict %v, want %v", id, to, version, v, want)
+		}
+	}
+	submit("0000000000000001", "p1", 1, pool.Accepted)
+	submit("0000000000000002", "p1", 1, pool.Accepted) // its transaction stores the opening
+	r.restart("p1")
+	r.platform.Store.FailPart(testRoute, true)
+	submit("0000000000000003", "p1", 1, pool.Accepted)
+	r.platform.Store.FailPart(testRoute, false)
+	submit("0000000000000004", "p2", 2, pool.Accepted)
+	r.restart("p1")
+	r.platform.Store.FailPart(testRoute, true)
+	submit("0000000000000005", "p1", 1, pool.Unknown)
+	if in := r.where("0000000000000005"); len(in) > 0 {
+		t.Errorf("the job of a closed route is in %v", in)
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -20,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,6 +112,8 @@
 	Missing            // there is no such job or worker
 	Overloaded         // like Refused, because the backlog is too long
 	Closed             // the job's route leads to another pool
+	Forbidden          // the job belongs to another organisation
+	Outdated           // a later configuration than the caller's process has lacks the caller's organisation
 )
 
 // submission is a job that is not durable yet.
@@ -141,6 +144,7 @@
 	startsSent       atomic.Int64  // starts sent so far
 	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 	status           *ownershipStatus
+	openings         sync.Map // of routes that lead to the pool: [Opening] by route
 
 	// The fields below are used only in the loop.
 	board            *place.Board
@@ -204,6 +208,7 @@
 	organisationsVersion uint64
 	quotas               quotas
 	hintQuota            func(name, organisation string)
+	refused              map[string]map[RefusalCause]int // calls, by organisation
 	advise               func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 	entries              map[string]platform.WorkerEntry // of this pool, by id
 }
@@ -309,7 +314,7 @@
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
-		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
+		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, refused: map[string]map[RefusalCause]int{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
 		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
 		quotas: newQuotas(), hintQuota: s.HintQuota,
