quota: a pool keeps a part of the quota that nobody needs

Change: a pool asks for at least a sixteenth of the quota, less with more than four pools, as long as no other needs it, and gives back without being asked only if it needs less than half.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -30,11 +30,12 @@
 	quotaInterval   = 10 * time.Millisecond  // between looks at the demands, unless something has changed
 	quotaRetryDelay = 100 * time.Millisecond // after a call that failed
 	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more
-	quotaNeedWindow = time.Second            // an allotment that was not needed for one to two of these is given back
+	quotaNeedWindow = 2 * time.Second        // an allotment that was not needed for one to two of these is given back
 	quotaIdleWrites = time.Second            // between writes for which nobody waits
 	quotaBurst      = 6                      // urgent writes of a row that may follow each other at once
 	quotaWriteRate  = 2                      // of them a second after that
 	declareTime     = time.Second            // for the owners of other pools to tell what an organisation claims that was not limited before
+	quotaIdleTime   = 10 * time.Second       // without a task, after which a pool keeps nothing
 	unusedTime      = 2 * time.Second        // after which tasks that wait for a worker give up more than their fair share
 	conflictDelay   = 4 * time.Millisecond   // longest delay after each conflict in a row
 	maxConflicts    = 10                     // that make the delay longer
@@ -54,6 +55,7 @@
 	needs       [2]jobs.Resources
 	windowSince time.Time
 	unusedSince time.Time // since when tasks wait for workers and not for the quota, zero if none do
+	usedAt      time.Time // when a task last needed any of it
 	hinted      bool      // another pool waits: what is not needed now is given back
 	readDue     bool
 	readAt      time.Time
@@ -232,6 +234,10 @@
 	if a.hinted {
 		u.Recent = u.Needed
 	}
+	if u.Needed != (jobs.Resources{}) {
+		a.usedAt = now
+	}
+	u.Idle = a.hinted && u.Needed == (jobs.Resources{}) || now.Sub(a.usedAt) > quotaIdleTime
 	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
 		a.unusedSince = time.Time{}
 	} else if a.unusedSince.IsZero() {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -9,6 +9,7 @@
 	Recent  jobs.Resources // the most that was needed for some time, at least Needed
 	Unit    jobs.Resources // what the largest waiting task or gang claims
 	Unused  bool           // tasks wait for workers and not for the quota, for some time
+	Idle    bool           // there was no task for some time
 }
 
 // Account is what the owner of a pool knows of the quota of one organisation.
@@ -174,8 +175,13 @@
 	return false
 }
 
-// reserve is the part of its need by which an owner asks for more.
-const reserve = 2
+// An owner asks for half as much more as it needs, and for at least a part of the quota, as long
+// as no other pool needs it: demands that come and go then cause few writes.
+const (
+	reserveShare = 2 // of the need, as a divisor
+	minReserve   = 4 // of an even part of the quota, as a divisor
+	minPools     = 4 // for which the quota is divided evenly
+)
 
 // target returns the amount that the pool should have, and its share if it is larger than the
 // fair one.
@@ -194,7 +200,11 @@
 	}
 	level := fairLevel(limit, demands)
 	own := share(limit, demands, a.pool, a.row.Turn)
-	return max(own, min(need+need/reserve, spare)), own > level
+	ample := need + need/reserveShare
+	if !u.Idle {
+		ample = max(ample, limit/max(minPools, len(demands))/minReserve)
+	}
+	return max(own, min(ample, spare)), own > level
 }
 
 // Propose returns the row with what the pool should have by its usage. It reports whether the
@@ -241,7 +251,7 @@
 			due, urgent = true, true
 		case size[i] < current && (over[i] || waits):
 			due, urgent = true, true
-		case size[i] < current-current/4, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
+		case size[i] < current/2, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
 			due = true
 		case needed > size[i] && (vectorOf(before.Want)[i] < want[i]-want[i]/4 || vectorOf(before.Unit)[i] != unit[i]):
 			due = true
