quota: small changes of an allotment wait for a second

Cause: pools that compete for a quota wrote their rows up to six times in 100 ms for a percent of it. Change: a raise that neither satisfies the pool nor is an eighth of its allotment, and a give-back of less, wait for a second. While tasks may run unseen, allotments are applied before each decision.

--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -424,6 +424,10 @@
 // dispatch runs a scheduling step, hands its orders to the agents and commits
 // changes.
 func (o *Owner) dispatch(now time.Time) {
+	if len(o.unseenUntil) > 0 {
+		o.quotas.dirty = true
+		o.dealQuotas(now) // what may run unseen grows as tasks that were seen end
+	}
 	if o.started && !o.flushing && !now.Before(o.decideAfter) && o.status.current(now) {
 		o.board.SetStartLimit(max(0, o.startRate.queueLimit()-int(o.startsWaiting.Load())))
 		orders := o.board.Decide(now)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -208,7 +208,8 @@
 }
 
 // Propose returns the row with what the pool should have by its usage. It reports whether the
-// row is to be written, and whether at once: a pool waits for it, or nothing starts before.
+// row is to be written, and whether at once: much changes for a pool that waits, or nothing starts
+// before.
 func (a *Account) Propose(u Usage) (row Row, due, urgent bool) {
 	if a.NeedsRead() || a.Busy() || a.Fenced() {
 		return Row{}, false, false
@@ -246,12 +247,15 @@
 			due = due || waits
 		}
 		outdated := vectorOf(before.Want)[i] > want[i]+want[i]/4
+		raises := size[i] > held[i] && needed > held[i]
 		switch {
-		case claimed > current, exists && before.Version < row.Since[i] && a.version >= row.Since[i], size[i] > held[i] && needed > held[i], a.lowered(i):
+		case claimed > current, a.lowered(i), exists && before.Version < row.Since[i] && a.version >= row.Since[i]:
 			due, urgent = true, true
-		case size[i] < current && (over[i] || waits):
+		case raises && (size[i] >= needed || isLarge(size[i]-held[i], held[i])):
 			due, urgent = true, true
-		case size[i] < current/2, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
+		case size[i] < current && (over[i] || waits && isLarge(current-size[i], current)):
+			due, urgent = true, true
+		case raises, size[i] < current && waits, size[i] < current/2, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
 			due = true
 		case needed > size[i] && (vectorOf(before.Want)[i] < want[i]-want[i]/4 || vectorOf(before.Unit)[i] != unit[i]):
 			due = true
@@ -264,6 +268,9 @@
 	return row, due, urgent
 }
 
+// isLarge reports whether a change of an amount is worth a write of its own.
+func isLarge(change, amount int) bool { return change >= amount/8 }
+
 // sumExceeds reports for each resource whether the sum of the allotments exceeds a limit.
 func (a *Account) sumExceeds(limit vector) [3]bool {
 	var over [3]bool
