pool: an organisation without a change costs a look only

Cause: each look decided anew about all organisations with a quota, also where nothing had changed. Change: an account for which nothing is due is settled until its usage, its row or the configuration changes; accounts are kept by part.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -65,11 +66,13 @@
 	budgetAt    time.Time
 	declared    time.Time // nothing starts before
 	blocked     bool
+	settled     bool // nothing is due until something changes
 }
 
 // quotaPart is the state of a part of the table of quotas.
 type quotaPart struct {
-	busy      bool // a call is under way
+	accounts  []*quotaAccount // sorted by name
+	busy      bool            // a call is under way
 	retryAt   time.Time
 	conflicts int  // transactions in a row that found other versions
 	lastRead  bool // the last call was a read
@@ -101,7 +104,7 @@
 		case !quota.Limited(org.Quota) && a == nil:
 			continue
 		case !quota.Limited(org.Quota):
-			delete(o.quotas.accounts, org.Name)
+			o.removeQuotaAccount(a)
 			o.board.SetAllotment(org.Name, jobs.Resources{Millicores: jobs.Unlimited, MemoryMB: jobs.Unlimited, Accelerators: jobs.Unlimited})
 			continue
 		case a == nil:
@@ -122,12 +125,22 @@
 func (o *Owner) addQuotaAccount(name string) *quotaAccount {
 	a := &quotaAccount{Account: quota.NewAccount(o.name, o.token), name: name, budget: quotaBurst}
 	o.quotas.accounts[name] = a
-	if part := quota.PartOf(name); o.quotas.parts[part] == nil {
+	part := quota.PartOf(name)
+	if o.quotas.parts[part] == nil {
 		o.quotas.parts[part] = &quotaPart{}
 	}
+	p := o.quotas.parts[part]
+	i, _ := slices.BinarySearchFunc(p.accounts, name, func(a *quotaAccount, name string) int { return strings.Compare(a.name, name) })
+	p.accounts = slices.Insert(p.accounts, i, a)
 	return a
 }
 
+func (o *Owner) removeQuotaAccount(a *quotaAccount) {
+	delete(o.quotas.accounts, a.name)
+	p := o.quotas.parts[quota.PartOf(a.name)]
+	p.accounts = slices.DeleteFunc(p.accounts, func(other *quotaAccount) bool { return other == a })
+}
+
 // quotaDemandChanged records that a job may need more of a quota than the last look has shown.
 func (o *Owner) quotaDemandChanged(j jobs.Job) {
 	if j.Organisation != "" && o.quotas.accounts[j.Organisation] != nil {
@@ -140,7 +153,7 @@
 func (o *Owner) GiveBack(organisation string) {
 	o.post(func() {
 		if a := o.quotas.accounts[organisation]; a != nil {
-			a.hinted, a.readDue = true, true
+			a.hinted, a.readDue, a.settled = true, true, false
 			o.quotas.dirty = true
 		}
 	})
@@ -160,7 +173,9 @@
 	for name, a := range q.accounts {
 		heldUp += demands[name].HeldUp
 		o.updateUsage(a, demands[name], arriving[name], capacity, now)
-		o.applyAllotment(a, now)
+		if !a.settled {
+			o.applyAllotment(a, now)
+		}
 	}
 	quotaHeldUp.Add(int64(heldUp) - q.heldUp)
 	q.heldUp = int64(heldUp)
@@ -244,12 +259,17 @@
 		a.unusedSince = now
 	}
 	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
+	if u == a.usage && unseen == a.unseen && a.settled {
+		return
+	}
+	a.settled = false
 	a.usage = u
 	a.unseen, a.blocked = unseen, a.Blocked(u)
 }
 
 // applyAllotment tells the board what an organisation's tasks may claim.
 func (o *Owner) applyAllotment(a *quotaAccount, now time.Time) {
+	a.settled = false
 	allotment := a.Allotment(a.usage)
 	limit := a.Limit()
 	set := func(limit, unseen int, amount *int) {
@@ -271,9 +291,8 @@
 func (o *Owner) callQuotaPart(part string, p *quotaPart, now time.Time) {
 	var reads, writes []*quotaAccount
 	rows := map[*quotaAccount]quota.Row{}
-	for _, name := range sortedNames(o.quotas.accounts) {
-		a := o.quotas.accounts[name]
-		if quota.PartOf(name) != part {
+	for _, a := range p.accounts {
+		if a.settled {
 			continue
 		}
 		polls := a.blocked && now.Sub(a.readAt) >= quotaPollPeriod
@@ -292,6 +311,7 @@
 		if a.blocked {
 			o.hintOthers(a, now)
 		}
+		a.settled = !due && !a.blocked && !a.readDue && !a.Busy() && !now.Before(a.declared)
 	}
 	switch {
 	case len(writes) > 0 && (p.lastRead || len(reads) == 0):
@@ -489,15 +509,6 @@
 	o.quotas.heldUp = 0
 }
 
-func sortedNames(accounts map[string]*quotaAccount) []string {
-	names := make([]string, 0, len(accounts))
-	for name := range accounts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func multiply(r jobs.Resources, n int) jobs.Resources {
 	return jobs.Resources{Millicores: r.Millicores * n, MemoryMB: r.MemoryMB * n, Accelerators: r.Accelerators * n}
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -123,7 +123,8 @@
 		case a.lowered(i) || sum[i] > limit[i] || a.row.undeclared(i):
 		default:
 			allotment[i] = held[i]
-			if target, _ := a.target(i, u); a.othersWait(i) {
+			if a.othersWait(i) {
+				target, _ := a.target(i, u)
 				allotment[i] = min(held[i], target)
 			}
 		}
