upkeep: the next holder of the fleet keeps a wave's end

Cause: a process that came to hold the fleet gave each wave its whole duration again, from its own claim.

Change: the end of a wave is stored with its progress, on the store's clock. A holder without a stored end counts from when its process heard of the wave. The log line wave opened tells what is left.

--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -203,6 +203,9 @@
 			return
 		}
 		d.mu.Lock()
+		if w.ReceivedAt = d.waves[w.Number].ReceivedAt; w.ReceivedAt.IsZero() {
+			w.ReceivedAt = time.Now()
+		}
 		d.waves[w.Number] = w
 		d.mu.Unlock()
 		d.log.WithFields(logrus.Fields{"wave": w.Number, "hosts": len(w.Hosts), "within-s": w.Duration.Seconds(), "at-once": w.MaxUnavailable}).Info("maintenance wave received")
--- a/internal/upkeep/renew.go
+++ b/internal/upkeep/renew.go
@@ -19,6 +19,7 @@
 type waveRow struct {
 	Begun    []string `json:"begun"`
 	Complete bool     `json:"complete,omitempty"`
+	EndMS    int64    `json:"end-ms,omitempty"` // by when the wave is to be complete, on the store's clock; 0 from a version without this field
 }
 
 // Progress returns the hosts of a wave whose maintenance has begun, as last stored
@@ -45,7 +46,7 @@
 		k.orderSentBy[h] = by
 	}
 	intents := intentRow{By: map[string]int64{}}
-	_, clock := k.Store.Clock()
+	earliest, clock := k.Store.Clock()
 	for h, by := range k.orderSentBy {
 		if now.After(by.Add(k.orderSeparation())) {
 			delete(k.orderSentBy, h)
@@ -62,7 +63,8 @@
 	}
 	due := k.plansToStore()
 	for _, p := range due {
-		row := waveRow{Complete: p.done}
+		end := earliest + p.openedAt.Add(p.wave.Duration).Sub(now)
+		row := waveRow{Complete: p.done, EndMS: max(1, end.Milliseconds())}
 		for name, hp := range p.hosts {
 			if hp.begun {
 				row.Begun = append(row.Begun, name)
--- a/internal/upkeep/renew_test.go
+++ b/internal/upkeep/renew_test.go
@@ -84,6 +84,38 @@
 	}
 }
 
+// Guards against a wave that is late because each new holder gave it its whole time again.
+func TestNextHolderKeepsTheEndOfAWave(t *testing.T) {
+	p, err := mimic.New(mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	settings, err := platform.ParseSettings(p.Settings("entry-1", netip.MustParseAddr("127.0.0.1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := platform.NewStore(settings.Store)
+	wave := platform.Wave{Number: 1, Hosts: []string{"a"}, Duration: time.Minute, MaxUnavailable: 1}
+	began := time.Now().Add(-40 * time.Second)
+	heard := wave
+	heard.ReceivedAt = began
+	first := newHolder(t, store, pool.Ownership{Pool: "@fleet"})
+	first.loadWave(heard)
+	if err := first.renew(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	heard.ReceivedAt = time.Now() // by a process that started a moment ago
+	for name, w := range map[string]platform.Wave{"by the store": wave, "by the store, heard of late": heard} {
+		second := newHolder(t, store, first.Own)
+		first.Own = second.Own
+		second.loadWave(w)
+		if have := second.plans[1].openedAt; have.Sub(began).Abs() > 5*time.Second {
+			t.Errorf("%s: the wave began %v after it did", name, have.Sub(began))
+		}
+	}
+}
+
 // Guards against two holders of the fleet that order the same host within a lease: an answer of the
 // store that was held back made the first one's clock late, and with it the time of its orders.
 func TestNextHolderWaitsForOrdersStoredAfterALateAnswer(t *testing.T) {
--- a/internal/upkeep/waves.go
+++ b/internal/upkeep/waves.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/platform"
 )
 
@@ -32,17 +33,22 @@
 		k.log.WithField("wave", w.Number).WithError(err).Info("can't read the progress of a wave yet")
 		return
 	}
-	k.OpenWave(w, time.Now())
+	var row waveRow
+	if r.Version > 0 {
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			k.log.WithField("wave", w.Number).WithError(err).Error("can't decode the stored progress of a wave")
+		}
+	}
+	now := time.Now()
+	k.OpenWave(w, k.waveBegan(w, row, now))
 	p := k.plans[w.Number]
+	k.log.WithFields(logrus.Fields{
+		"wave": w.Number, "begun": len(row.Begun), "left-ms": p.openedAt.Add(w.Duration).Sub(now).Milliseconds(),
+	}).Info("wave opened")
 	if r.Version == 0 {
 		k.writeStatus(w.Number, false)
 		return
 	}
-	var row waveRow
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		k.log.WithField("wave", w.Number).WithError(err).Error("can't decode the stored progress of a wave")
-		return
-	}
 	p.done = row.Complete
 	for _, name := range row.Begun {
 		if hp := p.hosts[name]; hp != nil {
@@ -51,6 +57,24 @@
 	}
 }
 
+// waveBegan returns when a wave began: by the time until which an earlier holder had for it, or when this
+// process heard of it.
+func (k *Keeper) waveBegan(w platform.Wave, row waveRow, now time.Time) time.Time {
+	began := now
+	if !w.ReceivedAt.IsZero() {
+		began = w.ReceivedAt
+	}
+	if row.EndMS == 0 {
+		return began
+	}
+	_, clock := k.Store.Clock()
+	stored := now.Add(jobs.Milliseconds(row.EndMS) - clock - w.Duration)
+	if stored.Before(began) {
+		return stored
+	}
+	return began
+}
+
 // runWaves carries out the actions that are due for the waves.
 func (k *Keeper) runWaves() {
 	for number, p := range k.plans {
