--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -393,6 +393,12 @@
 	})
 }
 
+// GiveBack tells that tasks of an organisation wait in another pool for what this pool does not
+// need of its allotment.
+func (s *peerService) GiveBack(args JobArgs, reply *Reply) error {
+	return s.withOwner(args.Pool, reply, func(_ context.Context, o *pool.Owner) { o.GiveBack(args.Name) })
+}
+
 // Organisations returns what the organisations have in a pool.
 func (s *peerService) Organisations(name string, reply *Reply) error {
 	return s.withOwner(name, reply, func(ctx context.Context, o *pool.Owner) {
