soak: callers have keys, which change

Cause: the soak knew no organisations, so nothing checked keys from outside under faults.

Change: the configuration has three organisations, whose keys change every 3 to 5 s; one queue is public. A goroutine tries keys that were removed, never existed or belong to another organisation. Checks CONFIG and ROUTE: no call gets in with such a key, and none is refused whose key is in force. A submission that is answered 401 counts as rejected for the check REFUSED, and is sent again. mimic.Tenants writes organisations as an operator does.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/papayarudder/papayarudder/platform"
@@ -22,6 +23,7 @@
 	clients []*http.Client // each keeps its connections
 	until   time.Time      // when they stop repeating calls without an answer
 	jobs    sync.WaitGroup
+	recent  atomic.Pointer[job] // on a queue that needs a key
 }
 
 func newCallers(r *rig, number int, until time.Time) *callers {
@@ -39,8 +41,11 @@
 // call makes a call and records it.
 func (c *callers) call(j *job, random *rand.Rand, p *process, method string, timeout time.Duration) call {
 	made := call{node: p.node, method: method, sent: time.Now()}
+	if !isPublic(j.path) {
+		made.key = keyOf(organisationOf(j.id), int(c.rig.generation.Load()))
+	}
 	client := c.clients[random.IntN(len(c.clients))]
-	made.status, made.state = c.exchange(client, j, p, method, timeout)
+	made.status, made.state = c.exchange(client, j, made.key, p, method, timeout)
 	if made.status != 0 {
 		made.answered = time.Now()
 	}
@@ -49,7 +54,7 @@
 }
 
 // exchange makes a call. The status is 0 if there was no answer.
-func (c *callers) exchange(client *http.Client, j *job, p *process, method string, timeout time.Duration) (status int, state string) {
+func (c *callers) exchange(client *http.Client, j *job, key string, p *process, method string, timeout time.Duration) (status int, state string) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	body := ""
@@ -62,6 +67,7 @@
 		return 0, ""
 	}
 	request.Host = callersHost
+	request.Header.Set(platform.KeyHeader, key)
 	request.Header.Set(platform.DeadlineHeader, fmt.Sprint(timeout.Milliseconds()))
 	if method == http.MethodPost {
 		request.Header.Set("Content-Type", "application/json")
@@ -92,8 +98,10 @@
 
 const callTimeout = 3 * time.Second
 
-// unanswered reports whether a caller repeats a submission.
-func unanswered(status int) bool { return status == 0 || status == 502 || status == 504 }
+// unanswered reports whether a caller repeats a submission, at times with its next key.
+func unanswered(status int) bool {
+	return status == 0 || status == 401 || status == 502 || status == 504
+}
 
 // follow submits a job, and does with it what its random source says.
 func (c *callers) follow(j *job, random *rand.Rand) {
@@ -173,6 +181,9 @@
 		time.Sleep(gap)
 		j := newJob(queue, random, crowded)
 		source := rand.New(rand.NewPCG(random.Uint64(), 0))
+		if !isPublic(j.path) {
+			c.recent.Store(j)
+		}
 		c.jobs.Go(func() { c.follow(j, source) })
 	}
 }
@@ -226,8 +237,6 @@
 // advised reports whether a queue has advice.
 func advised(queue int) bool { return queue%2 == 1 }
 
-func queuePath(queue int) string { return fmt.Sprintf("/q%d/", queue) }
-
 // settle asks for the state of all accepted jobs that were not cancelled, until each has its
 // last one or the time is over.
 func (c *callers) settle(until time.Time) {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -43,6 +43,7 @@
 	sent, answered time.Time // answered is zero if there was no answer
 	status         int
 	state          string
+	key            string // of the caller's organisation, empty if there are none
 }
 
 func (c call) succeeded() bool { return c.status/100 == 2 }
@@ -85,7 +86,7 @@
 	for _, c := range j.calls {
 		switch {
 		case c.method != "POST":
-		case c.status == 429 || c.status == 503 || c.status == 404:
+		case c.status == 429 || c.status == 503 || c.status == 404 || c.status == 401:
 			refused++
 		default:
 			return false
@@ -161,6 +162,8 @@
 	jobs   map[string]*job
 	faults []*fault
 	ends   []processEnd
+	keys   []keyChange
+	probes []probe
 }
 
 func newRecord(began time.Time) *record { return &record{began: began, jobs: map[string]*job{}} }
@@ -201,6 +204,8 @@
 	runs   []run
 	ends   []processEnd
 	panics []processEnd // of single owners, which their processes outlived
+	keys   []keyChange
+	probes []probe
 	end    time.Time
 	calmAt time.Time // since when there were no more faults
 }
@@ -253,6 +258,7 @@
 	for _, j := range o.jobs {
 		all = append(all, o.checkKept(j, byTask)...)
 	}
+	all = append(all, o.checkKeys()...)
 	for _, e := range o.ends {
 		all = append(all, failure{rule: "ENDED", at: e.at, text: fmt.Sprintf("%s ended by itself: %s", e.node, e.text)})
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -2,7 +2,8 @@
 // against the stand-in of the users' platform in platform/mimic, under disruptions that
 // follow each other within seconds. It checks from what callers, workers and the store saw
 // that no task ran twice or unasked, that no job was lost and that no process ended by itself.
-// Every second queue has advice. Links and checks are here; what starts processes is in the tests.
+// Every second queue has advice. Callers have the keys of organisations, which change; also from
+// outside it is checked that no call gets in with a removed, unknown or foreign key. Links and checks are here; what starts processes is in the tests.
 //
 // # Usage
 //
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -585,13 +585,16 @@
 func (f *faults) configuration() string {
 	var routes, services []string
 	route := func(name, prefix, pool string, target int, advised bool) {
-		advice := ""
+		advice, public := "", ""
+		if isPublic(prefix) {
+			public = `,"public":true`
+		}
 		if advised {
 			advice = fmt.Sprintf(`,"advice":{"decision_ms":%d,"period_ms":%d,"validity_ms":%d}`,
 				mimic.AdviceTime.Milliseconds(), mimic.AdviceWorkerTime.Milliseconds(), mimic.AdviceValidity.Milliseconds())
 		}
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"service":%q,"timeout_ms":%d,"target_duration_ms":%d,"priority":1,"max_attempts":3,"slack_factor":2%s}`,
-			name, callersHost, prefix, pool, f.timeout, target, advice))
+			name, callersHost, prefix, pool, f.timeout, target, advice+public))
 	}
 	for i := range f.queues {
 		pool := poolName(i)
@@ -605,6 +608,6 @@
 		route("extra", "/extra/", poolName(0), 600, false)
 	}
 	services = append(services, `{"name":"spare","standby":true}`)
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		f.version, strings.Join(routes, ","), strings.Join(services, ","))
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"tenants":%s,"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		f.version, strings.Join(routes, ","), strings.Join(services, ","), f.rig.tenants())
 }
--- a/internal/soak/rig_test.go
+++ b/internal/soak/rig_test.go
@@ -36,6 +36,8 @@
 	record    *record
 	replay    string // the command that repeats the run
 
+	generation atomic.Int64 // of the keys that callers use
+
 	mu       sync.Mutex
 	links    map[linkKey]*link
 	split    *partition        // nil if all processes reach each other
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -108,7 +108,9 @@
 	r.replay = fmt.Sprintf("go test ./internal/soak -run %s -v -first %d -seeds 1 -for %v -processes %d -pools %d -workers %d -only=%s -without=%s -binary=%s",
 		name, seed, *length, *size, *pools, *workers, only, *without, *binary)
 	f := &faults{rig: r, only: only, queues: *pools, version: 1, timeout: 3000}
+	r.generation.Store(1)
 	r.platform.Configure(f.configuration())
+	r.record.keysChanged(1)
 	for _, p := range r.processes {
 		if err := r.start(p); err != nil {
 			t.Fatal(err)
@@ -125,6 +127,8 @@
 		source := rand.New(rand.NewPCG(random.Uint64(), 0))
 		load.Go(func() { c.load(queue, source, f.until) })
 	}
+	load.Go(func() { f.changeKeys(rand.New(rand.NewPCG(seed, 4))) })
+	load.Go(func() { c.tryKeys(rand.New(rand.NewPCG(seed, 5)), f.until) })
 	f.run(rand.New(rand.NewPCG(random.Uint64(), 0)))
 	load.Wait()
 	c.jobs.Wait()
@@ -207,6 +211,7 @@
 		o.faults = append(o.faults, *f)
 	}
 	o.ends = slices.Clone(r.record.ends)
+	o.keys, o.probes = slices.Clone(r.record.keys), slices.Clone(r.record.probes)
 	r.record.mu.Unlock()
 	for _, p := range r.processes {
 		for _, line := range p.log.all("pool owner panicked") {
