daemon: a refused call keeps its connection if its body comes at once

Cause: the answer 401 was sent in full duplex; a body that was read only afterwards could end the connection on the next request (net/http: invalid concurrent Body.Read call), one call in TestKeysOfCallers got no answer at a load of 22.

Change: up to 64 KiB of the body are awaited for 50 ms; otherwise the connection is closed after the answer. The test of a woken process waits until it has stopped: a call came before, and was rightly answered by the last version.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -63,6 +63,7 @@
 	case !a.found:
 		return "none", d.refuse(w, http.StatusNotFound, "no such queue")
 	case a.cause != "":
+		discardBody(w, r)
 		return "none", d.refuseCaller(w, http.StatusUnauthorized, a.cause, a.queue, "")
 	}
 	if a.rest == "" && r.Method == http.MethodGet {
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/pool"
@@ -124,10 +126,29 @@
 	return a
 }
 
-// refuseCaller refuses a call for its key. It is answered without waiting for a body that may
-// never come.
+const (
+	bodyGrace      = 50 * time.Millisecond // for which the body of a refused call is awaited
+	maxRefusedBody = 64 << 10              // bytes of such a body that are read
+)
+
+// discardBody reads the rest of a refused call's body, so that the connection can stay open. It
+// is closed after the answer if the body is long or does not come.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" { // a body that the caller waits to send is not asked for
+		return
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyGrace)); err == nil {
+		if _, err := io.CopyN(io.Discard, r.Body, maxRefusedBody+1); errors.Is(err, io.EOF) {
+			_ = control.SetReadDeadline(time.Time{}) // an error ends the connection, as a deadline does
+			return
+		}
+	}
+	w.Header().Set("Connection", "close")
+}
+
+// refuseCaller refuses a call for its key.
 func (d *Daemon) refuseCaller(w http.ResponseWriter, status int, cause refusalCause, q platform.Queue, organisation string) int {
-	_ = http.NewResponseController(w).EnableFullDuplex() // an error means that the body is read first
 	metricCallsRefused(cause).Inc()
 	d.refusals.Info("call refused for its key", logs.Text("cause", string(cause)), logs.Text("queue", q.Name), logs.Text("organisation", organisation))
 	return d.refuse(w, status, refusalReasons[cause])
--- a/internal/daemon/keys_process_test.go
+++ b/internal/daemon/keys_process_test.go
@@ -108,6 +108,7 @@
 	// A process stands still while the organisation south is removed and n-4 added.
 	p := s.other(s.owner("p1"))
 	s.signal(p, syscall.SIGSTOP)
+	time.Sleep(200 * time.Millisecond) // until all of its threads have stopped
 	s.platform.Configure(orgConfig(5, "north n-4"))
 	type outcome struct {
 		key    string
@@ -162,4 +163,14 @@
 	if response.StatusCode != http.StatusUnauthorized {
 		t.Errorf("status %d, want 401", response.StatusCode)
 	}
+	client := &http.Client{Timeout: 4 * time.Second}
+	defer client.CloseIdleConnections()
+	for range 100 { // over connections that stay open
+		if answer, status := s.callWith(client, "odd", http.MethodPost, p, "/labels/"+id(2), oneStep); status != http.StatusUnauthorized {
+			t.Fatalf("status %d %s, want 401", status, answer)
+		}
+	}
+	if text := p.log.String(); strings.Contains(text, "panic") {
+		t.Errorf("log: %s", text)
+	}
 }
--- a/internal/daemon/keys_test.go
+++ b/internal/daemon/keys_test.go
@@ -150,4 +150,11 @@
 	if status := call("n-1", "/labels/"); status != http.StatusUnauthorized {
 		t.Errorf("removed key: %d, want 401", status)
 	}
+
+	time.Sleep(refreshPeriod)
+	r.platform.Configure(stored("5", `{"name":"south","api_keys":["s-3"],"weight":1}`))
+	d.fresh.runningAt = d.fresh.runningAt.Add(-time.Minute) // the process stood still
+	if status := call("s-2", "/labels/"); status != http.StatusUnauthorized {
+		t.Errorf("key that was removed during a standstill: %d, want 401", status)
+	}
 }
