--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -64,7 +64,7 @@
 		return "none", d.refuse(w, http.StatusNotFound, "no such queue")
 	case a.cause != "":
 		discardBody(w, r)
-		return "none", d.refuseCaller(w, http.StatusUnauthorized, a.cause, a.queue, "")
+		return "none", d.refuseCaller(w, http.StatusUnauthorized, a.cause, a)
 	}
 	if a.rest == "" && r.Method == http.MethodGet {
 		return "pending", d.servePending(ctx, w, a)
@@ -155,7 +155,7 @@
 	case !a.found:
 		return d.refuse(w, http.StatusNotFound, "no such queue")
 	case a.cause != "":
-		return d.refuseCaller(w, http.StatusUnauthorized, a.cause, a.queue, "")
+		return d.refuseCaller(w, http.StatusUnauthorized, a.cause, a)
 	}
 	c, q := a.config, a.queue
 	j, err := platform.DecodeJob(body)
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/logs"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/platform"
@@ -148,9 +149,11 @@
 }
 
 // refuseCaller refuses a call for its key.
-func (d *Daemon) refuseCaller(w http.ResponseWriter, status int, cause refusalCause, q platform.Queue, organisation string) int {
+func (d *Daemon) refuseCaller(w http.ResponseWriter, status int, cause refusalCause, a admission) int {
 	metricCallsRefused(cause).Inc()
-	d.refusals.Info("call refused for its key", logs.Text("cause", string(cause)), logs.Text("queue", q.Name), logs.Text("organisation", organisation))
+	id, _ := jobs.ParseID(a.rest) // empty if the call names none
+	d.refusals.Info("call refused for its key", logs.Text("cause", string(cause)), logs.Text("queue", a.queue.Name),
+		logs.Text("job", string(id)), logs.Text("organisation", a.caller.organisation))
 	return d.refuse(w, status, refusalReasons[cause])
 }
 
@@ -158,7 +161,7 @@
 func (d *Daemon) refuseByOwner(ctx context.Context, w http.ResponseWriter, a admission, v pool.Verdict) int {
 	if v == pool.Outdated {
 		d.refreshConfig(ctx)
-		return d.refuseCaller(w, http.StatusUnauthorized, causeKeyUnknown, a.queue, a.caller.organisation)
+		return d.refuseCaller(w, http.StatusUnauthorized, causeKeyUnknown, a)
 	}
-	return d.refuseCaller(w, http.StatusForbidden, causeOtherOrganisation, a.queue, a.caller.organisation)
+	return d.refuseCaller(w, http.StatusForbidden, causeOtherOrganisation, a)
 }
