daemon: calls after a standstill wait until the read configuration is in force

Cause: a call that came while another one read the configuration after a standstill could be decided by the last version: it was recorded as read before it was in force (TestKeysOfCallers, 1 of 3 runs at a load of 20).

Change: it is recorded once it is in force, and a call that finds it so loads it anew.

--- a/internal/daemon/fresh.go
+++ b/internal/daemon/fresh.go
@@ -31,7 +31,8 @@
 	reads singleflight.Group
 }
 
-// confirm records that the answer to a request sent at a time had all changes.
+// confirm records that the answer to a request sent at a time had all changes, which are in
+// force.
 func (f *freshness) confirm(sentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,10 +104,10 @@
 			d.fresh.readFailed(time.Now())
 			return nil, errors.Wrap(err, "read the configuration for a caller")
 		}
-		d.fresh.confirm(began)
 		if row.Version > 0 {
 			d.applyConfig(row.Value, "store, for a caller")
 		}
+		d.fresh.confirm(began)
 		return nil, nil
 	})
 	select {
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -110,6 +110,8 @@
 	}
 	if d.fresh.paused(time.Now()) {
 		c = d.refreshConfig(ctx)
+	} else {
+		c = d.config.Load() // another call may have refreshed it since
 	}
 	a := c.admit(r)
 	if a.cause == causeKeyUnknown || (!a.found || a.cause != "") && d.configMayBeStale(time.Now()) {
--- a/internal/daemon/keys_process_test.go
+++ b/internal/daemon/keys_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/daemon"
 	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
@@ -37,6 +39,21 @@
 	return s.exchange(client, header, method, p, path, body)
 }
 
+// admin returns what a process answers to an operator.
+func (s *system) admin(p *process, path string) string {
+	s.t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://%s:%d%s", p.addr, daemon.AdminPort, path))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(data)
+}
+
 // Guards against calls with a key that was removed, that is unknown or that belongs to another
 // organisation, also over connections that stay open and at a process that stood still.
 func TestKeysOfCallers(t *testing.T) {
@@ -130,6 +147,13 @@
 		}
 	}
 	for _, p := range s.processes {
+		if text := s.admin(p, "/metrics"); !strings.Contains(text, `papayarudder_calls_refused_total{cause="key-unknown"}`) {
+			t.Errorf("the metrics of %s lack the refused calls", p.node)
+		}
+		// One of the processes has to ask the owners.
+		if text := s.admin(p, "/organisations/north"); strings.Count(text, `"known":true`) != 3 || !strings.Contains(text, `"other-organisation"`) {
+			t.Errorf("%s about an organisation: %s", p.node, text)
+		}
 		for _, key := range []string{"n-1", "n-2", "n-3", "n-4", "s-1"} {
 			if strings.Contains(p.log.String(), key+`"`) {
 				t.Errorf("the log of %s has the key %s", p.node, key)
@@ -139,38 +163,66 @@
 	s.check()
 }
 
-// Guards against callers without a key that hold a process by bodies that never come.
-func TestKeyIsCheckedBeforeTheBody(t *testing.T) {
+// Guards against callers without a key that hold a process by bodies that never come, and
+// against a key that counts for as long as the body of a call takes.
+func TestKeyIsCheckedBeforeAndAfterTheBody(t *testing.T) {
 	s := newConfiguredSystem(t, 1, mimic.Options{Pools: []mimic.Pool{{Name: "p1", Hosts: 1}, {Name: "p2", Hosts: 1}}}, fmt.Sprintf(config, 1, ""))
-	s.platform.Configure(orgConfig(2, "north n-1"))
 	p := s.processes[0]
-	s.waitFor("keys to be checked", 5*time.Second, func() bool {
-		_, status := s.call(http.MethodGet, p, "/labels/", "")
-		return status == http.StatusUnauthorized
-	})
-	connection, err := net.Dial("tcp", netip.AddrPortFrom(p.addr, mimic.PortCallers).String())
-	if err != nil {
-		t.Fatal(err)
+	client := &http.Client{Timeout: 4 * time.Second}
+	defer client.CloseIdleConnections()
+	waitForKey := func(key string) {
+		t.Helper()
+		s.waitFor("key "+key+" to be the only one", 5*time.Second, func() bool {
+			_, without := s.callWith(client, "n-1", http.MethodGet, p, "/labels/", "")
+			_, with := s.callWith(client, key, http.MethodGet, p, "/labels/", "")
+			return with == http.StatusOK && (key == "n-1" || without == http.StatusUnauthorized)
+		})
 	}
-	defer connection.Close()
-	fmt.Fprintf(connection, "POST /labels/%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000\r\n\r\n{", id(1))
-	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second)) // an error shows in the answer
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-	if err != nil {
-		t.Fatalf("no answer before the body has come: %v", err)
+	s.platform.Configure(orgConfig(2, "north n-1"))
+	waitForKey("n-1")
+	// begin sends a call without the end of its body. The function that it returns sends the
+	// rest and returns the status.
+	begin := func(key string, n int) func(rest string) int {
+		connection, err := net.Dial("tcp", netip.AddrPortFrom(p.addr, mimic.PortCallers).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+		fmt.Fprintf(connection, "POST /labels/%s HTTP/1.1\r\nHost: a.example\r\nCredential: %s\r\nContent-Length: %d\r\n\r\n%s", id(n), key, len(oneStep), oneStep[:9])
+		return func(rest string) int {
+			fmt.Fprint(connection, rest)
+			_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second)) // an error shows in the answer
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil {
+				t.Fatalf("no answer with key %s: %v", key, err)
+			}
+			_ = response.Body.Close()
+			return response.StatusCode
+		}
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusUnauthorized {
-		t.Errorf("status %d, want 401", response.StatusCode)
+	if status := begin("odd", 1)(""); status != http.StatusUnauthorized {
+		t.Errorf("unknown key without the body: %d, want 401", status)
+	}
+	if status := begin("n-1", 2)(oneStep[9:]); status != http.StatusOK {
+		t.Errorf("known key: %d, want 200", status)
+	}
+	end := begin("n-1", 3)
+	time.Sleep(100 * time.Millisecond) // until the process has read the header
+	s.platform.Configure(orgConfig(3, "north n-2"))
+	waitForKey("n-2")
+	if status := end(oneStep[9:]); status != http.StatusUnauthorized {
+		t.Errorf("key that was removed before the body had come: %d, want 401", status)
+	}
+	if _, status := s.callWith(client, "n-2", http.MethodGet, p, "/labels/"+id(3), ""); status != http.StatusGone {
+		t.Errorf("state of the refused job: %d, want 410", status)
 	}
-	client := &http.Client{Timeout: 4 * time.Second}
-	defer client.CloseIdleConnections()
 	for range 100 { // over connections that stay open
-		if answer, status := s.callWith(client, "odd", http.MethodPost, p, "/labels/"+id(2), oneStep); status != http.StatusUnauthorized {
+		if answer, status := s.callWith(client, "odd", http.MethodPost, p, "/labels/"+id(4), oneStep); status != http.StatusUnauthorized {
 			t.Fatalf("status %d %s, want 401", status, answer)
 		}
 	}
 	if text := p.log.String(); strings.Contains(text, "panic") {
 		t.Errorf("log: %s", text)
 	}
+	s.check()
 }
