--- a/cmd/papayarudder/org_test.go
+++ b/cmd/papayarudder/org_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -62,10 +64,18 @@
 		fmt.Fprintf(&session, "(exit %d)\n", code)
 	}
 	waitFor(t, func() bool { return call(http.MethodPost, "secret-n") == http.StatusOK })
+	file := filepath.Join(t.TempDir(), "south.json")
+	job := `{"id":"00000000000000a2","spec":"lasting","organisation":"south","steps":[{"count":1,"cpu":700,"lasting":true}]}`
+	if err := os.WriteFile(file, []byte(job), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code := run(context.Background(), []string{"job", "submit", "--queue", "labels", file}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitOK {
+		t.Fatalf("submit: exit %d", code)
+	}
 	waitFor(t, func() bool {
 		var out bytes.Buffer
-		run(context.Background(), []string{"org", "show", "north"}, &out, &out)
-		return strings.Contains(out.String(), "1000/200/0")
+		run(context.Background(), []string{"org", "list"}, &out, &out)
+		return strings.Contains(out.String(), "1000/200/0") && strings.Contains(out.String(), "700/")
 	})
 	if status := call(http.MethodDelete, "secret-s"); status != http.StatusForbidden {
 		t.Errorf("cancel of another organisation's job: %d, want 403", status)
