place: a long-running suspect may start on a reserved worker

Cause: chooseIsolated looked at workers that are not reserved only, though a long-running task that is down may start on a reserved one. Change: it looks at both for long-running tasks that are not best-effort.

--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -519,8 +519,12 @@
 	if !b.hasLabel(step.Label) {
 		return nil, false
 	}
+	workers := b.pending.room.atLeast(claim.Millicores)
+	if step.LongRunning && !step.BestEffort {
+		workers = slices.Concat(workers, b.pending.reserved.atLeast(claim.Millicores))
+	}
 	var bestCost int64
-	for _, w := range b.pending.room.atLeast(claim.Millicores) {
+	for _, w := range workers {
 		b.examined++
 		if !claim.Fits(w.free()) || !b.accepts(e, step, t, w, now) {
 			continue
