place, pool: waits of steps by size and width are logged and counted

Cause: nothing tells how long large and wide steps wait, nor how much room is free in pieces too small for them. Change: the board reports the wait of each batch step from ready to first and last start; the owner logs them every second as "step waits" and has histograms of them. "pool state" names the largest waiting task and the free millicores on workers with too little for it.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -37,6 +37,7 @@
 	lasting        map[stepKey]*lastingStep // long-running steps that have or had attempts
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
+	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
 }
 
 // backoff delays the restart of a long-running task.
@@ -53,6 +54,9 @@
 	Missing func(MissingAttempt)
 	// Looked, if set, receives each job that a decision looks at, once or more often.
 	Looked func(jobs.ID)
+	// Waited, if set, receives the wait of each step of batch tasks once all of them have been
+	// started.
+	Waited func(Wait)
 
 	policy           Policy
 	baseAttempt      int // this owner numbers its attempts from baseAttempt+1
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -18,6 +18,7 @@
 	b.stopStalled(now)
 	b.speculate(now)
 	b.placeTasks(&o, now)
+	b.noteStarts(o.Starts, now)
 	b.beginPass(passOrders)
 	b.orderStops(&o)
 	b.adjustPaces(&o, now)
@@ -66,6 +67,7 @@
 				continue
 			}
 			e.enqueuedSteps[key] = true
+			b.beginWait(e, key, now)
 			for index := range s.Count {
 				t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
 				if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -72,6 +72,8 @@
 	Size     int  // millicores of workers that accept new tasks
 	Used     int  // millicores claimed on these workers
 	Wanted   int  // millicores of waiting tasks
+	Largest  int  // millicores of the largest of them
+	TooSmall int  // free millicores on workers that accept new tasks, each with less than Largest
 	Limited  bool // batch tasks wait for their owner to send starts, not for a worker
 }
 
@@ -102,7 +104,16 @@
 		s.Suspects += e.progress.CountCrashed()
 		for key, tasks := range e.waiting {
 			s.Waiting += len(tasks)
-			s.Wanted += len(tasks) * e.job.Steps[key.step].Claim().Millicores
+			claim := e.job.Steps[key.step].Claim().Millicores
+			s.Wanted += len(tasks) * claim
+			if len(tasks) > 0 {
+				s.Largest = max(s.Largest, claim)
+			}
+		}
+	}
+	for _, w := range b.workers {
+		if free := w.free().Millicores; w.acceptsTasks() && free < s.Largest {
+			s.TooSmall += free
 		}
 	}
 	return s
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -192,6 +192,7 @@
 	claimedAt           time.Time
 	summarizedAt        time.Time
 	loop                loopStats
+	stepWaits           stepWaits
 	startRate           startRate
 	holdPause           holdPause
 	flushing            bool
@@ -305,11 +306,12 @@
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
-		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
+		stepWaits: newStepWaits(),
+		queues:    map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
 	}
 	o.taskLog = logs.NewFrequent(o.log)
-	o.board.Missing, o.board.Looked = o.logMissing, s.Looked
+	o.board.Missing, o.board.Looked, o.board.Waited = o.logMissing, s.Looked, o.stepWaits.add
 	o.status.paused = func(pause time.Duration) {
 		o.log.WithField("ms", pause.Milliseconds()).Info("process was paused: leases, orders and answers wait until the store confirms the ownership")
 	}
@@ -486,6 +488,9 @@
 		if s := o.board.Summary(now); s.Jobs > 0 {
 			o.log.WithFields(o.loop.fields()).WithField("hold-pause-ms", o.holdPause.pause.Load()/int64(time.Millisecond)).WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
+		if waits := o.stepWaits.take(); waits != nil {
+			o.log.WithFields(waits).Info("step waits")
+		}
 		o.loop.reset()
 		if o.retention > 0 {
 			o.expireJobs(now)
