ahead, place: large tasks reserve workers by when running tasks end

Cause: a batch task that fits no worker has no claim on what ends next, so that small tasks take each gap; at most one worker is kept for all large tasks, chosen by its free room only. Change: internal/ahead estimates ends and makes reservations; place keeps them over decisions, with backfill of tasks that don't delay them, and gives them up for stated causes. The demand counts the rest of a worker that a large task leaves unused.

--- a/cmd/papayarudder/daemon.go
+++ b/cmd/papayarudder/daemon.go
@@ -22,6 +22,8 @@
 type daemonCommand struct {
 	Settings string `arg:"--settings,env:PAPAYARUDDER_CONFIG" placeholder:"FILE" help:"the platform's settings file"`
 	Record   string `arg:"--record" placeholder:"FILE" help:"record every step of the pools' decisions, for replay"`
+
+	LookAhead bool `arg:"--look-ahead" help:"reserve workers for large tasks that fit none, by when running tasks are expected to end"`
 }
 
 // memoryLimitShare is the share of the process's memory that is set as the soft
@@ -39,6 +41,7 @@
 	logger, flush := logs.New(out, settings.Node, time.Now)
 	defer flush()
 	d := daemon.New(settings, logger)
+	d.LookAhead = c.LookAhead
 	if c.Record != "" {
 		file, err := os.Create(c.Record)
 		if err != nil {
--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -544,7 +544,7 @@
 	}
 	bounds := d.bounds()
 	s := pool.Settings{
-		Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, Recording: d.Recording,
+		Self: d.self, ClaimSentAt: claimSentAt, Store: d.store, Log: d.log, Recording: d.Recording, LookAhead: d.LookAhead,
 		HandOver: d.handOverPool, Members: d.knownMembers,
 		NotClaimedUntil: func(members uint64, pausedAt time.Time) time.Time {
 			return d.notClaimedUntil(own.Pool, members, pausedAt)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,9 @@
 	Recording *event.Log
 	// Looked, if set, receives each job that a decision looks at.
 	Looked func(jobs.ID)
+	// LookAhead makes the placement in pools that this process owns look ahead. It must be
+	// set before Run.
+	LookAhead bool
 
 	settings    platform.Settings
 	self        pool.Identity
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -38,6 +38,8 @@
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
 	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
+	reserved       map[stepKey]int          // how many reservations a step has; nil if none had any
+	runTimes       map[stepKey]runTimes     // of finished tasks, if placement looks ahead
 }
 
 // backoff delays the restart of a long-running task.
@@ -88,6 +90,7 @@
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
 	suspectsTurnAt   time.Time       // when that last changed
 	organisations    map[string]*organisation
+	ahead            lookAhead
 	focus            focus // of the present decision, or of one that panicked
 	examined         uint64
 	listings         uint64 // applied so far
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -17,6 +17,7 @@
 	b.enqueueReadySteps(now)
 	b.stopStalled(now)
 	b.speculate(now)
+	reserved := len(b.ahead.reservations) > 0
 	b.placeTasks(&o, now)
 	b.noteStarts(o.Starts, now)
 	b.beginPass(passOrders)
@@ -24,7 +25,7 @@
 	b.adjustPaces(&o, now)
 	b.focus = focus{}
 	if b.Record != nil {
-		b.recordStep(Step{Kind: StepDecide, At: now, Orders: o})
+		b.recordStep(Step{Kind: StepDecide, At: now, Orders: o, Flag: reserved || len(b.ahead.reservations) > 0})
 	}
 	return o
 }
@@ -277,6 +278,7 @@
 	b.reservations, b.rejected = nil, rejections{}
 	b.releaseArriving()
 	candidates := b.candidates(now)
+	b.reviewReservations(now)
 	b.startsLeft, b.reservationsLeft = b.startLimit, maxBatchReservations
 	lasting := 0
 	for lasting < len(candidates) && candidates[lasting].class == classLongRunning {
@@ -299,7 +301,7 @@
 // placeCandidates starts the tasks of steps on workers with free capacity, but for suspects.
 // An earlier pass of the decision may have left none of a step's tasks waiting.
 func (b *Board) placeCandidates(o *Orders, candidates []candidate, now time.Time) {
-	largest := b.pending.largestWorkerMillicores()
+	largest, largestWorker := b.pending.largestWorkerMillicores(), b.pending.largestWorker()
 	for _, c := range candidates {
 		if !b.lookAt(c.entry, c.key, now) {
 			continue
@@ -322,10 +324,15 @@
 		}
 		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(largest)
 		mayReserve := step.LongRunning && !step.BestEffort || large && b.reservationsLeft > 0 && c.class == classOnTime
-		if !step.LongRunning && !mayReserve && b.rejected.covers(step.Claim()) {
+		mayReserveAhead := b.ahead.on && !step.LongRunning && b.mayReserveAhead(c, largestWorker)
+		if !step.LongRunning && !mayReserve && !mayReserveAhead && b.rejected.covers(step.Claim()) && !b.mayUseReserved(c) {
 			continue // in a load peak most steps wait for room of which there is none
 		}
-		if left := b.placeStep(o, c, tasks, suspects, now); len(left) > 0 && mayReserve {
+		left := b.placeStep(o, c, tasks, suspects, now)
+		switch {
+		case len(left) == 0:
+		case mayReserveAhead && b.reserveAhead(c, left, now):
+		case mayReserve && (step.LongRunning || !b.ahead.on || mayReserveAhead):
 			b.reserveWorker(c.entry, step, left[0], now)
 			b.reservationsLeft--
 		}
@@ -383,7 +390,7 @@
 			b.noteLimit(step, now)
 			break
 		}
-		w := b.chooseWorker(e, step, t, now)
+		w := b.chooseBeside(c, t, now)
 		if w == nil {
 			break
 		}
--- a/internal/place/focus.go
+++ b/internal/place/focus.go
@@ -17,15 +17,16 @@
 
 // The passes of a decision, in their order.
 const (
-	passReady       = "ready steps"
-	passStalled     = "stalled tasks"
-	passCopies      = "copies"
-	passCandidates  = "candidates"
-	passLongRunning = "long-running tasks"
-	passSuspects    = "suspects"
-	passMoves       = "moves"
-	passBatch       = "batch tasks"
-	passOrders      = "stops and paces"
+	passReady        = "ready steps"
+	passStalled      = "stalled tasks"
+	passCopies       = "copies"
+	passCandidates   = "candidates"
+	passReservations = "reservations"
+	passLongRunning  = "long-running tasks"
+	passSuspects     = "suspects"
+	passMoves        = "moves"
+	passBatch        = "batch tasks"
+	passOrders       = "stops and paces"
 )
 
 // lookAt records which step the present pass looks at. It reports whether the pass may, which
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -307,6 +307,7 @@
 		return nil
 	}
 	a := &Attempt{Task: r.Task, Number: r.Attempt, Worker: w.Key, Phase: Live, OrderedAt: now, PercentChangedAt: now, stoppedUntil: now.Add(b.policy.StopTime)}
+	a.firstPercent = r.Percent
 	b.addAttempt(e, w, a)
 	b.confirm(a, now)
 	e.dequeue(r.Task)
@@ -410,6 +411,7 @@
 	}
 	if !a.ConfirmedAt.IsZero() {
 		b.estimates.add(e.job.Queue, a.step, now.Sub(a.ConfirmedAt))
+		b.recordRunTime(e, a, now.Sub(a.ConfirmedAt))
 	}
 	e.progress.MarkDone(a.Task)
 	if a.step.Speculative {
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -78,7 +78,11 @@
 				l.Lasting += len(tasks)
 			}
 			l.MemoryHosts += memoryHosts(step.Claim(), len(tasks), largest)
-			l.Wanted += len(tasks) * step.Claim().Millicores
+			if b.ahead.on {
+				l.Wanted += roundedDemand(step, len(tasks), largest, b.policy.ReserveShare)
+			} else {
+				l.Wanted += len(tasks) * step.Claim().Millicores
+			}
 			l.Largest = max(l.Largest, step.Claim().Millicores)
 		}
 	}
--- a/internal/place/pending.go
+++ b/internal/place/pending.go
@@ -27,6 +27,7 @@
 	reserved    roomIndex                 // those that are
 	labels      map[string]int            // how many workers have a label
 	sizes       map[int]int               // how many workers have a number of millicores
+	memories    map[int]int               // how many workers have an amount of memory, in MB
 }
 
 func newPendingWork() pendingWork {
@@ -34,7 +35,7 @@
 		unfinished: map[jobs.ID]*jobEntry{}, changedJobs: map[jobs.ID]*jobEntry{},
 		stops: map[string]*worker{}, listed: map[string]*worker{}, moves: map[*lastingStep]struct{}{}, vacated: map[string]*worker{}, silent: map[string]*worker{},
 		paced: map[string]*worker{}, failing: map[string]*worker{}, unanswered: map[*Attempt]struct{}{}, slow: map[string]*slowIndex{},
-		labels: map[string]int{}, sizes: map[int]int{},
+		labels: map[string]int{}, sizes: map[int]int{}, memories: map[int]int{},
 	}
 }
 
@@ -122,6 +123,9 @@
 	if p.sizes[w.Size.Millicores] += n; p.sizes[w.Size.Millicores] == 0 {
 		delete(p.sizes, w.Size.Millicores)
 	}
+	if p.memories[w.Size.MemoryMB] += n; p.memories[w.Size.MemoryMB] == 0 {
+		delete(p.memories, w.Size.MemoryMB)
+	}
 }
 
 // largestWorkerMillicores returns the millicores of the largest worker.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -100,6 +100,7 @@
 	step          *jobs.Step
 	worker        *worker
 	shownAt       time.Time // when the newest listing that shows it was requested
+	firstPercent  int       // when this owner first knew of it
 	listing       uint64    // number of the last listing that was applied and shows it
 	stopRequested bool      // a stop order is due
 	reschedule    bool      // its task may be queued again without a backoff
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -24,6 +24,7 @@
 	StepExpire          StepKind = "expire"
 	StepLapse           StepKind = "lapse"
 	StepLeft            StepKind = "left"
+	StepLookAhead       StepKind = "look-ahead"
 	StepLifetimeEnded   StepKind = "lifetime-ended"
 	StepListed          StepKind = "listed"
 	StepListedInPart    StepKind = "listed-in-part"
@@ -59,7 +60,7 @@
 	Key      string // of a worker
 	Task     jobs.Task
 	Attempt  int
-	Flag     bool
+	Flag     bool // of a decision: it made or held reservations
 	Running  []Running
 	Ended    []Ended
 	Asked    time.Time
@@ -133,6 +134,8 @@
 		b.Expire(s.Kept, s.At)
 	case StepLapse:
 		b.ExpireLeases(s.Key, s.At)
+	case StepLookAhead:
+		b.SetLookAhead(s.Flag)
 	case StepLeft:
 		b.WorkerLeft(s.Key)
 	case StepLifetimeEnded:
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -87,6 +87,7 @@
 	advised       bool // the queue "advised" is
 	crashes       bool // workers crash, most often right after a start, and jobs are suspended
 	checkReserved bool
+	lookAhead     bool
 	suspended     map[jobs.ID]time.Time
 }
 
@@ -136,6 +137,7 @@
 	clear(s.suspended)
 	s.advised = true
 	s.board.SetAdvised(map[string]bool{"advised": true})
+	s.board.SetLookAhead(s.lookAhead)
 	for _, j := range s.jobs {
 		p := jobs.NewProgress(j)
 		if data := s.stored[j.ID]; data != nil {
@@ -220,6 +222,13 @@
 	for _, x := range o.Stops {
 		s.counts[x.Cause]++
 	}
+	r := s.board.TakeReservations()
+	s.counts["reservations made"] += r.Made
+	s.counts["reservations used"] += r.Used
+	s.counts["backfilled"] += r.Backfilled
+	for cause, n := range r.GivenUp {
+		s.counts[string(cause)] += n
+	}
 	if s.err == nil {
 		s.err = s.board.CheckPending()
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -219,6 +219,8 @@
 	// Retention is how long ended jobs are kept, so that their callers can ask for
 	// their states; 0 keeps them for ever.
 	Retention time.Duration
+	// LookAhead makes placement reserve workers for large tasks that fit none.
+	LookAhead bool
 	// Recording records every scheduling step, nil for none.
 	Recording *event.Log
 	// HandOver offers the pool to other processes after this one has lost the
@@ -298,6 +300,7 @@
 	if s.Recording != nil {
 		trace.RecordBoard(s.Recording, own.Pool, base, board)
 	}
+	board.SetLookAhead(s.LookAhead)
 	o := &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, maxLease: s.MaxLease, retention: s.Retention,
@@ -491,6 +494,9 @@
 		if waits := o.stepWaits.take(); waits != nil {
 			o.log.WithFields(waits).Info("step waits")
 		}
+		if fields := reservationFields(o.board.TakeReservations()); fields != nil {
+			o.log.WithFields(fields).Info("reservations")
+		}
 		o.loop.reset()
 		if o.retention > 0 {
 			o.expireJobs(now)
--- a/internal/pool/waits.go
+++ b/internal/pool/waits.go
@@ -68,3 +68,28 @@
 	*s = newStepWaits()
 	return fields
 }
+
+var (
+	metricReservationsMade = metrics.NewCounter("papayarudder_reservations_made_total")
+	metricReservationsUsed = metrics.NewCounter("papayarudder_reservations_used_total")
+	metricBackfills        = metrics.NewCounter("papayarudder_backfills_total")
+	metricKeptFree         = metrics.NewFloatCounter("papayarudder_reserved_core_seconds_total")
+)
+
+// reservationFields counts what became of reservations and returns it as log fields, nil if there
+// were none.
+func reservationFields(r place.Reservations) logrus.Fields {
+	if r.Made+r.Used+r.Backfilled+len(r.GivenUp) == 0 && r.Kept == 0 {
+		return nil
+	}
+	metricReservationsMade.Add(r.Made)
+	metricReservationsUsed.Add(r.Used)
+	metricBackfills.Add(r.Backfilled)
+	metricKeptFree.Add(r.Kept.Seconds())
+	fields := logrus.Fields{"made": r.Made, "used": r.Used, "backfilled": r.Backfilled, "kept-free-core-ms": r.Kept.Milliseconds()}
+	for cause, n := range r.GivenUp {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`papayarudder_reservations_given_up_total{cause=%q}`, cause)).Add(n)
+		fields["given-up-"+string(cause)] = n
+	}
+	return fields
+}
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -19,8 +19,8 @@
 func RecordBoard(log *event.Log, pool string, base int, board *place.Board) {
 	log.Add(event.PlacementStart, pool, uint64(base), "")
 	board.Record = func(s place.Step) {
-		if s.Kind == place.StepDecide && hasNoOrders(s.Orders) {
-			return // without orders, it changes nothing that the next decision would not change
+		if s.Kind == place.StepDecide && hasNoOrders(s.Orders) && !s.Flag {
+			return // without orders and reservations, it changes nothing that the next decision would not change
 		}
 		text, err := encodeBoardStep(s)
 		if err != nil {
