--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -19,15 +19,18 @@
 	// maxReservations limits the workers that are reserved at a time in a pool of any size.
 	maxReservations = 16
 	// reservationHorizon is how far ahead the start of a reservation may be expected.
-	reservationHorizon = 2 * time.Second
+	reservationHorizon = 4 * time.Second
 	// maxReservationAge is how long a reservation may keep room.
 	maxReservationAge = 2 * time.Second
 	// reservationScans limits the steps for which a decision looks for workers to reserve.
 	reservationScans = 2
 	// scannedWorkers limits the workers that are compared for a step, those with most room first.
 	scannedWorkers = 32
-	// backfillSafety is the multiple of its expected run time after which a task surely has ended.
-	backfillSafety = 1.5
+	// sureShare is the share of a queue's tasks that have ended by the time after which one is taken
+	// to have ended surely.
+	sureShare = 0.95
+	// firstSureRatio is the multiple of the expected run time that is assumed for it at first.
+	firstSureRatio = 4
 	// yieldMargin is the time before its latest start from which on an urgent task need not wait
 	// for a reservation of a less urgent one.
 	yieldMargin = 200 * time.Millisecond
@@ -70,6 +73,26 @@
 	backfillsLeft int            // looks at reserved workers, for the present decision
 	countedAt     time.Time      // when Kept was last updated
 	counts        Reservations
+	ratios        map[string]*runRatios // by queue
+}
+
+// runRatios are what the run times of a queue's tasks are.
+type runRatios struct {
+	median ahead.Quantile // multiple of the declared run time
+	sure   ahead.Quantile // multiple of the expected run time within which tasks surely end
+}
+
+// ratiosOf returns the ratios of a queue.
+func (l *lookAhead) ratiosOf(queue string) *runRatios {
+	r := l.ratios[queue]
+	if r == nil {
+		if l.ratios == nil {
+			l.ratios = map[string]*runRatios{}
+		}
+		r = &runRatios{ahead.NewQuantile(0.5, 1), ahead.NewQuantile(sureShare, firstSureRatio)}
+		l.ratios[queue] = r
+	}
+	return r
 }
 
 // reservation keeps room on a worker for one task of a step.
@@ -108,10 +131,17 @@
 }
 
 // recordRunTime records the run time of a task that is done.
-func (b *Board) recordRunTime(e *jobEntry, a *Attempt, runTime time.Duration) {
+func (b *Board) recordRunTime(e *jobEntry, a *Attempt, runTime time.Duration, now time.Time) {
 	if !b.ahead.on || a.firstPercent > 0 || a.step.Checkpoints && a.Number > b.baseAttempt+1 {
 		return // an earlier attempt or owner has seen part of the work
 	}
+	ratios := b.ahead.ratiosOf(e.job.Queue)
+	if expected := b.newRun(e, a.stepKey(), now).End(now).Sub(now); expected > 0 {
+		ratios.sure.Add(float64(runTime) / float64(expected))
+	}
+	if a.step.Estimate > 0 {
+		ratios.median.Add(float64(runTime) / float64(a.step.Estimate))
+	}
 	if e.runTimes == nil {
 		e.runTimes = map[stepKey]runTimes{}
 	}
@@ -138,7 +168,7 @@
 	step := &e.job.Steps[key.step]
 	return ahead.Run{
 		Claim: step.Claim(), Since: since, Typical: e.runTimes[key].mean(),
-		Estimate: time.Duration(b.estimates.factor(e.job.Queue) * float64(step.Estimate)),
+		Estimate: time.Duration(b.ahead.ratiosOf(e.job.Queue).median.Value() * float64(step.Estimate)),
 	}
 }
 
@@ -324,7 +354,7 @@
 			continue
 		}
 		if end.IsZero() {
-			end = now.Add(time.Duration(backfillSafety * float64(b.newRun(c.entry, c.key, now).End(now).Sub(now))))
+			end = now.Add(time.Duration(b.ahead.ratiosOf(c.entry.job.Queue).sure.Value() * float64(b.newRun(c.entry, c.key, now).End(now).Sub(now))))
 		}
 		switch {
 		case r.Admits(claim, end):
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -411,7 +411,7 @@
 	}
 	if !a.ConfirmedAt.IsZero() {
 		b.estimates.add(e.job.Queue, a.step, now.Sub(a.ConfirmedAt))
-		b.recordRunTime(e, a, now.Sub(a.ConfirmedAt))
+		b.recordRunTime(e, a, now.Sub(a.ConfirmedAt), now)
 	}
 	e.progress.MarkDone(a.Task)
 	if a.step.Speculative {
