--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -172,6 +172,12 @@
 	}
 }
 
+// sureEnd returns by when a step's task that starts now surely has ended.
+func (b *Board) sureEnd(e *jobEntry, key stepKey, now time.Time) time.Time {
+	expected := b.newRun(e, key, now).End(now).Sub(now)
+	return now.Add(time.Duration(b.ahead.ratiosOf(e.job.Queue).sure.Value() * float64(expected)))
+}
+
 // timeline returns when room on a worker comes free.
 func (b *Board) timeline(w *worker, now time.Time) ahead.Timeline {
 	b.examined += uint64(len(w.attempts))
@@ -354,7 +360,7 @@
 			continue
 		}
 		if end.IsZero() {
-			end = now.Add(time.Duration(b.ahead.ratiosOf(c.entry.job.Queue).sure.Value() * float64(b.newRun(c.entry, c.key, now).End(now).Sub(now))))
+			end = b.sureEnd(c.entry, c.key, now)
 		}
 		switch {
 		case r.Admits(claim, end):
@@ -402,7 +408,7 @@
 	e, l := c.entry, &b.ahead
 	step := &e.job.Steps[c.key.step]
 	n := min(len(tasks)-e.reserved[c.key], b.reservationsAllowed()-len(l.reservations))
-	if n <= 0 || b.unconfirmed(e, now) && !step.Speculative || !b.hasLabel(step.Label) {
+	if n <= 0 || b.unconfirmed(e, now) && !step.Speculative || !b.hasLabel(step.Label) || !b.withinAllotment(e, step.Claim()) {
 		return e.reserved[c.key] > 0
 	}
 	l.scansLeft--
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -244,3 +244,44 @@
 	}
 	return nil
 }
+
+// Reservations returns the workers that are reserved ahead, with the jobs for which they are.
+func (b *Board) Reservations() map[string]jobs.ID {
+	reserved := map[string]jobs.ID{}
+	for _, r := range b.ahead.reservations {
+		reserved[r.worker.Key] = r.candidate.entry.job.ID
+	}
+	return reserved
+}
+
+// CheckReservations returns an error if a batch task waits though a worker has room for it that it
+// could use without delaying a reservation.
+func (b *Board) CheckReservations(now time.Time) error {
+	ahead := map[*worker]*reservation{}
+	for _, r := range b.ahead.reservations {
+		ahead[r.worker] = r
+	}
+	if allowed := b.reservationsAllowed(); len(ahead) > allowed || len(ahead) != len(b.ahead.reservations) {
+		return fmt.Errorf("%d reservations of %d workers, allowed are %d", len(b.ahead.reservations), len(ahead), allowed)
+	}
+	for id, e := range b.jobs {
+		for key := range e.waiting {
+			step := &e.job.Steps[key.step]
+			tasks, _ := b.splitSuspects(candidate{entry: e, key: key})
+			if len(tasks) == 0 || step.LongRunning || step.Gang || e.progress.Final != "" {
+				continue
+			}
+			end := b.sureEnd(e, key, now)
+			for _, w := range b.workers {
+				r := ahead[w]
+				if !step.Claim().Fits(w.free()) || !b.accepts(e, step, tasks[0], w, now) || w.reserved && r == nil {
+					continue
+				}
+				if r == nil || r.candidate.entry == e && r.candidate.key == key || r.Admits(step.Claim(), end) {
+					return fmt.Errorf("%s of %s waits, though it could start on %s", tasks[0], id, w.Key)
+				}
+			}
+		}
+	}
+	return nil
+}
