--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -82,17 +82,16 @@
 	sure   ahead.Quantile // multiple of the expected run time within which tasks surely end
 }
 
+func newRunRatios() *runRatios {
+	return &runRatios{ahead.NewQuantile(0.5, 1), ahead.NewQuantile(sureShare, firstSureRatio)}
+}
+
 // ratiosOf returns the ratios of a queue.
 func (l *lookAhead) ratiosOf(queue string) *runRatios {
-	r := l.ratios[queue]
-	if r == nil {
-		if l.ratios == nil {
-			l.ratios = map[string]*runRatios{}
-		}
-		r = &runRatios{ahead.NewQuantile(0.5, 1), ahead.NewQuantile(sureShare, firstSureRatio)}
-		l.ratios[queue] = r
+	if r := l.ratios[queue]; r != nil {
+		return r
 	}
-	return r
+	return newRunRatios()
 }
 
 // reservation keeps room on a worker for one task of a step.
@@ -135,7 +134,14 @@
 	if !b.ahead.on || a.firstPercent > 0 || a.step.Checkpoints && a.Number > b.baseAttempt+1 {
 		return // an earlier attempt or owner has seen part of the work
 	}
-	ratios := b.ahead.ratiosOf(e.job.Queue)
+	ratios := b.ahead.ratios[e.job.Queue]
+	if ratios == nil {
+		ratios = newRunRatios()
+		if b.ahead.ratios == nil {
+			b.ahead.ratios = map[string]*runRatios{}
+		}
+		b.ahead.ratios[e.job.Queue] = ratios
+	}
 	if expected := b.newRun(e, a.stepKey(), now).End(now).Sub(now); expected > 0 {
 		ratios.sure.Add(float64(runTime) / float64(expected))
 	}
--- a/internal/place/ahead_load_test.go
+++ b/internal/place/ahead_load_test.go
@@ -101,6 +101,13 @@
 // place decides, starts what was ordered, and returns how much that is.
 func (l *aheadLoad) place() int {
 	starts := l.decide()
+	l.run(starts)
+	l.kept += l.TakeReservations().Kept
+	return len(starts)
+}
+
+// run lets started tasks run.
+func (l *aheadLoad) run(starts []place.StartOrder) {
 	for _, s := range starts {
 		l.starts[s.Task] = s
 		runTime := time.Duration((0.5 + l.rng.Float64()) * float64(time.Second))
@@ -111,8 +118,6 @@
 			l.waits[s.Spec] = append(l.waits[s.Spec], l.now.Sub(l.added[s.Task.Job]))
 		}
 	}
-	l.kept += l.TakeReservations().Kept
-	return len(starts)
 }
 
 func cmpTask(x, y jobs.Task) int {
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -42,6 +42,16 @@
 	runTimes       map[stepKey]runTimes     // of finished tasks, if placement looks ahead
 }
 
+func newJobEntry(j jobs.Job, p *jobs.Progress) *jobEntry {
+	criticalPaths := j.CriticalPaths()
+	return &jobEntry{
+		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
+		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
+		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
+		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
+	}
+}
+
 // backoff delays the restart of a long-running task.
 type backoff struct {
 	until time.Time
@@ -135,13 +145,7 @@
 	// replay sees the same time.
 	j.Submitted = j.Submitted.Add(-time.Duration(j.Submitted.Nanosecond() % int(time.Millisecond)))
 	b.recordAdd(j, p, now)
-	criticalPaths := j.CriticalPaths()
-	e := &jobEntry{
-		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
-		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
-		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
-		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
-	}
+	e := newJobEntry(j, p)
 	b.jobs[j.ID] = e
 	b.routes[j.Route]++
 	if p.Final != "" {
