where: tells where a job would go now and why, without submitting it; one of eight workers may be reserved

Cause: operators asked for it. With one of sixteen, wide steps of large tasks wait long for their last task. Change: papayarudder where, GET /jobs/ID/where and POST /where, the call Peer.Where; the owner answers from its board. TestReservationsStayWithinAllotments has half the workers, so that three reservations are still allowed.

--- a/cmd/papayarudder/job_test.go
+++ b/cmd/papayarudder/job_test.go
@@ -75,6 +75,17 @@
 	})
 	command("job", "submit", "--queue", "labels", bad)
 	command("job", "submit", "--queue", "none", short)
+	waitFor(t, func() bool {
+		var out bytes.Buffer
+		run(context.Background(), []string{"where", "--queue", "labels", short}, &out, &out)
+		return bytes.Contains(out.Bytes(), []byte("2 can start it"))
+	})
+	large := file("large.json", `{"spec":"1s","steps":[{"count":1,"cpu":900000,"estimate-ms":100}]}`)
+	command("where", "--queue", "labels", "--workers", short)
+	command("where", "--queue", "labels", "--json", large)
+	command("where", "--queue", "labels", bad)
+	command("where", "--queue", "none", short)
+	command("where", "00000000000000ff")
 	if code := run(context.Background(), []string{"job", "submit", "--queue", "labels", lasting}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitOK {
 		t.Fatalf("submit: exit %d", code)
 	}
@@ -84,6 +95,7 @@
 		return bytes.Contains(out.Bytes(), []byte("active"))
 	})
 	command("job", "show", "00000000000000a2")
+	command("where", "00000000000000a2")
 	if code := run(context.Background(), []string{"job", "submit", "--queue", "labels", short}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitOK {
 		t.Fatalf("submit: exit %d", code)
 	}
@@ -100,6 +112,9 @@
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
+	if code := run(context.Background(), []string{"where", "--queue", "labels", short}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitFailed {
+		t.Errorf("where without a process: exit %d, want %d", code, exitFailed)
+	}
 	flush()
 	logFile := file("entry-1.log", log.String())
 	if code := run(context.Background(), []string{"explain", "00000000000000a1", logFile}, &bytes.Buffer{}, &bytes.Buffer{}); code != exitOK {
--- a/cmd/papayarudder/main.go
+++ b/cmd/papayarudder/main.go
@@ -39,6 +39,7 @@
 	Daemon        *daemonCommand     `arg:"subcommand:daemon" help:"run one process of the system on the users' platform"`
 	CheckSettings *settingsCommand   `arg:"subcommand:check-settings" help:"check settings files whole"`
 	Job           *jobCommand        `arg:"subcommand:job" help:"submit, show, watch, cancel and list jobs"`
+	Where         *whereCommand      `arg:"subcommand:where" help:"tell where a job would go now and why, without submitting it"`
 	Wave          *waveCommand       `arg:"subcommand:wave" help:"list maintenance waves"`
 	Explain       *explainCommand    `arg:"subcommand:explain" help:"tell the story of a job from logs"`
 	Ticket        *ticketCommand     `arg:"subcommand:ticket" help:"submit, show and list change tickets"`
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -36,6 +36,8 @@
 	mux.HandleFunc("POST "+admin.PathJobs, d.adminHandler(d.adminSubmit))
 	mux.HandleFunc("GET "+admin.PathJobs+"/{id}", d.adminHandler(d.adminJob))
 	mux.HandleFunc("DELETE "+admin.PathJobs+"/{id}", d.adminHandler(d.adminCancel))
+	mux.HandleFunc("GET "+admin.PathJobs+"/{id}/where", d.adminHandler(d.adminWhereJob))
+	mux.HandleFunc("POST "+admin.PathWhere, d.adminHandler(d.adminWhere))
 	mux.HandleFunc("GET "+admin.PathJobPools, d.adminHandler(d.adminPools))
 	mux.HandleFunc("GET "+admin.PathWaves, d.adminHandler(d.adminWaves))
 	return mux
@@ -154,18 +156,22 @@
 	return jobWire(name, v), nil
 }
 
-func (d *Daemon) adminSubmit(r *http.Request) (any, error) {
+// decodeSubmission decodes the job that an operator submits to a queue.
+func (d *Daemon) decodeSubmission(r *http.Request) (*configuration, platform.Queue, jobs.Job, error) {
+	fail := func(err error) (*configuration, platform.Queue, jobs.Job, error) {
+		return nil, platform.Queue{}, jobs.Job{}, err
+	}
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxSubmissionBytes))
 	if err != nil {
-		return nil, errors.Wrap(jobs.ErrInvalid, err.Error())
+		return fail(errors.Wrap(jobs.ErrInvalid, err.Error()))
 	}
 	j, err := jobs.DecodeUnvalidated(data)
 	if err != nil {
-		return nil, err
+		return fail(err)
 	}
 	c := d.config.Load()
 	if c == nil {
-		return nil, errors.Wrap(errStateUnknown, "no configuration yet")
+		return fail(errors.Wrap(errStateUnknown, "no configuration yet"))
 	}
 	q, found := platform.Queue{}, false
 	for _, known := range c.Queues {
@@ -174,14 +180,19 @@
 		}
 	}
 	if !found {
-		return nil, errors.Wrapf(errNoQueue, "%.60q", r.URL.Query().Get("queue"))
+		return fail(errors.Wrapf(errNoQueue, "%.60q", r.URL.Query().Get("queue")))
 	}
 	if j.ID == "" {
 		j.ID = jobs.ID(strings.ReplaceAll(uuid.NewString(), "-", "")[:16])
 	}
 	j.Queue, j.Pool, j.Route, j.Submitted = q.Name, q.Pool, q.Route(), time.Now()
 	j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
-	if err := j.Validate(); err != nil {
+	return c, q, j, j.Validate()
+}
+
+func (d *Daemon) adminSubmit(r *http.Request) (any, error) {
+	c, q, j, err := d.decodeSubmission(r)
+	if err != nil {
 		return nil, err
 	}
 	row, err := j.Encode()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -206,6 +206,7 @@
 	Load     place.Load
 	Jobs     []place.JobView
 	Vacated  map[string]pool.Vacated // by worker; those that the pool does not have are missing
+	Where    []place.StepPlacement
 }
 
 // set replaces the reply, but for what tells who answers.
--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -15,7 +15,7 @@
 // are backfilled on its worker meanwhile. See docs/design/look-ahead.md.
 const (
 	// reservedWorkers is the number of workers that accept tasks for each one that may be reserved.
-	reservedWorkers = 16
+	reservedWorkers = 8
 	// maxReservations limits the workers that are reserved at a time in a pool of any size.
 	maxReservations = 16
 	// reservationHorizon is how far ahead the start of a reservation may be expected.
--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -113,11 +113,11 @@
 // Load: two organisations with large jobs beside full workers. Guards against room that is kept for
 // a job whose organisation may not use it.
 func TestReservationsStayWithinAllotments(t *testing.T) {
-	f := newTestBoard(0, 48) // 3 reservations are allowed
+	f := newTestBoard(0, 24) // 3 reservations are allowed
 	f.SetLookAhead(true)
 	f.SetAllotment("a", jobs.Resources{Millicores: 5000, MemoryMB: 5000})
 	f.SetAllotment("b", jobs.Resources{Millicores: 9000, MemoryMB: 9000})
-	f.add(newJob(1, batch(4*48, 1000)))
+	f.add(newJob(1, batch(4*24, 1000)))
 	f.decide()
 	of := map[jobs.ID]string{}
 	for i, organisation := range []string{"a", "a", "b"} {
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -90,7 +90,7 @@
 		t = tasks[0]
 	}
 	c := newCandidate(e, key, b.estimates.factor(e.job.Queue), now)
-	p := StepPlacement{Step: key.step, Tasks: step.Count, Claim: step.Claim(), Class: classNames[c.class], Blocked: b.blocked(e, step, now)}
+	p := StepPlacement{Step: key.step, Tasks: step.Count, Claim: step.Claim(), Class: classNames[c.class], Blocked: b.blocked(e, key, now)}
 	for _, o := range b.pending.steps {
 		if tasks := o.entry.waiting[o.key]; len(tasks) > 0 && (o.entry != e || o.key != key) && compareCandidates(o, c) < 0 {
 			p.StepsAhead++
@@ -154,9 +154,14 @@
 }
 
 // blocked returns why a step waits whatever room there is, "" if it does not.
-func (b *Board) blocked(e *jobEntry, step *jobs.Step, now time.Time) string {
-	o := b.organisations[e.job.Organisation]
+func (b *Board) blocked(e *jobEntry, key stepKey, now time.Time) string {
+	step, o := &e.job.Steps[key.step], b.organisations[e.job.Organisation]
+	known := b.jobs[e.job.ID] == e
 	switch {
+	case known && !e.progress.Ready(key.occurrence, key.step):
+		return "earlier steps are not done"
+	case known && e.enqueuedSteps[key] && len(e.waiting[key]) == 0:
+		return "none of its tasks waits"
 	case now.Before(e.suspendedUntil):
 		return "a decision about the job panicked: it is suspended"
 	case b.unconfirmed(e, now) && !step.Speculative:
