--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -79,11 +79,23 @@
 // runRatios are what the run times of a queue's tasks are.
 type runRatios struct {
 	median ahead.Quantile // multiple of the declared run time
-	sure   ahead.Quantile // multiple of the expected run time within which tasks surely end
+	// Multiples of the expected run time within which tasks surely end: of steps of which others
+	// have ended, and of steps of which none has.
+	sureTypical  ahead.Quantile
+	sureDeclared ahead.Quantile
 }
 
 func newRunRatios() *runRatios {
-	return &runRatios{ahead.NewQuantile(0.5, 1), ahead.NewQuantile(sureShare, firstSureRatio)}
+	sure := ahead.NewQuantile(sureShare, firstSureRatio)
+	return &runRatios{ahead.NewQuantile(0.5, 1), sure, sure}
+}
+
+// sure returns the ratio within which tasks surely end.
+func (r *runRatios) sure(typical bool) *ahead.Quantile {
+	if typical {
+		return &r.sureTypical
+	}
+	return &r.sureDeclared
 }
 
 // ratiosOf returns the ratios of a queue.
@@ -143,7 +155,7 @@
 		b.ahead.ratios[e.job.Queue] = ratios
 	}
 	if expected := b.newRun(e, a.stepKey(), now).End(now).Sub(now); expected > 0 {
-		ratios.sure.Add(float64(runTime) / float64(expected))
+		ratios.sure(e.runTimes[a.stepKey()].n > 0).Add(float64(runTime) / float64(expected))
 	}
 	if a.step.Estimate > 0 {
 		ratios.median.Add(float64(runTime) / float64(a.step.Estimate))
@@ -181,7 +193,12 @@
 // sureEnd returns by when a step's task that starts now surely has ended.
 func (b *Board) sureEnd(e *jobEntry, key stepKey, now time.Time) time.Time {
 	expected := b.newRun(e, key, now).End(now).Sub(now)
-	return now.Add(time.Duration(b.ahead.ratiosOf(e.job.Queue).sure.Value() * float64(expected)))
+	return now.Add(time.Duration(b.sureRatio(e, key) * float64(expected)))
+}
+
+// sureRatio returns the multiple of its expected run time within which a step's task surely ends.
+func (b *Board) sureRatio(e *jobEntry, key stepKey) float64 {
+	return b.ahead.ratiosOf(e.job.Queue).sure(e.runTimes[key].n > 0).Value()
 }
 
 // timeline returns when room on a worker comes free.
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -127,19 +127,19 @@
 	case best != nil:
 		p.Worker = best.ID
 	case !p.ExpectedStart.IsZero():
-		b.delayByQueue(&p, e.job.Queue, now)
+		b.delayByQueue(&p, e, key, now)
 	}
 	return p
 }
 
 // delayByQueue adds the time that what goes before a step takes to its expected start.
-func (b *Board) delayByQueue(p *StepPlacement, queue string, now time.Time) {
+func (b *Board) delayByQueue(p *StepPlacement, e *jobEntry, key stepKey, now time.Time) {
 	if total := b.pending.totalMillicores(); total > 0 {
 		share := float64(p.MillicoresAhead) / float64(total)
 		p.ExpectedStart = p.ExpectedStart.Add(time.Duration(share * float64(p.ExpectedStart.Sub(now))))
 	}
-	if r := b.ahead.ratios[queue]; r != nil {
-		p.Error = time.Duration(max(0, r.sure.Value()-1) * float64(p.ExpectedStart.Sub(now)))
+	if b.ahead.ratios[e.job.Queue] != nil {
+		p.Error = time.Duration(max(0, b.sureRatio(e, key)-1) * float64(p.ExpectedStart.Sub(now)))
 	}
 }
 
