--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -211,6 +211,7 @@
 	Load     place.Load
 	Jobs     []place.JobView
 	Vacated  map[string]pool.Vacated // by worker; those that the pool does not have are missing
+	Where    []place.StepPlacement
 
 	Organisations []pool.OrganisationView
 }
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -37,6 +37,19 @@
 	lasting        map[stepKey]*lastingStep // long-running steps that have or had attempts
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
+	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
+	reserved       map[stepKey]int          // how many reservations a step has; nil if none had any
+	runTimes       map[stepKey]runTimes     // of finished tasks, if placement looks ahead
+}
+
+func newJobEntry(j jobs.Job, p *jobs.Progress) *jobEntry {
+	criticalPaths := j.CriticalPaths()
+	return &jobEntry{
+		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
+		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
+		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
+		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
+	}
 }
 
 // backoff delays the restart of a long-running task.
@@ -53,6 +66,9 @@
 	Missing func(MissingAttempt)
 	// Looked, if set, receives each job that a decision looks at, once or more often.
 	Looked func(jobs.ID)
+	// Waited, if set, receives the wait of each step of batch tasks once all of them have been
+	// started.
+	Waited func(Wait)
 
 	policy           Policy
 	baseAttempt      int // this owner numbers its attempts from baseAttempt+1
@@ -84,6 +100,7 @@
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
 	suspectsTurnAt   time.Time       // when that last changed
 	organisations    map[string]*organisation
+	ahead            lookAhead
 	focus            focus // of the present decision, or of one that panicked
 	examined         uint64
 	listings         uint64 // applied so far
@@ -128,13 +145,7 @@
 	// replay sees the same time.
 	j.Submitted = j.Submitted.Add(-time.Duration(j.Submitted.Nanosecond() % int(time.Millisecond)))
 	b.recordAdd(j, p, now)
-	criticalPaths := j.CriticalPaths()
-	e := &jobEntry{
-		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
-		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
-		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
-		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
-	}
+	e := newJobEntry(j, p)
 	b.jobs[j.ID] = e
 	b.routes[j.Route]++
 	if p.Final != "" {
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -87,7 +87,11 @@
 				l.Lasting += waiting
 			}
 			l.MemoryHosts += memoryHosts(step.Claim(), waiting, largest)
-			l.Wanted += waiting * step.Claim().Millicores
+			if b.ahead.on {
+				l.Wanted += roundedDemand(step, waiting, largest, b.policy.ReserveShare)
+			} else {
+				l.Wanted += waiting * step.Claim().Millicores
+			}
 			l.Largest = max(l.Largest, step.Claim().Millicores)
 		}
 	}
