--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -88,6 +88,7 @@
 	crashes       bool // workers crash, most often right after a start, and jobs are suspended
 	checkReserved bool
 	quotas        bool // jobs are of organisations whose allotments change
+	lookAhead     bool
 	suspended     map[jobs.ID]time.Time
 	allotments    map[string]jobs.Resources // of the present owner's board
 }
@@ -139,6 +140,7 @@
 	clear(s.allotments)
 	s.advised = true
 	s.board.SetAdvised(map[string]bool{"advised": true})
+	s.board.SetLookAhead(s.lookAhead)
 	for _, j := range s.jobs {
 		p := jobs.NewProgress(j)
 		if data := s.stored[j.ID]; data != nil {
@@ -232,6 +234,13 @@
 	if s.err == nil {
 		s.err = s.board.CheckClaims()
 	}
+	r := s.board.TakeReservations()
+	s.counts["reservations made"] += r.Made
+	s.counts["reservations used"] += r.Used
+	s.counts["backfilled"] += r.Backfilled
+	for cause, n := range r.GivenUp {
+		s.counts[string(cause)] += n
+	}
 	if s.err == nil {
 		s.err = s.board.CheckPending()
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -196,6 +196,7 @@
 	claimedAt           time.Time
 	summarizedAt        time.Time
 	loop                loopStats
+	stepWaits           stepWaits
 	startRate           startRate
 	holdPause           holdPause
 	flushing            bool
@@ -225,6 +226,8 @@
 	// Retention is how long ended jobs are kept, so that their callers can ask for
 	// their states; 0 keeps them for ever.
 	Retention time.Duration
+	// LookAhead makes placement reserve workers for large tasks that fit none.
+	LookAhead bool
 	// Recording records every scheduling step, nil for none.
 	Recording *event.Log
 	// HandOver offers the pool to other processes after this one has lost the
@@ -307,6 +310,7 @@
 	if s.Recording != nil {
 		trace.RecordBoard(s.Recording, own.Pool, base, board)
 	}
+	board.SetLookAhead(s.LookAhead)
 	o := &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, maxLease: s.MaxLease, retention: s.Retention,
@@ -315,12 +319,13 @@
 		board:      board,
 		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, refused: map[string]map[RefusalCause]int{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
-		queues: map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
+		stepWaits: newStepWaits(),
+		queues:    map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
 		quotas: newQuotas(), hintQuota: s.HintQuota,
 	}
 	o.taskLog = logs.NewFrequent(o.log)
-	o.board.Missing, o.board.Looked = o.logMissing, s.Looked
+	o.board.Missing, o.board.Looked, o.board.Waited = o.logMissing, s.Looked, o.stepWaits.add
 	o.status.paused = func(pause time.Duration) {
 		o.log.WithField("ms", pause.Milliseconds()).Info("process was paused: leases, orders and answers wait until the store confirms the ownership")
 	}
@@ -503,6 +508,12 @@
 		if s := o.board.Summary(now); s.Jobs > 0 {
 			o.log.WithFields(o.loop.fields()).WithField("hold-pause-ms", o.holdPause.pause.Load()/int64(time.Millisecond)).WithField("state", fmt.Sprintf("%+v", s)).Info("pool state")
 		}
+		if waits := o.stepWaits.take(); waits != nil {
+			o.log.WithFields(waits).Info("step waits")
+		}
+		if fields := reservationFields(o.board.TakeReservations()); fields != nil {
+			o.log.WithFields(fields).Info("reservations")
+		}
 		o.loop.reset()
 		if o.retention > 0 {
 			o.expireJobs(now)
