pool: a removed organisation keeps its quota under a next owner

Cause: the next owner of a pool knew the quotas of the configuration only; and owners that contend for a row retried within 40 ms however many they were. Change: an owner that reads a part of the table takes over the allotments of organisations that the configuration lacks; the delay after conflicts doubles up to a quarter of a second.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -38,8 +38,8 @@
 	declareTime     = time.Second            // for the owners of other pools to tell what an organisation claims that was not limited before
 	quotaIdleTime   = 10 * time.Second       // without a task, after which a pool keeps nothing
 	unusedTime      = 2 * time.Second        // after which tasks that wait for a worker give up more than their fair share
-	conflictDelay   = 4 * time.Millisecond   // longest delay after each conflict in a row
-	maxConflicts    = 10                     // that make the delay longer
+	conflictDelay   = 4 * time.Millisecond   // longest delay after a conflict; doubles with each further one in a row
+	maxConflicts    = 6                      // that make it longer
 	maxQuotaRows    = 45                     // in a transaction; each is expected and written
 	maxQuotaAmount  = 1 << 50                // stands for a capacity that is not known
 )
@@ -388,7 +388,7 @@
 	if !errors.Is(err, platform.ErrConflict) {
 		p.conflicts = 0
 	} else if p.conflicts > 1 { // many owners write at the same time
-		p.retryAt = now.Add(rand.N(time.Duration(min(p.conflicts, maxConflicts)) * conflictDelay))
+		p.retryAt = now.Add(rand.N(conflictDelay << min(p.conflicts, maxConflicts)))
 	}
 	for _, a := range accounts {
 		switch {
@@ -501,6 +501,26 @@
 		o.quotaRead(a, rows[a.name], now)
 		o.applyAllotment(a, now)
 	}
+	for name, r := range rows {
+		o.keepRemoved(name, r, now)
+	}
+}
+
+// keepRemoved keeps the quota of an organisation that was removed from the configuration, if the
+// pool has an allotment and thus may have jobs of it.
+func (o *Owner) keepRemoved(name string, r platform.Row, now time.Time) {
+	configured := slices.ContainsFunc(o.organisations, func(org platform.Organisation) bool { return org.Name == name })
+	if configured || o.quotas.accounts[name] != nil || r.Version == 0 {
+		return
+	}
+	row, err := quota.Decode(r.Value)
+	if err != nil || row.Pools[o.name].Size == (jobs.Resources{}) {
+		return
+	}
+	a := o.addQuotaAccount(name)
+	a.SetLimit(row.Version, row.Limit)
+	a.Learned(row, r.Version)
+	o.applyAllotment(a, now)
 }
 
 // endQuotas takes the pool out of the process's metrics.
