pool: callers of public queues reach no jobs of organisations, cancels of unknown ids hold for their organisation

Cause: a call on a public queue was not checked, and a job is found by its id alone: without a key anyone could see, cancel or claim to have submitted an organisation's job in the same pool. The cancel of an id that nobody had submitted held for whoever submitted it then.

Change: calls tell who asks (pool.Caller): an organisation, a public route or, from operators and earlier versions, nobody to check. The row of a cancelled id names the organisations whose submissions it cancels; one without names, as earlier versions write it, cancels all. An id that is cancelled again while it is being stored is stored again before that is acknowledged.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -198,9 +198,9 @@
 	})
 	switch reply.Verdict {
 	case pool.Accepted:
-	case pool.Refused, pool.Overloaded:
+	case pool.Refused, pool.Overloaded, pool.Forbidden, pool.Outdated:
 		return nil, errors.Newf("job %s was refused and has not run", j.ID)
-	case pool.Unknown, pool.Missing, pool.Closed, pool.Forbidden, pool.Outdated:
+	case pool.Unknown, pool.Missing, pool.Closed:
 		return nil, errors.Wrapf(errStateUnknown, "job %s may have been accepted; submit it again under its id", j.ID)
 	}
 	views, err := d.jobViews(ctx, q.Pool, string(j.ID))
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -161,7 +161,7 @@
 	j, err := platform.DecodeJob(body)
 	if err == nil {
 		j.ID, j.Queue, j.Pool, j.Route, j.Submitted = id, q.Name, q.Pool, q.Route(), time.Now()
-		j.Organisation = a.caller.organisation
+		j.Organisation = a.caller.Organisation
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
 		err = j.Validate()
 	}
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -37,21 +37,21 @@
 
 // caller tells on whose behalf a call is made.
 type caller struct {
-	organisation string // empty if it is not checked
-	version      uint64 // of the configuration of the process that checked its key, 0 if that is not known
+	pool.Caller
+	version uint64 // of the configuration of the process that checked its key, 0 if that is not known
 }
 
 // args returns the arguments of a call about a pool whatever the route.
-func (c caller) args(pool, name string) RoutedArgs {
-	return RoutedArgs{Pool: pool, Name: name, Version: c.version, Organisation: c.organisation}
+func (c caller) args(name, id string) RoutedArgs {
+	return RoutedArgs{Pool: name, Name: id, Version: c.version, Organisation: c.Organisation, PublicRoute: c.PublicRoute}
 }
 
 // rejects reports whether this process has a later configuration than the one that checked the
 // caller's key, and the organisation is not in it any more.
 func (d *Daemon) rejects(c caller) bool {
 	config := d.config.Load()
-	return c.organisation != "" && config != nil && config.Version > c.version && c.version > 0 &&
-		!slices.ContainsFunc(config.Organisations, func(o platform.Organisation) bool { return o.Name == c.organisation })
+	return c.Organisation != "" && config != nil && config.Version > c.version && c.version > 0 &&
+		!slices.ContainsFunc(config.Organisations, func(o platform.Organisation) bool { return o.Name == c.Organisation })
 }
 
 // checkKey returns the organisation of a caller's key, empty if the queue needs none, or the
@@ -92,8 +92,11 @@
 	a := admission{config: c}
 	a.queue, a.rest, a.found = findQueue(c.Queues, r.Host, r.URL.Path)
 	if a.found {
-		a.caller.organisation, a.cause = c.checkKey(r, a.queue)
+		a.caller.Organisation, a.cause = c.checkKey(r, a.queue)
 		a.caller.version = c.Version
+		if a.queue.Public && c.keys != nil {
+			a.caller.PublicRoute = a.queue.Route()
+		}
 	}
 	return a
 }
@@ -155,7 +158,7 @@
 	metricCallsRefused(cause).Inc()
 	id, _ := jobs.ParseID(a.rest) // empty if the call names none
 	d.refusals.Info("call refused for its key", logs.Text("cause", string(cause)), logs.Text("queue", a.queue.Name),
-		logs.Text("job", string(id)), logs.Text("organisation", a.caller.organisation))
+		logs.Text("job", string(id)), logs.Text("organisation", a.caller.Organisation))
 	return d.refuse(w, status, refusalReasons[cause])
 }
 
--- a/internal/daemon/keys_test.go
+++ b/internal/daemon/keys_test.go
@@ -51,6 +51,10 @@
 	}
 }
 
+func checked(organisation string, version uint64) caller {
+	return caller{pool.Caller{Organisation: organisation}, version}
+}
+
 func keyed(version uint64, organisations ...platform.Organisation) *configuration {
 	return newConfiguration(platform.Config{
 		Version: version, Organisations: organisations,
@@ -95,9 +99,11 @@
 		want pool.Verdict
 	}{
 		{caller{}, pool.Accepted},
-		{caller{"north", 5}, pool.Accepted},
-		{caller{"east", 5}, pool.Forbidden},
-		{caller{"south", 2}, pool.Outdated},
+		{checked("north", 5), pool.Accepted},
+		{checked("east", 5), pool.Forbidden},
+		{checked("south", 2), pool.Outdated},
+		{caller{pool.Caller{PublicRoute: testRoute}, 5}, pool.Accepted}, // the queue is public by now
+		{caller{pool.Caller{PublicRoute: "a.example/open/"}, 5}, pool.Forbidden},
 	} {
 		for _, o := range []*pool.Owner{p1, p2} {
 			if got := d.state(t.Context(), o, id, testRoute, tt.from).Verdict; got != tt.want {
@@ -111,10 +117,10 @@
 			}
 		}
 	}
-	if got := d.pendingJobs(t.Context(), p1, "q", testRoute, caller{"south", 2}).Verdict; got != pool.Outdated {
+	if got := d.pendingJobs(t.Context(), p1, "q", testRoute, checked("south", 2)).Verdict; got != pool.Outdated {
 		t.Errorf("queue length: verdict %v, want %v", got, pool.Outdated)
 	}
-	if got := d.cancelJob(t.Context(), p2, id, testRoute, caller{"north", 5}).Verdict; got != pool.Accepted {
+	if got := d.cancelJob(t.Context(), p2, id, testRoute, checked("north", 5)).Verdict; got != pool.Accepted {
 		t.Errorf("cancel by its organisation: verdict %v, want %v", got, pool.Accepted)
 	}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -162,11 +162,16 @@
 	Route   string
 	Version uint64 // of the configuration that leads to this pool; 0 for a state or a length from a process of the last version
 
-	Organisation string // of the caller, empty if it is not checked, and from a process of a version without this field
+	// Organisation and PublicRoute are those of the caller, see pool.Caller; empty from a process
+	// of a version without these fields.
+	Organisation string
+	PublicRoute  string
 }
 
 // caller returns on whose behalf the call is made.
-func (a RoutedArgs) caller() caller { return caller{a.Organisation, a.Version} }
+func (a RoutedArgs) caller() caller {
+	return caller{pool.Caller{Organisation: a.Organisation, PublicRoute: a.PublicRoute}, a.Version}
+}
 
 // CloseRouteArgs names a pool that is to accept no more jobs of a route that was opened at
 // this version of the configuration or before.
@@ -327,7 +332,7 @@
 // Find reports whether a pool has a job of a route that is closed there.
 func (s *peerService) Find(args RoutedArgs, reply *Reply) error {
 	return s.withOwner(args.Pool, reply, func(ctx context.Context, o *pool.Owner) {
-		reply.Verdict, reply.Holds = o.FindFor(ctx, jobs.ID(args.Name), args.Route, args.Organisation)
+		reply.Verdict, reply.Holds = o.FindFor(ctx, jobs.ID(args.Name), args.Route, args.caller().Caller)
 	})
 }
 
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -275,7 +275,7 @@
 // with the given version of the configuration. If an earlier pool of the route has the job, it
 // stays there.
 func (d *Daemon) submit(ctx context.Context, o *pool.Owner, j jobs.Job, version uint64) Reply {
-	if d.rejects(caller{j.Organisation, version}) {
+	if d.rejects(caller{pool.Submitter(j), version}) {
 		return Reply{Verdict: pool.Outdated}
 	}
 	if j.Route == "" || version == 0 { // from a process of a version without routes
@@ -290,7 +290,7 @@
 			return Reply{Verdict: pool.Unknown}
 		}
 		if reply := d.findEarlier(ctx, row, j); reply.Verdict != pool.Missing {
-			if _, v := o.StateFor(ctx, j.ID, j.Organisation); v == pool.Accepted {
+			if _, v := o.StateFor(ctx, j.ID, pool.Submitter(j)); v == pool.Accepted {
 				return Reply{Verdict: v}
 			}
 			return reply
@@ -308,9 +308,10 @@
 // route's row that have no job of the route any more.
 func (d *Daemon) findEarlier(ctx context.Context, row routeRow, j jobs.Job) Reply {
 	var left []string
+	from := pool.Submitter(j)
 	reply := askOthers(row.Earlier, func(name string) (Reply, error) {
-		reply, err := d.askPool(ctx, name, row.Version, "Peer.Find", RoutedArgs{Pool: name, Name: string(j.ID), Route: j.Route, Organisation: j.Organisation}, func(o *pool.Owner) Reply {
-			v, holds := o.FindFor(ctx, j.ID, j.Route, j.Organisation)
+		reply, err := d.askPool(ctx, name, row.Version, "Peer.Find", RoutedArgs{Pool: name, Name: string(j.ID), Route: j.Route, Organisation: from.Organisation, PublicRoute: from.PublicRoute}, func(o *pool.Owner) Reply {
+			v, holds := o.FindFor(ctx, j.ID, j.Route, from)
 			return Reply{Verdict: v, Holds: holds}
 		})
 		if err != nil || reply.Verdict != pool.Missing || reply.Holds {
@@ -345,7 +346,7 @@
 	if d.rejects(from) {
 		return Reply{Verdict: pool.Outdated}
 	}
-	s, v := o.StateFor(ctx, id, from.organisation)
+	s, v := o.StateFor(ctx, id, from.Caller)
 	if v != pool.Missing || name == "" {
 		return Reply{Verdict: v, State: string(s)}
 	}
@@ -367,7 +368,7 @@
 	if d.rejects(from) {
 		return Reply{Verdict: pool.Outdated}
 	}
-	v := o.CancelFor(ctx, id, from.organisation)
+	v := o.CancelFor(ctx, id, from.Caller)
 	if v != pool.Missing || name == "" {
 		return Reply{Verdict: v}
 	}
--- a/internal/pool/cancelled.go
+++ b/internal/pool/cancelled.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -9,7 +11,8 @@
 
 // A submission may be held up on its way and arrive after the caller has cancelled the job. So
 // the id of an unknown job that is cancelled is stored before the cancel is acknowledged. A
-// submission with such an id is accepted as a job that is cancelled already.
+// submission with such an id is accepted as a job that is cancelled already, if it comes from an
+// organisation that has cancelled it.
 
 // minCancelRetention is for how long the id of an unknown job that was cancelled is kept at
 // least: longer than a process holds a submission, or a cut link holds its bytes.
@@ -20,24 +23,64 @@
 
 // cancelledID is the id of a job that was cancelled while it was unknown.
 type cancelledID struct {
-	storedAt time.Time // when it was stored or loaded, zero if it isn't stored yet
-	waiters  []chan Verdict
+	organisations []string  // whose submissions it cancels, all if there are none; empty for those by public routes
+	queued        bool      // it is to be stored, or stored again
+	storedAt      time.Time // when it was stored or loaded, zero if it isn't stored yet
+	waiters       []chan Verdict
+}
+
+// cancels reports whether the id cancels the submissions of a caller. Those that belong to no
+// organisation are cancelled by any.
+func (c *cancelledID) cancels(from Caller) bool {
+	return c != nil && (len(c.organisations) == 0 || from.Organisation == "" || slices.Contains(c.organisations, from.Organisation))
+}
+
+// covers reports whether the cancel of a caller changes nothing.
+func (c *cancelledID) covers(from Caller) bool {
+	return len(c.organisations) == 0 || from != Caller{} && slices.Contains(c.organisations, from.Organisation)
+}
+
+// add makes the id cancel the submissions of a caller's organisation as well, or all.
+func (c *cancelledID) add(from Caller) {
+	if from == (Caller{}) {
+		c.organisations = nil
+		return
+	}
+	c.organisations = append(c.organisations, from.Organisation)
+}
+
+// cancelledRow is the stored form of a [cancelledID].
+type cancelledRow struct {
+	Organisations []string `json:"organisations,omitempty"`
 }
 
 // cancelUnknown cancels a job that the pool does not have. The verdict is Missing as soon as
-// the id is durable.
-func (o *Owner) cancelUnknown(id jobs.ID, reply chan Verdict) {
+// that is durable.
+func (o *Owner) cancelUnknown(id jobs.ID, from Caller, reply chan Verdict) {
 	c := o.cancelledIDs[id]
 	switch {
 	case c == nil:
 		metricUnknownCancels.Inc()
 		o.log.WithField("job", id).Info("cancel of an unknown job")
-		o.cancelledIDs[id] = &cancelledID{waiters: []chan Verdict{reply}}
-		o.cancelledQueue = append(o.cancelledQueue, id)
-	case c.storedAt.IsZero():
-		c.waiters = append(c.waiters, reply)
-	default:
+		c = &cancelledID{}
+		c.add(from)
+		o.cancelledIDs[id] = c
+		o.queueCancelled(id, c)
+	case !c.covers(from):
+		c.add(from)
+		c.storedAt = time.Time{}
+		o.queueCancelled(id, c)
+	case !c.storedAt.IsZero():
 		reply <- Missing
+		return
+	}
+	c.waiters = append(c.waiters, reply)
+}
+
+func (o *Owner) queueCancelled(id jobs.ID, c *cancelledID) {
+	if !c.queued {
+		c.queued = true
+		o.cancelledQueue = append(o.cancelledQueue, id)
 	}
 }
 
@@ -45,16 +88,33 @@
 func (o *Owner) addCancelledIDs(c *commit) {
 	n := min(len(o.cancelledQueue), maxQueuedRows)
 	for _, id := range o.cancelledQueue[:n] {
-		c.rows = append(c.rows, platform.Row{Table: tableCancelled, Part: o.name, Key: string(id), Value: []byte("{}")})
+		cancelled := o.cancelledIDs[id]
+		cancelled.queued = false
+		value, err := json.Marshal(cancelledRow{cancelled.organisations})
+		if err != nil { // can't happen: it holds texts
+			value = []byte("{}")
+		}
+		c.rows = append(c.rows, platform.Row{Table: tableCancelled, Part: o.name, Key: string(id), Value: value})
 	}
 	c.cancelled = o.cancelledQueue[:n:n]
 	o.cancelledQueue = o.cancelledQueue[n:]
 }
 
-// cancelledStored handles that ids have become durable.
+// requeueCancelled queues ids again after a transaction that had no effect.
+func (o *Owner) requeueCancelled(ids []jobs.ID) {
+	for _, id := range ids {
+		o.queueCancelled(id, o.cancelledIDs[id])
+	}
+}
+
+// cancelledStored handles that ids have become durable. One that is to be stored again is not
+// durable for all that wait.
 func (o *Owner) cancelledStored(ids []jobs.ID, now time.Time) {
 	for _, id := range ids {
 		c := o.cancelledIDs[id]
+		if c.queued {
+			continue
+		}
 		c.storedAt = now
 		for _, w := range c.waiters {
 			w <- Missing
@@ -66,7 +126,12 @@
 // loadCancelledIDs takes in the stored ids.
 func (o *Owner) loadCancelledIDs(rows []platform.Row, now time.Time) {
 	for _, r := range rows {
-		o.cancelledIDs[jobs.ID(r.Key)] = &cancelledID{storedAt: now}
+		var w cancelledRow
+		if err := json.Unmarshal(r.Value, &w); err != nil { // then it cancels the submissions of all
+			o.log.WithField("job", r.Key).WithError(err).Error("decoding a cancelled id failed")
+			w = cancelledRow{}
+		}
+		o.cancelledIDs[jobs.ID(r.Key)] = &cancelledID{organisations: w.Organisations, storedAt: now}
 	}
 }
 
--- a/internal/pool/commit.go
+++ b/internal/pool/commit.go
@@ -282,7 +282,7 @@
 // requeueUnconfirmed queues again what a transaction without effect was to show or store for
 // callers that wait.
 func (o *Owner) requeueUnconfirmed(c *commit) {
-	o.cancelledQueue = append(c.cancelled, o.cancelledQueue...)
+	o.requeueCancelled(c.cancelled)
 	o.requeueClosures(c.closures)
 	o.confirmations = append(c.confirmations, o.confirmations...)
 }
--- a/internal/pool/org.go
+++ b/internal/pool/org.go
@@ -4,9 +4,35 @@
 	"context"
 	"maps"
 
+	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 )
 
+// Caller tells who asks about a job. A zero Caller is not checked, such as an operator.
+type Caller struct {
+	Organisation string // whose key it sent
+	PublicRoute  string // by which it came without a key; it reaches the jobs of nobody, and of this route
+}
+
+// mayAccess reports whether a caller may see and cancel a job. Jobs that the pool does not have
+// are open to all.
+func (o *Owner) mayAccess(id jobs.ID, c Caller) bool {
+	j, known := o.board.Job(id)
+	if s := o.pending[id]; !known && s != nil {
+		j = s.job
+	}
+	return c == Caller{} || j.Organisation == "" || j.Organisation == c.Organisation || c.PublicRoute != "" && j.Route == c.PublicRoute
+}
+
+// Submitter returns who submits a job. An empty organisation means a public route, as all that
+// submit jobs of organisations name them.
+func Submitter(j jobs.Job) Caller {
+	if j.Organisation == "" {
+		return Caller{PublicRoute: j.Route}
+	}
+	return Caller{Organisation: j.Organisation}
+}
+
 // RefusalCause says why a call of an organisation was refused.
 type RefusalCause string
 
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -96,7 +96,7 @@
 		switch s := o.pending[j.ID]; {
 		case !o.started, o.undecoded[j.ID]:
 			reply <- Unknown // it may be among the stored jobs, which are still being loaded
-		case !o.mayAccess(j.ID, j.Organisation):
+		case !o.mayAccess(j.ID, Submitter(j)):
 			o.countRefusal(j.Organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case o.board.Known(j.ID):
@@ -112,7 +112,7 @@
 		case o.storeUnreachable():
 			o.log.WithField("job", j.ID).WithField("store-down-ms", time.Since(o.storeDownSince).Milliseconds()).Info("job refused: it can't be stored")
 			reply <- Refused
-		case o.cancelledIDs[j.ID] != nil:
+		case o.cancelledIDs[j.ID].cancels(Submitter(j)):
 			progress, err := cancelledProgress(j).Encode()
 			if err != nil {
 				reply <- Unknown // can't happen: it holds the final state alone
@@ -141,17 +141,6 @@
 	return v, 0
 }
 
-// mayAccess reports whether an organisation may see and cancel a job. The name is empty if the
-// caller is not checked. Jobs that the pool does not have, and those without an organisation,
-// are open to all.
-func (o *Owner) mayAccess(id jobs.ID, organisation string) bool {
-	j, known := o.board.Job(id)
-	if s := o.pending[id]; !known && s != nil {
-		j = s.job
-	}
-	return organisation == "" || j.Organisation == "" || j.Organisation == organisation
-}
-
 func (o *Owner) queueSubmission(s *submission) {
 	o.pending[s.job.ID] = s
 	o.queue = append(o.queue, s)
@@ -175,22 +164,24 @@
 
 // Cancel cancels a job. Accepted means that its final state is durable, Missing that there is
 // no such job and that one with this id will not run if it is submitted yet.
-func (o *Owner) Cancel(ctx context.Context, id jobs.ID) Verdict { return o.CancelFor(ctx, id, "") }
+func (o *Owner) Cancel(ctx context.Context, id jobs.ID) Verdict {
+	return o.CancelFor(ctx, id, Caller{})
+}
 
-// CancelFor is [Owner.Cancel] for a caller with the key of an organisation. Forbidden means that
-// the job belongs to another one.
-func (o *Owner) CancelFor(ctx context.Context, id jobs.ID, organisation string) Verdict {
+// CancelFor is [Owner.Cancel] for a caller that is checked. Forbidden means that the job belongs
+// to an organisation that is not the caller's.
+func (o *Owner) CancelFor(ctx context.Context, id jobs.ID, from Caller) Verdict {
 	return o.ask(ctx, func(reply chan Verdict) {
 		switch {
-		case !o.mayAccess(id, organisation):
-			o.countRefusal(organisation, CauseOtherOrganisation)
+		case !o.mayAccess(id, from):
+			o.countRefusal(from.Organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case !o.started || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
 		case !o.board.Known(id) && o.flushing:
 			reply <- Unknown // the next owner stores it
 		case !o.board.Known(id):
-			o.cancelUnknown(id, reply)
+			o.cancelUnknown(id, from, reply)
 		default:
 			s, _ := o.board.State(id)
 			log := o.log.WithFields(logrus.Fields{"job": id, "state": s})
@@ -209,18 +200,18 @@
 
 // State returns a job's state. Accepted means that the state is valid.
 func (o *Owner) State(ctx context.Context, id jobs.ID) (jobs.State, Verdict) {
-	return o.StateFor(ctx, id, "")
+	return o.StateFor(ctx, id, Caller{})
 }
 
-// StateFor is [Owner.State] for a caller with the key of an organisation. Forbidden means that
-// the job belongs to another one.
-func (o *Owner) StateFor(ctx context.Context, id jobs.ID, organisation string) (jobs.State, Verdict) {
+// StateFor is [Owner.State] for a caller that is checked. Forbidden means that the job belongs to
+// an organisation that is not the caller's.
+func (o *Owner) StateFor(ctx context.Context, id jobs.ID, from Caller) (jobs.State, Verdict) {
 	var state jobs.State
 	v := o.ask(ctx, func(reply chan Verdict) {
 		s, known := o.board.State(id)
 		switch {
-		case !o.mayAccess(id, organisation):
-			o.countRefusal(organisation, CauseOtherOrganisation)
+		case !o.mayAccess(id, from):
+			o.countRefusal(from.Organisation, CauseOtherOrganisation)
 			reply <- Forbidden
 		case !o.started && !known || o.pending[id] != nil || o.undecoded[id]:
 			reply <- Unknown
--- a/internal/pool/routes.go
+++ b/internal/pool/routes.go
@@ -90,20 +90,20 @@
 // it was unknown. Missing is certain, and holds for as long as the job's route is closed.
 // With Missing, holds reports whether the pool may have any job of the route.
 func (o *Owner) Find(ctx context.Context, id jobs.ID, route string) (v Verdict, holds bool) {
-	return o.FindFor(ctx, id, route, "")
+	return o.FindFor(ctx, id, route, Caller{})
 }
 
-// FindFor is [Owner.Find] for a caller with the key of an organisation. Forbidden means that the
-// job belongs to another one.
-func (o *Owner) FindFor(ctx context.Context, id jobs.ID, route, organisation string) (v Verdict, holds bool) {
+// FindFor is [Owner.Find] for a caller that is checked. Forbidden means that the job belongs to an
+// organisation that is not the caller's.
+func (o *Owner) FindFor(ctx context.Context, id jobs.ID, route string, from Caller) (v Verdict, holds bool) {
 	v = o.ask(ctx, func(reply chan Verdict) {
 		c := o.cancelledIDs[id]
 		switch {
-		case o.started && !o.mayAccess(id, organisation):
+		case o.started && !o.mayAccess(id, from):
 			reply <- Forbidden
-		case !o.started, o.flushing, o.pending[id] != nil, o.undecoded[id], c != nil && c.storedAt.IsZero():
+		case !o.started, o.flushing, o.pending[id] != nil, o.undecoded[id], c.cancels(from) && c.storedAt.IsZero():
 			reply <- Unknown
-		case c != nil, o.board.Known(id):
+		case c.cancels(from), o.board.Known(id):
 			reply <- Accepted
 		default:
 			holds = len(o.cancelledIDs)+len(o.pending) > 0 || o.board.HasJobsOf(route)
