--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -416,8 +416,8 @@
 // mayReserveAhead reports whether a step of batch tasks may reserve workers.
 func (b *Board) mayReserveAhead(c candidate, largest jobs.Resources) bool {
 	l, step := &b.ahead, &c.entry.job.Steps[c.key.step]
-	return (c.class == classOnTime || c.class == classLate) && dominantShare(step.Claim(), largest) > b.policy.ReserveShare &&
-		l.scansLeft > 0 && len(l.reservations) < b.reservationsAllowed()
+	return l.scansLeft > 0 && len(l.reservations) < b.reservationsAllowed() &&
+		(c.class == classOnTime || c.class == classLate) && dominantShare(step.Claim(), largest) > b.policy.ReserveShare
 }
 
 // dominantShare returns the larger of the shares of processor time and memory that a claim takes.
