model, trace, soak: plays and replays with look-ahead

Cause: the new decisions had to be repeated from recordings, and to meet the faults of owners, workers and the store. Change: policies of experiments have look-ahead; the replay test runs each example with it too, the random protocol test of place with it or without; TestSoakLookAhead is one seed of the soak with it.

--- a/internal/model/file.go
+++ b/internal/model/file.go
@@ -263,6 +263,7 @@
 func (s *Scenario) readPolicy(r *reader, name string) {
 	p := NewPolicy(name)
 	p.Static = r.readBool("static", "hosts stay in their pools")
+	p.LookAhead = r.readBool("look-ahead", "large tasks reserve workers")
 	text := func(n float64) string { return strconv.FormatFloat(n, 'g', -1, 64) }
 	m := &p.Moves
 	m.PresentShare = r.number("present-share", text(m.PresentShare), "of what runs and waits a pool is sized for", 0, 10)
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -146,8 +146,10 @@
 type Policy struct {
 	Name   string
 	Static bool // hosts stay in their pools
-	Place  place.Policy
-	Moves  upkeep.MovePolicy
+	// LookAhead makes placement reserve workers for large tasks.
+	LookAhead bool
+	Place     place.Policy
+	Moves     upkeep.MovePolicy
 }
 
 // DefaultPolicyName names the product's own policy, which every scenario has.
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -70,6 +70,9 @@
 			trace.RecordBoard(log, name, 0, w.pools[name].board)
 		}
 	}
+	for _, name := range w.poolNames {
+		w.pools[name].board.SetLookAhead(policy.LookAhead)
+	}
 	w.fleetManager = newFleetManager(w)
 	w.begin()
 	end := epoch.Add(s.Fleet.Length + s.Fleet.Finish)
--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -80,6 +80,7 @@
 	stored        map[jobs.ID][]byte
 	capacities    []jobs.Resources // of the workers
 	usedWorkers   map[string]bool
+	lookAhead     bool
 	doneAcked     map[jobs.Task]bool
 	failuresAcked map[jobs.Task]int
 }
@@ -99,6 +100,7 @@
 		w.job.Steps[i].Speculative = copies
 	}
 	w.other = newJob(2, w.job.Steps...)
+	w.lookAhead = rapid.Bool().Draw(t, "look-ahead")
 	w.replaceOwner()
 	return w
 }
@@ -107,6 +109,7 @@
 func (w *simulation) replaceOwner() {
 	w.token++
 	f := &testBoard{Board: place.NewBoard(place.DefaultPolicy(), (w.token-1)*1000), now: w.now}
+	f.SetLookAhead(w.lookAhead)
 	o := &modelOwner{
 		testBoard: f, token: w.token, appliedEnds: map[string]uint64{}, durableEnds: map[string]uint64{},
 		leaseEnds: map[string]time.Time{}, heard: map[string]bool{}, unheard: maps.Clone(w.usedWorkers),
--- a/internal/soak/rig_test.go
+++ b/internal/soak/rig_test.go
@@ -35,6 +35,7 @@
 	subnet    [2]byte
 	record    *record
 	replay    string // the command that repeats the run
+	lookAhead bool   // of the processes' placement
 
 	mu       sync.Mutex
 	links    map[linkKey]*link
@@ -291,6 +292,9 @@
 // process of the program, with the settings file that it names.
 const childVariable = "PAPAYARUDDER_SOAK_DAEMON"
 
+// lookAheadVariable names the environment variable that, if it is not empty, lets its placement look ahead.
+const lookAheadVariable = "PAPAYARUDDER_SOAK_LOOK_AHEAD"
+
 // start starts a process and opens its links when it accepts connections.
 func (r *rig) start(p *process) error {
 	p.command = exec.Command(os.Args[0])
@@ -299,6 +303,12 @@
 		p.command = exec.Command(*binary, "daemon")
 		p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	}
+	if r.lookAhead {
+		p.command.Env = append(p.command.Env, lookAheadVariable+"=1")
+		if *binary != "" {
+			p.command.Args = append(p.command.Args, "--look-ahead")
+		}
+	}
 	output, err := p.command.StdoutPipe()
 	if err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,9 @@
 	}
 	logger, flush := logs.New(os.Stdout, settings.Node, time.Now)
 	defer flush()
-	if err := daemon.New(settings, logger).Run(ctx); err != nil {
+	d := daemon.New(settings, logger)
+	d.LookAhead = os.Getenv(lookAheadVariable) != ""
+	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
@@ -69,7 +71,7 @@
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, *only)
+			soak(t, seed, *only, false)
 		})
 	}
 }
@@ -80,7 +82,7 @@
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, "crash-at-start,advice,kill")
+			soak(t, seed, "crash-at-start,advice,kill", false)
 		})
 	}
 }
@@ -88,8 +90,14 @@
 // repeatTime is how long after the disturbed part callers repeat calls without an answer.
 const repeatTime = 8 * time.Second
 
+// TestSoakLookAhead is TestSoak with one seed and placement that looks ahead.
+func TestSoakLookAhead(t *testing.T) {
+	t.Parallel()
+	soak(t, *first, *only, true)
+}
+
 // soak runs one deployment, with the kinds of faults in a list, or all if it is empty.
-func soak(t *testing.T, seed uint64, only string) {
+func soak(t *testing.T, seed uint64, only string, lookAhead bool) {
 	o := mimic.Options{
 		StopTime: stopTime / 2, ClockRate: 0.98, Linger: time.Second, Migration: time.Second, Maintenance: time.Second,
 		Work: func(_, spec string) (time.Duration, bool) {
@@ -104,6 +112,7 @@
 	}
 	o.Pools = append(o.Pools, mimic.Pool{Name: "spare", Hosts: 3, Standby: true})
 	r := newRig(t, seed, o, *size)
+	r.lookAhead = lookAhead
 	name, _, _ := strings.Cut(t.Name(), "/")
 	r.replay = fmt.Sprintf("go test ./internal/soak -run %s -v -first %d -seeds 1 -for %v -processes %d -pools %d -workers %d -only=%s -without=%s -binary=%s",
 		name, seed, *length, *size, *pools, *workers, only, *without, *binary)
--- a/internal/trace/board_test.go
+++ b/internal/trace/board_test.go
@@ -72,14 +72,17 @@
 			t.Fatal(faults)
 		}
 		s.Fleet.Length /= 3 // keeps the test short
-		var recording bytes.Buffer
-		model.Record(s, s.Policies[0], 1, &recording)
-		events, err := event.Read(&recording)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if summary, err := trace.ReplayBoards(events, place.DefaultPolicy()); err != nil || summary.Starts == 0 {
-			t.Errorf("%s: %+v, %v", name, summary, err)
+		for _, lookAhead := range []bool{false, true} {
+			s.Policies[0].LookAhead = lookAhead
+			var recording bytes.Buffer
+			model.Record(s, s.Policies[0], 1, &recording)
+			events, err := event.Read(&recording)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if summary, err := trace.ReplayBoards(events, place.DefaultPolicy()); err != nil || summary.Starts == 0 {
+				t.Errorf("%s, look-ahead %v: %+v, %v", name, lookAhead, summary, err)
+			}
 		}
 	}
 }
