pool: jobs behind a transaction without an answer are refused

Cause: while the store is silent, a pool's transaction stays without an answer. Jobs that only waited behind it were answered 504 (not known whether accepted) at their callers' deadlines, though they had been sent to nobody.

Change: after 1.2 s they are taken out of the queue and refused with 503, which is true: they have not run and never will. Those in the transaction still get 504.

--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -523,11 +523,7 @@
 	if o.started {
 		o.updateUnseen(now)
 	}
-	for _, s := range o.pending {
-		if now.Sub(s.receivedAt) > submitTimeout {
-			o.answerSubmissions([]*submission{s}, Unknown) // the job may still become durable
-		}
-	}
+	o.answerLateSubmissions(now)
 	o.restoreRetired(now)
 	for id, until := range o.vacateUntil {
 		if now.After(until) {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +27,23 @@
 	}
 }
 
+// answerLateSubmissions answers callers whose jobs have not become durable in time. A job in a
+// transaction that was sent still may; one that waits behind it never will.
+func (o *Owner) answerLateSubmissions(now time.Time) {
+	for _, s := range o.pending {
+		if now.Sub(s.receivedAt) <= submitTimeout {
+			continue
+		}
+		verdict := Unknown
+		if i := slices.Index(o.queue, s); i >= 0 && len(s.waiters) > 0 && o.status.current(now) {
+			o.queue = slices.Delete(o.queue, i, i+1)
+			verdict = Refused
+			o.log.WithField("job", s.job.ID).Info("job refused: the store did not answer in time")
+		}
+		o.answerSubmissions([]*submission{s}, verdict)
+	}
+}
+
 // answerCancels sends a verdict to the callers waiting for the cancellation of a
 // job.
 func (o *Owner) answerCancels(id jobs.ID, v Verdict) {
