pool: a pool without workers for it leaves a quota to others

Cause: a pool whose tasks wait for workers wanted its whole fair share of a quota, which no other pool could use. Change: once its tasks have waited for a second though the allotment has room, it asks for one task more than runs.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -240,6 +240,15 @@
 	u := quota.Usage{Claimed: smaller(d.Claimed.Add(unseen), jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount})}
 	u.Needed = u.Claimed.Add(d.Waiting).Add(arriving.Needed)
 	u.Unit = larger(d.Largest, arriving.Unit)
+	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
+		a.unusedSince = time.Time{}
+	} else if a.unusedSince.IsZero() {
+		a.unusedSince = now
+	}
+	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
+	if u.Unused { // the pool has no workers for more
+		u.Needed = smaller(u.Needed, u.Claimed.Add(u.Unit))
+	}
 	if now.Sub(a.windowSince) >= quotaNeedWindow {
 		a.needs = [2]jobs.Resources{{}, a.needs[0]}
 		a.windowSince = now
@@ -253,12 +262,6 @@
 		a.usedAt = now
 	}
 	u.Idle = a.hinted && u.Needed == (jobs.Resources{}) || now.Sub(a.usedAt) > quotaIdleTime
-	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
-		a.unusedSince = time.Time{}
-	} else if a.unusedSince.IsZero() {
-		a.unusedSince = now
-	}
-	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
 	if u == a.usage && unseen == a.unseen && a.settled {
 		return
 	}
--- a/internal/pool/quota_test.go
+++ b/internal/pool/quota_test.go
@@ -250,3 +250,14 @@
 		t.Errorf("%d writes of one organisation in a second by two owners", writes)
 	}
 }
+
+// Guards against a pool that keeps a quota for which it has no workers, while another pool's tasks
+// wait for it.
+func TestQuotaGoesWhereTheWorkersAre(t *testing.T) {
+	r := newQuotaRig(t, 12000)            // a worker has room for 8000
+	r.submit("p1", "free", "1m", 14, 500) // leaves room for two tasks
+	r.submit("p1", "a", "1m", 100, 500)
+	r.reaches(16, 2*time.Second)
+	r.submit("p2", "a", "1m", 16, 500)
+	r.reaches(32, 5*time.Second)
+}
