pool: hints about a quota are sent when the row shows what they are about

Change: owners give hints after their want is written, and to those that wait after they have given back; the first want is written at once. Tasks wait for workers for one second, not two, until their pool asks for less.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -37,7 +37,7 @@
 	quotaWriteRate  = 2                      // of them a second after that
 	declareTime     = time.Second            // for the owners of other pools to tell what an organisation claims that was not limited before
 	quotaIdleTime   = 10 * time.Second       // without a task, after which a pool keeps nothing
-	unusedTime      = 2 * time.Second        // after which tasks that wait for a worker give up more than their fair share
+	unusedTime      = time.Second            // after which a pool whose tasks wait for workers, and not for the quota, asks for no more
 	conflictDelay   = 4 * time.Millisecond   // longest delay after a conflict; doubles with each further one in a row
 	maxConflicts    = 6                      // that make it longer
 	maxQuotaRows    = 45                     // in a transaction; each is expected and written
@@ -311,8 +311,8 @@
 		if !a.readDue && (!due || !urgent) {
 			a.hinted = false
 		}
-		if a.blocked {
-			o.hintOthers(a, now)
+		if a.blocked && !due { // the row shows others what is wanted
+			o.hintWhoHolds(a, now)
 		}
 		a.settled = !due && !a.blocked && !a.readDue && !a.Busy() && !now.Before(a.declared)
 	}
@@ -341,15 +341,24 @@
 	return a.budget >= 1
 }
 
-// hintOthers tells the owners of other pools that tasks of an organisation wait here.
-func (o *Owner) hintOthers(a *quotaAccount, now time.Time) {
-	if o.hintQuota == nil || now.Sub(a.hintedAt) < quotaPollPeriod {
+// hintWhoHolds tells the owners of the pools with an allotment that tasks of an organisation wait
+// here.
+func (o *Owner) hintWhoHolds(a *quotaAccount, now time.Time) {
+	if now.Sub(a.hintedAt) < quotaPollPeriod {
+		return
+	}
+	a.hintedAt = now
+	o.hintOthers(a, func(other quota.Allotment) bool { return other.Size != (jobs.Resources{}) })
+}
+
+// hintOthers makes the owners of some other pools read the row of an organisation.
+func (o *Owner) hintOthers(a *quotaAccount, concerns func(quota.Allotment) bool) {
+	if o.hintQuota == nil {
 		return
 	}
 	row, _ := a.Row()
 	for name, other := range row.Pools {
-		if name != o.name && other.Size != (jobs.Resources{}) {
-			a.hintedAt = now
+		if name != o.name && concerns(other) {
 			metricQuotaHints.Inc()
 			go o.hintQuota(name, a.name)
 		}
@@ -398,9 +407,12 @@
 		case err == nil:
 			before, _ := a.Row()
 			a.Written(version)
-			a.wroteAt, a.budget = now, a.budget-1
+			a.wroteAt, a.budget, a.hintedAt = now, a.budget-1, time.Time{}
 			metricQuotaWrites.Inc()
 			o.logQuota(a, before)
+			if row, _ := a.Row(); !before.Pools[o.name].Size.Fits(row.Pools[o.name].Size) {
+				o.hintOthers(a, func(other quota.Allotment) bool { return !other.Want.Fits(other.Size) })
+			}
 		case errors.Is(err, platform.ErrConflict):
 			metricQuotaConflicts.Inc()
 			i := slices.IndexFunc(found, func(r platform.Row) bool { return r.Key == a.name && r.Table == quota.Table })
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -256,6 +256,8 @@
 			due, urgent = true, true
 		case size[i] < current && (over[i] || waits && isLarge(current-size[i], current)):
 			due, urgent = true, true
+		case needed > size[i] && vectorOf(before.Want)[i] <= current:
+			due, urgent = true, true // the row does not show that the pool waits
 		case raises, size[i] < current && waits, size[i] < current/2, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
 			due = true
 		case needed > size[i] && (vectorOf(before.Want)[i] < want[i]-want[i]/4 || vectorOf(before.Unit)[i] != unit[i]):
