--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -56,6 +56,7 @@
 	needs       [2]jobs.Resources
 	windowSince time.Time
 	unusedSince time.Time // since when tasks wait for workers and not for the quota, zero if none do
+	modest      bool      // others wait for what the pool has no workers for
 	usedAt      time.Time // when a task last needed any of it
 	hinted      bool      // another pool waits: what is not needed now is given back
 	readDue     bool
@@ -246,7 +247,8 @@
 		a.unusedSince = now
 	}
 	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
-	if u.Unused { // the pool has no workers for more
+	a.modest = u.Unused && (a.modest || a.OthersWait())
+	if a.modest {
 		u.Needed = smaller(u.Needed, u.Claimed.Add(u.Unit))
 	}
 	if now.Sub(a.windowSince) >= quotaNeedWindow {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -166,6 +166,9 @@
 	return false
 }
 
+// OthersWait reports whether another pool has less than it wants, as far as is known.
+func (a *Account) OthersWait() bool { return a.othersWait(0) || a.othersWait(1) || a.othersWait(2) }
+
 // othersWait reports whether another pool has less than it wants.
 func (a *Account) othersWait(i int) bool {
 	for pool, o := range a.row.Pools {
