--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -37,7 +37,7 @@
 	quotaWriteRate  = 2                      // of them a second after that
 	declareTime     = time.Second            // for the owners of other pools to tell what an organisation claims that was not limited before
 	quotaIdleTime   = 10 * time.Second       // without a task, after which a pool keeps nothing
-	unusedTime      = 2 * time.Second        // after which tasks that wait for a worker give up more than their fair share
+	unusedTime      = time.Second            // after which a pool whose tasks wait for workers, and not for the quota, asks for no more
 	conflictDelay   = 4 * time.Millisecond   // longest delay after a conflict; doubles with each further one in a row
 	maxConflicts    = 6                      // that make it longer
 	maxQuotaRows    = 45                     // in a transaction; each is expected and written
@@ -56,6 +56,7 @@
 	needs       [2]jobs.Resources
 	windowSince time.Time
 	unusedSince time.Time // since when tasks wait for workers and not for the quota, zero if none do
+	modest      bool      // others wait for what the pool has no workers for
 	usedAt      time.Time // when a task last needed any of it
 	hinted      bool      // another pool waits: what is not needed now is given back
 	readDue     bool
@@ -240,6 +241,16 @@
 	u := quota.Usage{Claimed: smaller(d.Claimed.Add(unseen), jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount})}
 	u.Needed = u.Claimed.Add(d.Waiting).Add(arriving.Needed)
 	u.Unit = larger(d.Largest, arriving.Unit)
+	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
+		a.unusedSince = time.Time{}
+	} else if a.unusedSince.IsZero() {
+		a.unusedSince = now
+	}
+	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
+	a.modest = u.Unused && (a.modest || a.OthersWait())
+	if a.modest {
+		u.Needed = smaller(u.Needed, u.Claimed.Add(u.Unit))
+	}
 	if now.Sub(a.windowSince) >= quotaNeedWindow {
 		a.needs = [2]jobs.Resources{{}, a.needs[0]}
 		a.windowSince = now
@@ -253,12 +264,6 @@
 		a.usedAt = now
 	}
 	u.Idle = a.hinted && u.Needed == (jobs.Resources{}) || now.Sub(a.usedAt) > quotaIdleTime
-	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
-		a.unusedSince = time.Time{}
-	} else if a.unusedSince.IsZero() {
-		a.unusedSince = now
-	}
-	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
 	if u == a.usage && unseen == a.unseen && a.settled {
 		return
 	}
@@ -308,8 +313,8 @@
 		if !a.readDue && (!due || !urgent) {
 			a.hinted = false
 		}
-		if a.blocked {
-			o.hintOthers(a, now)
+		if a.blocked && !due { // the row shows others what is wanted
+			o.hintWhoHolds(a, now)
 		}
 		a.settled = !due && !a.blocked && !a.readDue && !a.Busy() && !now.Before(a.declared)
 	}
@@ -338,15 +343,24 @@
 	return a.budget >= 1
 }
 
-// hintOthers tells the owners of other pools that tasks of an organisation wait here.
-func (o *Owner) hintOthers(a *quotaAccount, now time.Time) {
-	if o.hintQuota == nil || now.Sub(a.hintedAt) < quotaPollPeriod {
+// hintWhoHolds tells the owners of the pools with an allotment that tasks of an organisation wait
+// here.
+func (o *Owner) hintWhoHolds(a *quotaAccount, now time.Time) {
+	if now.Sub(a.hintedAt) < quotaPollPeriod {
+		return
+	}
+	a.hintedAt = now
+	o.hintOthers(a, func(other quota.Allotment) bool { return other.Size != (jobs.Resources{}) })
+}
+
+// hintOthers makes the owners of some other pools read the row of an organisation.
+func (o *Owner) hintOthers(a *quotaAccount, concerns func(quota.Allotment) bool) {
+	if o.hintQuota == nil {
 		return
 	}
 	row, _ := a.Row()
 	for name, other := range row.Pools {
-		if name != o.name && other.Size != (jobs.Resources{}) {
-			a.hintedAt = now
+		if name != o.name && concerns(other) {
 			metricQuotaHints.Inc()
 			go o.hintQuota(name, a.name)
 		}
@@ -395,9 +409,12 @@
 		case err == nil:
 			before, _ := a.Row()
 			a.Written(version)
-			a.wroteAt, a.budget = now, a.budget-1
+			a.wroteAt, a.budget, a.hintedAt = now, a.budget-1, time.Time{}
 			metricQuotaWrites.Inc()
 			o.logQuota(a, before)
+			if row, _ := a.Row(); !before.Pools[o.name].Size.Fits(row.Pools[o.name].Size) {
+				o.hintOthers(a, func(other quota.Allotment) bool { return !other.Want.Fits(other.Size) })
+			}
 		case errors.Is(err, platform.ErrConflict):
 			metricQuotaConflicts.Inc()
 			i := slices.IndexFunc(found, func(r platform.Row) bool { return r.Key == a.name && r.Table == quota.Table })
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -166,6 +166,9 @@
 	return false
 }
 
+// OthersWait reports whether another pool has less than it wants, as far as is known.
+func (a *Account) OthersWait() bool { return a.othersWait(0) || a.othersWait(1) || a.othersWait(2) }
+
 // othersWait reports whether another pool has less than it wants.
 func (a *Account) othersWait(i int) bool {
 	for pool, o := range a.row.Pools {
@@ -256,6 +259,8 @@
 			due, urgent = true, true
 		case size[i] < current && (over[i] || waits && isLarge(current-size[i], current)):
 			due, urgent = true, true
+		case needed > size[i] && vectorOf(before.Want)[i] <= current:
+			due, urgent = true, true // the row does not show that the pool waits
 		case raises, size[i] < current && waits, size[i] < current/2, outdated && waits, outdated && vectorOf(before.Want)[i] > current:
 			due = true
 		case needed > size[i] && (vectorOf(before.Want)[i] < want[i]-want[i]/4 || vectorOf(before.Unit)[i] != unit[i]):
