--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -110,6 +110,68 @@
 	}
 }
 
+// Load: a large task has reserved a worker with some room, and small ones that go before it in the order come when
+// no other worker has room. Guards against an on-time task that misses its objective for a reservation, and against
+// a large one that gives way for ever.
+func TestUrgentTaskTakesReservedRoom(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		left      time.Duration // until the small task's latest start
+		largeAge  time.Duration
+		wantStart bool
+	}{
+		{"urgent", 100 * time.Millisecond, time.Second, true},
+		{"has time", 300 * time.Millisecond, time.Second, false},
+		{"urgent, but the large one has waited for long", 100 * time.Millisecond, 3100 * time.Millisecond, false},
+	} {
+		f := newTestBoard(0, 1)
+		f.SetLookAhead(true)
+		f.add(newJob(1, batch(4, 1000)))
+		running := f.decide()
+		large := newJob(2, batch(1, 4000))
+		large.Submitted, large.Target = f.now.Add(-tt.largeAge), 10*time.Second
+		f.add(large)
+		f.decide()
+		f.endAttempt(running[0], jobs.Done) // a core is free on the reserved worker
+		small := newJob(3, batch(1, 1000))
+		small.Slack, small.Submitted = 1, f.now // its latest start is its target after its submission
+		small.Target = tt.left
+		f.add(small)
+		if have := len(f.decide()) == 1; have != tt.wantStart {
+			t.Errorf("%s: started: %v, want %v", tt.name, have, tt.wantStart)
+		}
+		if have := f.TakeReservations().GivenUp[place.CauseUrgent] == 1; have != tt.wantStart {
+			t.Errorf("%s: the reservation was given up for it: %v, want %v", tt.name, have, tt.wantStart)
+		}
+	}
+}
+
+// Load: a large task waits of which one fits a worker. Guards against a pool that counts on the rest of that worker.
+func TestDemandOfLargeTasksIsRoundedUp(t *testing.T) {
+	for _, tt := range []struct {
+		on   bool
+		step jobs.Step
+		want int
+	}{
+		{false, batch(3, 2500), 7500},
+		{true, batch(3, 2500), 12000},
+		{true, batch(3, 1900), 6000},
+		{true, batch(3, 1000), 3000}, // not large
+		{true, jobs.Step{Count: 3, Size: jobs.Resources{Millicores: 500, MemoryMB: 5000}}, 12000},
+		{true, batch(3, 5000), 15000}, // fits no worker
+	} {
+		f := newTestBoard(0, 2)
+		f.SetLookAhead(tt.on)
+		f.add(newJob(1, batch(8, 1000)))
+		f.decide()
+		f.add(newJob(2, tt.step))
+		f.decide()
+		if have := f.Load(f.now).Wanted; have != tt.want {
+			t.Errorf("%+v, look-ahead %v: wants %d millicores, want %d", tt.step, tt.on, have, tt.want)
+		}
+	}
+}
+
 // Load: two organisations with large jobs beside full workers. Guards against room that is kept for
 // a job whose organisation may not use it.
 func TestReservationsStayWithinAllotments(t *testing.T) {
