--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/papayarudder/papayarudder/internal/admin"
+	"github.com/papayarudder/papayarudder/internal/daemon"
 	"github.com/papayarudder/papayarudder/platform/mimic"
 )
 
@@ -467,3 +470,25 @@
 	}
 	s.check()
 }
+
+// Each process tells where a job would go, also if another one owns the pool, and asking starts nothing.
+func TestWhereFromEachProcess(t *testing.T) {
+	s := newSystem(t, 2, mimic.Options{})
+	job := []byte(`{"spec":"50ms","steps":[{"count":2,"cpu":1000,"estimate-ms":50}]}`)
+	for _, p := range s.processes {
+		client := admin.NewClient(netip.AddrPortFrom(p.addr, daemon.AdminPort), 2*time.Second)
+		for _, queue := range []string{"labels", "trucks"} {
+			s.waitFor("a worker for "+queue, 5*time.Second, func() bool {
+				where, err := client.Where(t.Context(), queue, job)
+				return err == nil && len(where.Steps) == 1 && where.Steps[0].Worker != ""
+			})
+		}
+		if _, err := client.WhereJob(t.Context(), "00000000000000ff"); err == nil {
+			t.Error("told where an unknown job would go")
+		}
+	}
+	if n := len(s.platform.Runs()); n != 0 {
+		t.Errorf("%d runs, though nothing was submitted", n)
+	}
+	s.check()
+}
