jobs: a submission with far too many objects is refused before it is decoded

Cause: a submission of legal size decoded into many times its size: `{"steps":[{},{},...]}` of 262,144 bytes has 87,000 steps of some 200 bytes each. A number of any length hid the name of its field in the error.

Change: the JSON form of a job may have 260 objects, four times what 64 steps need; the error names the field and the number. The same holds for jobs that operators submit.

--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"slices"
@@ -89,9 +90,12 @@
 // DecodeUnvalidated decodes a job that an operator submits. It has the stored form, but fields
 // may be missing, and it is not validated.
 func DecodeUnvalidated(data []byte) (Job, error) {
+	if err := CheckObjects(data); err != nil {
+		return Job{}, err
+	}
 	var row jobRow
 	if err := json.Unmarshal(data, &row); err != nil {
-		return Job{}, errors.Wrapf(ErrInvalid, "%v", err)
+		return Job{}, errors.Wrapf(ErrInvalid, "%.*s", maxErrorText, err.Error())
 	}
 	j := Job{
 		ID: ID(row.ID), Spec: row.Spec, Repetitions: row.Repetitions,
@@ -235,3 +239,31 @@
 	}
 	return p, nil
 }
+
+const (
+	maxObjects   = 4 * (1 + MaxSteps) // in the JSON form of a job, with room for fields of later versions
+	maxErrorText = 200                // characters of an error of encoding/json, which quotes numbers of any length
+)
+
+// CheckObjects returns an [ErrInvalid] if the JSON form of a job has far more objects than steps
+// are allowed. Each would take many times its own size when it is decoded.
+func CheckObjects(data []byte) error {
+	if bytes.Count(data, []byte("{")) <= maxObjects {
+		return nil
+	}
+	objects, quoted := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case c == '"':
+			quoted = !quoted
+		case quoted && c == '\\':
+			i++
+		case !quoted && c == '{':
+			objects++
+		}
+	}
+	if objects > maxObjects {
+		return errors.Wrapf(ErrInvalid, "steps: %d objects, allowed: up to %d steps", objects, MaxSteps)
+	}
+	return nil
+}
