intake: what callers and peers can make a process hold is bounded

Cause: the bodies of all callers were read whole with no sum over them, headers of 1 MB were taken, connections had no number, and of a request's body only the header had a deadline. Calls between processes took messages of 1 GB and any number of calls and connections.

Change: package intake guards the callers' and the operators' addresses of both processes with one budget of bytes (an eighth of the host's memory) and of connections (half of the sockets, and what fits into an eighth of the memory). Bytes count as they arrive until the request is answered. If a budget is full, requests without progress are ended: a body gets 503 with Retry-After, which is true since nothing was decoded; else the connection is closed. Readiness checks have connections of their own. Package wire bounds messages, calls in progress and connections of peers. The crowd many-fields is added: many short fields of a header.

--- a/cmd/papayarudder/crowd_test.go
+++ b/cmd/papayarudder/crowd_test.go
@@ -70,6 +70,7 @@
 	ticketBody     = 16 << 20
 	peerMessage    = 10 << 20
 	peerCalls      = 40_000 // on one connection
+	headerFields   = 8000   // of one request
 	unreadRequests = 200    // on one connection
 	callsCrowdSize = 4
 
@@ -141,6 +142,13 @@
 			sendAll(conn, line)
 		}
 	}},
+	{name: "many-fields", send: func(g target, conn io.Writer) {
+		var fields bytes.Buffer
+		for i := range headerFields {
+			fmt.Fprintf(&fields, "x%04x:\r\n", i)
+		}
+		sendAll(conn, append([]byte(g.head), fields.Bytes()...))
+	}},
 	{name: "unread", send: func(g target, conn io.Writer) {
 		for range unreadRequests {
 			sendAll(conn, []byte(g.query))
@@ -154,8 +162,9 @@
 	{name: "short", conns: bulkyCrowdSize, send: callerCrowds[2].send},
 	{name: "chunk", conns: bulkyCrowdSize, send: callerCrowds[5].send},
 	{name: "headers", send: callerCrowds[7].send},
-	{name: "unread", send: callerCrowds[8].send},
-	{name: "idle", send: callerCrowds[9].send},
+	{name: "many-fields", send: callerCrowds[8].send},
+	{name: "unread", send: callerCrowds[9].send},
+	{name: "idle", send: callerCrowds[10].send},
 }
 
 // peerCrowds are the crowds for addresses of calls between processes.
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,9 +18,11 @@
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/store"
 	"github.com/papayarudder/papayarudder/internal/ticket"
 )
@@ -95,10 +97,17 @@
 type handler struct{ config Config }
 
 func (h handler) submit(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTicketBytes))
-	if err != nil {
+	data, err := intake.ReadBody(r, maxTicketBytes)
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
 		writeError(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the ticket is over %d bytes", maxTicketBytes))
 		return
+	case errors.Is(err, intake.ErrCrowded):
+		writeError(w, http.StatusServiceUnavailable, "too many unfinished requests; the ticket is not in force, submit it again")
+		return
+	case err != nil:
+		writeError(w, http.StatusBadRequest, "the ticket did not arrive whole")
+		return
 	}
 	if r.URL.Query().Get("plan") == "true" {
 		h.plan(w, r, data)
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -38,6 +38,7 @@
 	MaxRequest  int64 // bytes
 	MaxAnswer   int64 // bytes
 	MaxInFlight int   // requests
+	MemoryMB    int   // memory of the process
 
 	Members    int // number of entry hosts in the system
 	LeaseRenew time.Duration
@@ -90,6 +91,7 @@
 		{Section: "limits", Name: "max-request-bytes", Default: "1048576", Allowed: "1 to 1073741824", Help: "largest body of a request", set: setInt64(func(s *Settings) *int64 { return &s.MaxRequest }, 1, 1<<30)},
 		{Section: "limits", Name: "max-answer-bytes", Default: "8388608", Allowed: "1 to 1073741824", Help: "largest body of an answer", set: setInt64(func(s *Settings) *int64 { return &s.MaxAnswer }, 1, 1<<30)},
 		{Section: "limits", Name: "max-in-flight", Default: "4096", Allowed: "1 to 1000000", Help: "most requests that this entry holds at once", set: setInt(func(s *Settings) *int { return &s.MaxInFlight }, 1, 1_000_000)},
+		{Section: "limits", Name: "memory-mb", Default: "512", Allowed: "64 to 1048576", Help: "memory of this process; an eighth is for requests that are read, and as much for callers' connections", set: setInt(func(s *Settings) *int { return &s.MemoryMB }, 64, 1<<20)},
 		{Section: "lease", Name: "renew", Default: "2s", Allowed: "50ms to 1m", Help: "time between renewals of this process's lease", set: setDuration(func(s *Settings) *time.Duration { return &s.LeaseRenew }, 50*time.Millisecond, time.Minute)},
 		{Section: "lease", Name: "hold", Default: "6s", Allowed: "150ms to 5m, at least twice renew", Help: "how long a renewal is relied on; the same for all processes", set: setDuration(func(s *Settings) *time.Duration { return &s.LeaseHold }, 150*time.Millisecond, 5*time.Minute)},
 		{Section: "lease", Name: "members", Default: "8", Allowed: "1 to 1000", Help: "number of entry hosts, of which a majority is counted; the same for all processes", set: setInt(func(s *Settings) *int { return &s.Members }, 1, 1000)},
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/papayarudder/papayarudder/internal/admin"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
@@ -155,7 +155,10 @@
 }
 
 func (d *Daemon) adminSubmit(r *http.Request) (any, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxSubmissionBytes))
+	data, err := intake.ReadBody(r, maxSubmissionBytes)
+	if errors.Is(err, intake.ErrCrowded) {
+		return nil, errors.Wrap(err, "the job was refused and has not run")
+	}
 	if err != nil {
 		return nil, errors.Wrap(jobs.ErrInvalid, err.Error())
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
@@ -141,12 +141,15 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return d.refuse(w, http.StatusBadRequest, "the body can't be read")
-	}
-	if int64(len(body)) > limit {
+	body, err := intake.ReadBody(r, limit)
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
 		return d.refuse(w, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, intake.ErrCrowded):
+		setRetryAfter(w, intake.RetryAfter)
+		return d.refuse(w, http.StatusServiceUnavailable, "too many unfinished requests; the job has not run")
+	case err != nil:
+		return d.refuse(w, http.StatusBadRequest, "the body can't be read")
 	}
 	j, err := platform.DecodeJob(body)
 	if err == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/gossip"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/pool"
 	"github.com/papayarudder/papayarudder/internal/upkeep"
@@ -102,7 +103,7 @@
 		settings: settings, log: log, suspensions: pool.NewSuspensions(),
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
-		server: wire.NewServer(), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
+		server: wire.NewLimitedServer(peerLimits(settings.Limits)), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
 		ownerships: map[string]pool.Ownership{}, vacantSince: map[string]time.Time{}, heartbeats: map[string]*heartbeat{}, claiming: map[string]bool{}, routes: map[string]*route{}, declined: map[string]time.Time{},
 		outdated: map[*pool.Owner]bool{}, sendWorkers: (*pool.Owner).SetWorkers, setGCPercent: debug.SetGCPercent,
 		promises: map[promiseKey]*promise{}, unanswered: map[string]uint64{}, vouchers: map[string]*voucher{}, presumed: map[string]bool{},
@@ -135,6 +136,9 @@
 	health := http.NewServeMux()
 	health.HandleFunc("GET "+platform.ReadyPath, d.serveReady)
 	ready := &http.Server{Addr: d.settings.Readiness.String(), Handler: health, ReadHeaderTimeout: 3 * time.Second}
+	gate := intake.New(intake.LimitsOf(int64(d.settings.Limits.MemoryMB)<<20, d.settings.Limits.Descriptors), d.log)
+	gate.Publish()
+	probes := intake.New(intake.Limits{Bytes: probeBytes, Conns: probeConns}, d.log)
 	meters := d.adminMux()
 	meters.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	metricsAddr := netip.AddrPortFrom(d.settings.Callers.Addr(), AdminPort)
@@ -145,9 +149,9 @@
 	tree := suture.New("papayarudder", suture.Spec{EventHook: func(e suture.Event) { d.log.WithField("event", e.String()).Error("internal service failed") }})
 	add := func(f func(ctx context.Context) error) { tree.Add(serviceFunc(f)) }
 	add(d.servePeers(listener))
-	add(serveHTTP(front))
-	add(serveHTTP(ready))
-	add(serveHTTP(meter))
+	add(serveHTTP(front, gate))
+	add(serveHTTP(ready, probes))
+	add(serveHTTP(meter, gate))
 	add(d.register)
 	add(d.watch(platform.TableOperator, d.readOperator, eachRow(d.applyOperatorRow)))
 	add(d.followWorkers)
@@ -219,13 +223,35 @@
 	}
 }
 
-// serveHTTP returns a service that runs an HTTP server.
-func serveHTTP(s *http.Server) serviceFunc {
+// Limits of the readiness checks, which callers can't use up.
+const (
+	probeBytes = 1 << 20
+	probeConns = 64
+)
+
+// peerLimits returns the limits of calls from other processes. Their longest message, a job, is a
+// row of the store.
+func peerLimits(l platform.Limits) wire.ServerLimits {
+	const (
+		message = 4 << 20 // bytes
+		calls   = 4096
+	)
+	shares := intake.LimitsOf(int64(l.MemoryMB)<<20, l.Descriptors)
+	return wire.ServerLimits{Message: message, Bytes: shares.Bytes, Conns: shares.Conns / 3, Calls: calls}
+}
+
+// serveHTTP returns a service that runs an HTTP server behind a gate.
+func serveHTTP(s *http.Server, gate *intake.Gate) serviceFunc {
+	gate.Guard(s)
 	return func(ctx context.Context) error {
-		// ListenAndServe returns as soon as a graceful shutdown begins. Releasing
+		listener, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		// Serve returns as soon as a graceful shutdown begins. Releasing
 		// the function keeps the end of ctx from cutting off requests in flight.
 		release := context.AfterFunc(ctx, func() { _ = s.Close() }) // an error has no effect: the process is stopping
-		err := s.ListenAndServe()
+		err = s.Serve(gate.Listener(listener))
 		release()
 		if errors.Is(err, http.ErrServerClosed) {
 			return suture.ErrDoNotRestart
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/papayarudder/papayarudder/internal/event"
 	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/link"
 	"github.com/papayarudder/papayarudder/internal/once"
 	"github.com/papayarudder/papayarudder/internal/sched"
@@ -172,12 +172,13 @@
 	_ = connection.SetReadDeadline(e.earlier(r.deadline, bodyReadTimeout))
 	unregister := context.AfterFunc(e.stopped, func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
 	defer unregister()
-	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := intake.ReadBody(hr, limit)
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
 		return refused(caller.NotRun, caller.TooLarge, fmt.Sprintf("the body is over %d bytes", limit), 0).refusal
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrCrowded):
+		return refused(caller.NotRun, caller.EntryFull, "too many unfinished requests", intake.RetryAfter).refusal
+	case err != nil:
 		return refused(caller.NotRun, caller.BadRequest, "the body did not arrive whole: "+err.Error(), 0).refusal
 	}
 	_ = connection.SetReadDeadline(time.Time{})
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/papayarudder/papayarudder/internal/broker"
 	"github.com/papayarudder/papayarudder/internal/fleet"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/once"
 	"github.com/papayarudder/papayarudder/internal/wire"
 )
@@ -172,14 +175,15 @@
 	server *http.Server
 }
 
-func startHTTP(listener net.Listener, handler http.Handler) *httpServer {
+func startHTTP(listener net.Listener, handler http.Handler, gate *intake.Gate) *httpServer {
 	s := &httpServer{&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 	}}
-	go func() { _ = s.server.Serve(listener) }()
+	gate.Guard(s.server)
+	go func() { _ = s.server.Serve(gate.Listener(listener)) }()
 	return s
 }
 
@@ -197,8 +201,19 @@
 // server is last, because the servers are shut down in this order and it answers
 // readiness checks.
 func (n *Node) serveHTTP() []*httpServer {
+	gate := intake.New(intake.LimitsOf(int64(n.settings.MemoryMB)<<20, openFiles()), n.logger)
+	gate.Publish()
 	return []*httpServer{
-		startHTTP(n.callerListener, n.entry.Handler()),
-		startHTTP(n.adminListener, n.adminHandler()),
+		startHTTP(n.callerListener, n.entry.Handler(), gate),
+		startHTTP(n.adminListener, n.adminHandler(), gate),
 	}
 }
+
+// openFiles returns how many descriptors the process may open, 0 if it is unknown.
+func openFiles() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
--- /dev/null
+++ b/internal/wire/inbound_test.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestMessagesAreCounted feeds messages in pieces of random sizes and checks that each is noticed
+// as whole, and what the longest took.
+func TestMessagesAreCounted(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		s := NewLimitedServer(ServerLimits{Message: 1 << 20, Bytes: 1 << 30, Conns: 1, Calls: 1})
+		c := &inbound{server: s}
+		s.conns[c] = true
+		var stream bytes.Buffer
+		encoder := gob.NewEncoder(&stream)
+		for range 20 {
+			if err := encoder.Encode(make([]byte, random.IntN(100_000))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		data := stream.Bytes()
+		for len(data) > 0 {
+			n := min(len(data), 1+random.IntN(9000))
+			if !c.follow(data[:n]) {
+				t.Fatal("a message counts as too long")
+			}
+			data = data[n:]
+		}
+		if c.rest != 0 || c.lacking != 0 || c.got != 0 || c.usedAt.IsZero() {
+			t.Fatalf("after whole messages: %+v", c)
+		}
+		if s.held != c.held || c.held > 100_100 || c.held < 1000 {
+			t.Fatalf("held %d, of the connection %d", s.held, c.held)
+		}
+	}
+}
+
+func TestMessageLength(t *testing.T) {
+	for _, c := range []struct {
+		data []byte
+		want bool
+	}{
+		{[]byte{0x7f}, true},
+		{[]byte{0xfd, 0x10, 0, 0}, true},
+		{[]byte{0xfd, 0x10, 0, 1}, false},
+		{[]byte{0xf8, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, false},
+		{[]byte{0x80}, false},
+	} {
+		s := NewLimitedServer(ServerLimits{Message: 1 << 20, Bytes: 1 << 30, Conns: 1, Calls: 1})
+		if got := (&inbound{server: s}).follow(c.data); got != c.want {
+			t.Errorf("%x: %v, want %v", c.data, got, c.want)
+		}
+	}
+}
+
+// slowService answers when it is released.
+type slowService struct {
+	release chan struct{}
+	running *atomic.Int64
+}
+
+// Wait is an RPC method.
+func (s slowService) Wait(_ Beat, _ *Beat) error {
+	s.running.Add(1)
+	<-s.release
+	return nil
+}
+
+// TestCallsInProgress checks that no more calls of one connection run than allowed, and that all
+// of them are answered in the end.
+func TestCallsInProgress(t *testing.T) {
+	const calls, limit = 20, 5
+	s := NewLimitedServer(ServerLimits{Message: 1 << 20, Bytes: 1 << 30, Conns: calls, Calls: limit})
+	service := slowService{make(chan struct{}), &atomic.Int64{}}
+	if err := s.Register("Slow", service); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(listener) }()
+	defer s.Close()
+	defer func() { _ = listener.Close() }()
+	timing := DefaultTiming()
+	timing.HeartbeatTimeout = time.Minute
+	p := NewPeer(netip.MustParseAddrPort(listener.Addr().String()), timing, nil)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := p.Call(ctx, heartbeatMethod, Beat{}, &Beat{}); err != nil { // connects
+		t.Fatal(err)
+	}
+	results := make(chan error, calls)
+	for range calls {
+		go func() { results <- p.Call(ctx, "Slow.Wait", Beat{}, &Beat{}) }()
+	}
+	for ctx.Err() == nil && service.running.Load() < limit-1 { // a heartbeat may take one place
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if n := service.running.Load(); n > limit {
+		t.Errorf("%d calls in progress, want at most %d", n, limit)
+	}
+	close(service.release)
+	for range calls {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -25,6 +25,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 )
 
@@ -337,16 +338,21 @@
 
 // Server serves calls and heartbeats of peers.
 type Server struct {
-	rpc *rpc.Server
+	rpc    *rpc.Server
+	limits ServerLimits
 
 	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	conns  map[*inbound]bool
+	held   int64 // bytes that connections hold
 	closed bool
 }
 
-// NewServer returns a server on which only the heartbeat is registered.
-func NewServer() *Server {
-	s := &Server{rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+// NewServer returns a server with the default limits on which only the heartbeat is registered.
+func NewServer() *Server { return NewLimitedServer(DefaultServerLimits()) }
+
+// NewLimitedServer is NewServer with other limits.
+func NewLimitedServer(limits ServerLimits) *Server {
+	s := &Server{rpc: rpc.NewServer(), limits: limits, conns: map[*inbound]bool{}}
 	if err := s.rpc.RegisterName("Heartbeat", heartbeat{}); err != nil {
 		panic(err)
 	}
@@ -361,35 +367,80 @@
 // Serve accepts connections and serves their calls until listener fails or is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
-		conn, err := listener.Accept()
+		accepted, err := listener.Accept()
 		if err != nil {
 			return errors.Wrap(err, "accept peer")
 		}
+		conn := &inbound{Conn: accepted, server: s, usedAt: time.Now()}
 		if !s.track(conn) {
 			_ = conn.Close()
 			continue
 		}
 		go func() {
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeCodec(newCodec(conn, s.limits.Calls))
 			s.untrack(conn)
 		}()
 	}
 }
 
-func (s *Server) track(conn net.Conn) bool {
+// track adds a connection. If there are too many, it closes the one without a message for the
+// longest time.
+func (s *Server) track(conn *inbound) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
+	if len(s.conns) >= s.limits.Conns {
+		s.drop(func(c, o *inbound) bool { return c.usedAt.Before(o.usedAt) })
+	}
 	s.conns[conn] = true
 	return true
 }
 
-func (s *Server) untrack(conn net.Conn) {
+// drop closes the connection that comes first.
+func (s *Server) drop(before func(c, o *inbound) bool) {
+	var first *inbound
+	for c := range s.conns {
+		if first == nil || before(c, first) {
+			first = c
+		}
+	}
+	if first != nil {
+		s.remove(first)
+		_ = first.Close()
+		droppedPeers.Inc()
+	}
+}
+
+// received records bytes of a connection. If all hold too much, it closes those that hold most.
+func (s *Server) received(conn *inbound, longest int64, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, conn)
+	if whole {
+		conn.usedAt = time.Now()
+	}
+	if longest <= conn.held || !s.conns[conn] {
+		return
+	}
+	s.held += longest - conn.held
+	conn.held = longest
+	for s.held > s.limits.Bytes && len(s.conns) > 0 {
+		s.drop(func(c, o *inbound) bool { return c.held > o.held })
+	}
+}
+
+func (s *Server) remove(conn *inbound) {
+	if s.conns[conn] {
+		delete(s.conns, conn)
+		s.held -= conn.held
+	}
+}
+
+func (s *Server) untrack(conn *inbound) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(conn)
 }
 
 // Close closes every connection and refuses new ones.
@@ -401,3 +452,5 @@
 		_ = conn.Close()
 	}
 }
+
+var droppedPeers = metrics.NewCounter("papayarudder_peer_connections_dropped_total")
