--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -97,6 +97,15 @@
 	return n, err
 }
 
+// CloseWrite is used by net/http before it closes a connection that has unread bytes, so that the
+// caller gets the answer.
+func (c *conn) CloseWrite() error {
+	if half, possible := c.Conn.(interface{ CloseWrite() error }); possible {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close is part of [net.Conn].
 func (c *conn) Close() error {
 	c.once.Do(func() { c.gate.close(&c.entry) })
