--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -360,5 +360,6 @@
 		fields["ended-"+cause] = n
 	}
 	clear(g.ended)
-	g.log.WithFields(fields).Warn("unfinished requests or connections ended, to bound what callers hold")
+	go g.log.WithFields(fields).Warn( // which may block on the output
+		"unfinished requests or connections ended, to bound what callers hold")
 }
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -196,3 +196,37 @@
 		}
 	}
 }
+
+// TestSlowRequestInCalm sends a body in pieces for longer than a request is young, while nothing
+// else needs the room.
+func TestSlowRequestInCalm(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	gate := New(LimitsOf(0, 0), logrus.NewEntry(logger))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if body, err := ReadBody(r, 1<<20); err != nil || len(body) != 7*30_000 {
+			t.Errorf("%d bytes, %v", len(body), err)
+		}
+	}))
+	gate.Guard(server.Config)
+	server.Listener = gate.Listener(server.Listener)
+	server.Start()
+	defer server.Close()
+	body, pieces := io.Pipe()
+	go func() {
+		for range 7 {
+			_, _ = pieces.Write(make([]byte, 30_000)) // the handler checks what arrives
+			time.Sleep(grace / 5)
+		}
+		_ = pieces.Close()
+	}()
+	response, err := http.Post(server.URL, "text/plain", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	server.Close()
+	if held, conns, _ := gate.Held(); held != 0 || conns != 0 {
+		t.Errorf("%d bytes and %d connections at the end", held, conns)
+	}
+}
--- a/internal/wire/inbound_test.go
+++ b/internal/wire/inbound_test.go
@@ -118,3 +118,29 @@
 		}
 	}
 }
+
+// TestConnectionsThatHoldMostAreClosed checks which connections go if all hold too much, or if
+// there are too many.
+func TestConnectionsThatHoldMostAreClosed(t *testing.T) {
+	s := NewLimitedServer(ServerLimits{Message: 1 << 20, Bytes: 1 << 20, Conns: 3, Calls: 1})
+	var conns []*inbound
+	for i, held := range []int{1000, 900_000, 300_000} {
+		conn, other := net.Pipe()
+		defer func() { _ = other.Close() }()
+		c := &inbound{Conn: conn, server: s, usedAt: time.Unix(int64(i), 0)}
+		s.track(c)
+		c.follow(append([]byte{0xfd, 0x0f, 0xff, 0xff}, make([]byte, held)...))
+		conns = append(conns, c)
+	}
+	if !s.conns[conns[0]] || s.conns[conns[1]] || !s.conns[conns[2]] || s.held != 301_000 {
+		t.Errorf("%d connections hold %d", len(s.conns), s.held)
+	}
+	for range 2 {
+		conn, other := net.Pipe()
+		defer func() { _ = other.Close() }()
+		s.track(&inbound{Conn: conn, server: s, usedAt: time.Unix(100, 0)})
+	}
+	if s.conns[conns[0]] || !s.conns[conns[2]] || len(s.conns) != 3 {
+		t.Errorf("%d connections; the one unused longest is among them: %v", len(s.conns), s.conns[conns[0]])
+	}
+}
