--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/papayarudder/papayarudder/internal/admin"
+	"github.com/papayarudder/papayarudder/internal/intake"
 	"github.com/papayarudder/papayarudder/internal/jobs"
 	"github.com/papayarudder/papayarudder/internal/place"
 	"github.com/papayarudder/papayarudder/internal/pool"
@@ -164,7 +164,10 @@
 	fail := func(err error) (*configuration, platform.Queue, jobs.Job, error) {
 		return nil, platform.Queue{}, jobs.Job{}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxSubmissionBytes))
+	data, err := intake.ReadBody(r, maxSubmissionBytes)
+	if errors.Is(err, intake.ErrCrowded) {
+		return fail(errors.Wrap(err, "the job was refused and has not run"))
+	}
 	if err != nil {
 		return fail(errors.Wrap(jobs.ErrInvalid, err.Error()))
 	}
