intake: few long bodies are joined and decoded at the same time

Change: DecodeBody joins and decodes at most four bodies of more than 16 KiB at a time. ErrCutOff tells a body that did not arrive whole from one that can't be decoded.

Measured: packages intake and entry pass under the race detector.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -155,15 +155,17 @@
 }
 
 func (d *Daemon) adminSubmit(r *http.Request) (any, error) {
-	data, err := intake.ReadBody(r, maxSubmissionBytes)
-	if errors.Is(err, intake.ErrCrowded) {
+	var j jobs.Job
+	err := intake.DecodeBody(r, maxSubmissionBytes, func(body []byte) (err error) {
+		j, err = jobs.DecodeUnvalidated(body)
+		return err
+	})
+	switch {
+	case errors.Is(err, intake.ErrCrowded):
 		return nil, errors.Wrap(err, "the job was refused and has not run")
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrCutOff):
 		return nil, errors.Wrap(jobs.ErrInvalid, err.Error())
-	}
-	j, err := jobs.DecodeUnvalidated(data)
-	if err != nil {
+	case err != nil:
 		return nil, err
 	}
 	c := d.config.Load()
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -141,17 +141,20 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := intake.ReadBody(r, limit)
+	var j jobs.Job
+	err := intake.DecodeBody(r, limit, func(body []byte) (err error) {
+		j, err = platform.DecodeJob(body)
+		return err
+	})
 	switch {
 	case errors.Is(err, intake.ErrTooLong):
 		return d.refuse(w, http.StatusRequestEntityTooLarge, "the body is longer than "+strconv.FormatInt(limit, 10)+" bytes")
 	case errors.Is(err, intake.ErrCrowded):
 		setRetryAfter(w, intake.RetryAfter)
 		return d.refuse(w, http.StatusServiceUnavailable, "too many unfinished requests; the job has not run")
-	case err != nil:
+	case errors.Is(err, intake.ErrCutOff):
 		return d.refuse(w, http.StatusBadRequest, "the body can't be read")
 	}
-	j, err := platform.DecodeJob(body)
 	if err == nil {
 		j.ID, j.Queue, j.Pool, j.Route, j.Submitted = id, q.Name, q.Pool, q.Route(), time.Now()
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -167,59 +167,106 @@
 
 var blocks = sync.Pool{New: func() any { return new([blockBytes]byte) }}
 
+// decoders bounds how many bodies longer than a block are joined, and decoded by [DecodeBody], at
+// the same time. Either takes more memory than the bytes that count.
+var decoders = make(chan struct{}, 4)
+
 // ReadBody reads the body of a request, which may have up to limit bytes. Memory is taken as the
-// bytes arrive. The error is an [ErrTooLong], an [ErrCrowded] or that of the connection.
-func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+// bytes arrive. The error is an [ErrTooLong], an [ErrCrowded] or an [ErrCutOff].
+func ReadBody(r *http.Request, limit int64) (body []byte, err error) {
+	err = DecodeBody(r, limit, func(data []byte) error {
+		body = data
+		return nil
+	})
+	return body, err
+}
+
+// DecodeBody reads the body of a request as [ReadBody] does, calls decode with it and returns the
+// error of either. Only a few long bodies are decoded at the same time.
+func DecodeBody(r *http.Request, limit int64, decode func(data []byte) error) error {
 	if r.ContentLength > limit {
-		return nil, errors.WithStack(ErrTooLong)
+		return errors.WithStack(ErrTooLong)
 	}
-	c, guarded := r.Context().Value(connKey{}).(*conn)
-	if guarded {
-		c.setBody(true)
-		defer c.setBody(false)
+	if r.ContentLength >= 0 && r.ContentLength <= blockBytes {
+		data := make([]byte, r.ContentLength)
+		if err := reading(r, func() error {
+			_, err := io.ReadFull(r.Body, data)
+			return errors.Mark(err, ErrCutOff)
+		}); err != nil {
+			return err
+		}
+		return decode(data)
 	}
-	body, err := readBody(r.Body, r.ContentLength, limit)
-	if err != nil && guarded && c.ended() {
-		return nil, errors.WithStack(ErrCrowded)
+	var b body
+	defer b.free()
+	if err := reading(r, func() error { return b.read(r.Body, limit) }); err != nil {
+		return err
 	}
-	return body, err
+	if len(b.blocks) > 1 {
+		select {
+		case decoders <- struct{}{}:
+			defer func() { <-decoders }()
+		case <-r.Context().Done():
+			return errors.Mark(r.Context().Err(), ErrCutOff)
+		}
+	}
+	return decode(b.join())
 }
 
-func readBody(body io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 && length <= blockBytes {
-		data := make([]byte, length)
-		_, err := io.ReadFull(body, data)
-		return data, errors.Wrap(err, "read the body")
+// reading calls f, which reads the body of a request, and returns its error, or [ErrCrowded] if
+// the request was ended meanwhile.
+func reading(r *http.Request, f func() error) error {
+	c, guarded := r.Context().Value(connKey{}).(*conn)
+	if !guarded {
+		return f()
 	}
-	var full []*[blockBytes]byte
-	defer func() {
-		for _, b := range full {
-			blocks.Put(b)
-		}
-	}()
-	total := 0
+	c.setBody(true)
+	defer c.setBody(false)
+	err := f()
+	if err != nil && c.ended() {
+		return errors.WithStack(ErrCrowded)
+	}
+	return err
+}
+
+// body is a body that arrives.
+type body struct {
+	blocks []*[blockBytes]byte
+	size   int
+}
+
+func (b *body) read(from io.Reader, limit int64) error {
 	for used := blockBytes; ; {
 		if used == blockBytes {
-			full, used = append(full, blocks.Get().(*[blockBytes]byte)), 0
+			b.blocks, used = append(b.blocks, blocks.Get().(*[blockBytes]byte)), 0
 		}
-		n, err := body.Read(full[len(full)-1][used:])
+		n, err := from.Read(b.blocks[len(b.blocks)-1][used:])
 		used += n
-		total += n
+		b.size += n
 		switch {
-		case int64(total) > limit:
-			return nil, errors.WithStack(ErrTooLong)
+		case int64(b.size) > limit:
+			return errors.WithStack(ErrTooLong)
 		case errors.Is(err, io.EOF):
-			return join(full, total), nil
+			return nil
 		case err != nil:
-			return nil, errors.Wrap(err, "read the body")
+			return errors.Mark(err, ErrCutOff)
 		}
 	}
 }
 
-func join(full []*[blockBytes]byte, total int) []byte {
-	data := make([]byte, 0, total)
-	for _, b := range full {
-		data = append(data, b[:min(blockBytes, total-len(data))]...)
+// join returns the whole body and frees its blocks.
+func (b *body) join() []byte {
+	data := make([]byte, 0, b.size)
+	for _, block := range b.blocks {
+		data = append(data, block[:min(blockBytes, b.size-len(data))]...)
 	}
+	b.free()
 	return data
 }
+
+func (b *body) free() {
+	for _, block := range b.blocks {
+		blocks.Put(block)
+	}
+	b.blocks = nil
+}
--- a/internal/intake/doc.go
+++ b/internal/intake/doc.go
@@ -15,5 +15,6 @@
 //	switch {
 //	case errors.Is(err, intake.ErrCrowded):  // refuse the request, it has not run
 //	case errors.Is(err, intake.ErrTooLong):
+//	case errors.Is(err, intake.ErrCutOff):
 //	}
 package intake
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -12,8 +12,10 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Errors returned by [ReadBody].
+// Errors returned by [ReadBody] and [DecodeBody].
 var (
+	// ErrCutOff means that a body did not arrive whole.
+	ErrCutOff = errors.New("the body did not arrive whole")
 	// ErrCrowded means that the process has no room for the request.
 	ErrCrowded = errors.New("too many unfinished requests")
 	// ErrTooLong means that a body is longer than the limit.
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -153,8 +153,8 @@
 		{"no length, over the limit", strings.NewReader(long), -1, int64(len(long) - 1), "", ErrTooLong},
 		{"long", iotest.DataErrReader(strings.NewReader(long)), int64(len(long)), 1 << 20, long, nil},
 		{"declared too long", strings.NewReader("abc"), 4, 3, "", ErrTooLong},
-		{"cut off", strings.NewReader("ab"), 3, 3, "", io.ErrUnexpectedEOF},
-		{"cut off in a chunk", io.MultiReader(strings.NewReader(long), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, 1 << 20, "", io.ErrUnexpectedEOF},
+		{"cut off", strings.NewReader("ab"), 3, 3, "", ErrCutOff},
+		{"cut off in a chunk", io.MultiReader(strings.NewReader(long), iotest.ErrReader(io.ErrUnexpectedEOF)), -1, 1 << 20, "", ErrCutOff},
 	} {
 		r := httptest.NewRequest(http.MethodPost, "/", c.body)
 		r.ContentLength = c.length
