intake: fewer locks for an ordinary request

Cause: an ordinary request took the gate's mutex some twelve times and read the clock as often.

Change: a request with a body counts as arriving until the body was read, sums by address are made only when requests are compared, and writes that fit into a connection's buffer are not counted.

Packages intake (race detector), entry, wire pass.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -47,7 +47,6 @@
 	net.Conn
 	gate  *Gate
 	entry entry
-	body  bool // its handler reads a body; guarded by the gate's mutex
 	once  sync.Once
 }
 
@@ -63,7 +62,7 @@
 // end makes the handler's read fail, so that it can refuse the request, or closes the connection
 // if no handler reads. The gate calls it with its mutex held.
 func (c *conn) end() {
-	if c.body {
+	if c.entry.body {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
@@ -89,8 +88,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// smallWrite is the length in bytes up to which a write is not counted: it fits into the buffer
+// that every connection has.
+const smallWrite = 4 << 10
+
 // Write is part of [net.Conn].
 func (c *conn) Write(p []byte) (int, error) {
+	if len(p) <= smallWrite {
+		return c.Conn.Write(p)
+	}
 	c.gate.setWriting(&c.entry, int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.gate.setWriting(&c.entry, -int64(len(p)))
@@ -112,17 +118,6 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) setBody(reading bool) {
-	c.gate.mu.Lock()
-	c.body = reading
-	c.gate.mu.Unlock()
-	if reading {
-		c.gate.setStage(&c.entry, arriving)
-	} else {
-		c.gate.setStage(&c.entry, served)
-	}
-}
-
 func (c *conn) ended() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -137,7 +132,7 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, guarded := r.Context().Value(connKey{}).(*conn); guarded {
-			g.begin(&c.entry)
+			g.begin(&c.entry, r.ContentLength != 0)
 		}
 		if len(r.Header) > headerFields {
 			w.Header().Set("Connection", "close")
@@ -149,7 +144,7 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, guarded := c.(*conn); guarded && state == http.StateIdle {
-			g.setStage(&c.entry, idle)
+			g.finish(&c.entry)
 		}
 	}
 	if s.ReadTimeout == 0 {
@@ -220,8 +215,7 @@
 	if !guarded {
 		return f()
 	}
-	c.setBody(true)
-	defer c.setBody(false)
+	defer c.gate.arrived(&c.entry)
 	err := f()
 	if err != nil && c.ended() {
 		return errors.WithStack(ErrCrowded)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -85,6 +85,7 @@
 	stage   stage
 	held    int64     // bytes of the current request, those of its header weighted until it is parsed
 	parsed  bool      // the header has arrived
+	body    bool      // a handler has the request, whose body is to be read
 	since   time.Time // when the stage began
 	active  time.Time // of the last byte
 	recent  int64     // bytes in the current window
@@ -125,8 +126,7 @@
 
 	mu        sync.Mutex
 	entries   map[*entry]bool
-	used      int64 // bytes of entries that are not ended
-	perPeer   map[netip.Addr]int64
+	used      int64          // bytes of entries that are not ended
 	ended     map[string]int // since the last log line, by cause
 	loggedAt  time.Time
 	closedFor map[string]*metrics.Counter
@@ -141,7 +141,7 @@
 // New returns a gate.
 func New(limits Limits, log *logrus.Entry) *Gate {
 	g := &Gate{
-		limits: limits, now: time.Now, log: log, entries: map[*entry]bool{}, perPeer: map[netip.Addr]int64{},
+		limits: limits, now: time.Now, log: log, entries: map[*entry]bool{},
 		ended: map[string]int{}, closedFor: map[string]*metrics.Counter{},
 	}
 	for _, cause := range []string{causeBytes, causeConns} {
@@ -208,9 +208,6 @@
 		return
 	}
 	g.used += n
-	if g.perPeer[e.peer] += n; g.perPeer[e.peer] == 0 {
-		delete(g.perPeer, e.peer)
-	}
 }
 
 // read counts bytes that have arrived. It ends other requests if there is no room, and this one
@@ -232,28 +229,33 @@
 	}
 }
 
-// begin records that a handler has the request, whose header has arrived.
-func (g *Gate) begin(e *entry) {
-	g.setStage(e, served)
+// begin records that a handler has the request, whose header has arrived, and whether its body is
+// still to be read.
+func (g *Gate) begin(e *entry, body bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !e.parsed {
 		e.parsed = true
 		g.charge(e, e.held/headerWeight-e.held)
 	}
+	if e.body = body; !body {
+		e.stage = served
+	}
 }
 
-// setStage begins a stage. What was held for a request is released when the connection is idle.
-func (g *Gate) setStage(e *entry, s stage) {
+// arrived records that the body was read, or that reading it failed.
+func (g *Gate) arrived(e *entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s == idle {
-		g.release(e)
-		e.parsed = false
-	}
-	if e.stage != s {
-		e.stage, e.since = s, g.now()
-	}
+	e.stage, e.body = served, false
+}
+
+// finish records that the request is answered and releases what was held for it.
+func (g *Gate) finish(e *entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.release(e)
+	e.stage, e.body, e.parsed = idle, false, false
 }
 
 // setWriting records that a write of n bytes of an answer begins, or that it ends if n is negative.
@@ -282,8 +284,9 @@
 	young
 )
 
-func (g *Gate) rank(e *entry, now time.Time) (rank, bool) {
-	r := rank{entry: e, rate: e.rate(now), peer: g.perPeer[e.peer]}
+// rankOf returns the rank of a request, and whether it may be ended.
+func rankOf(e *entry, now time.Time) (rank, bool) {
+	r := rank{entry: e, rate: e.rate(now)}
 	switch {
 	case e.ended:
 		return r, false
@@ -317,11 +320,16 @@
 func (g *Gate) free(cause string, conns int, bytes int64, asking *entry) {
 	now := g.now()
 	var ranks []rank
+	peers := map[netip.Addr]int64{} // bytes by address
 	for e := range g.entries {
-		if r, possible := g.rank(e, now); possible && (cause == causeConns || e.held > 0 && r.class != young) {
+		peers[e.peer] += e.held
+		if r, possible := rankOf(e, now); possible && (cause == causeConns || e.held > 0 && r.class != young) {
 			ranks = append(ranks, r)
 		}
 	}
+	for i := range ranks {
+		ranks[i].peer = peers[ranks[i].entry.peer]
+	}
 	slices.SortFunc(ranks, rank.compare)
 	for _, r := range ranks {
 		if cause == causeConns && len(g.entries) <= g.limits.Conns-conns {
