intake: a request that is served is not ended, and one that was pipelined counts as arriving

Cause: by reading: a byte of the next request that found no room ended the one that was served, and the body of a request that had been read together with the one before counted as unused.

Change: only a request that arrives is ended for the room that it asks for; a request with a body arrives from its beginning.

Measured: package intake passes twice under the race detector.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -66,7 +66,7 @@
 		descriptors = DefaultDescriptors
 	}
 	share := memory / memoryShare
-	sockets := max(0, descriptors-fileDescriptors) / socketShare
+	sockets := max(0, descriptors-fileDescriptors) / socketShare // for connections of callers
 	return Limits{Bytes: max(minBytes, share), Conns: max(minConns, min(sockets, int(share/connBytes)))}
 }
 
@@ -238,8 +238,12 @@
 		e.parsed = true
 		g.charge(e, e.held/headerWeight-e.held)
 	}
-	if e.body = body; !body {
+	e.body = body
+	switch {
+	case !body:
 		e.stage = served
+	case e.stage == idle: // it was read together with the one before
+		e.stage, e.since = arriving, g.now()
 	}
 }
 
@@ -315,8 +319,7 @@
 }
 
 // free ends requests until a number of connections and bytes below the limits are free. For
-// bytes, it ends none that holds nothing, and asking, the request that needs room, before a young
-// one.
+// bytes, it ends none that holds nothing, and no young one but asking, the request that needs room.
 func (g *Gate) free(cause string, conns int, bytes int64, asking *entry) {
 	now := g.now()
 	var ranks []rank
@@ -343,7 +346,7 @@
 			delete(g.entries, r.entry)
 		}
 	}
-	if cause == causeBytes && g.used > g.limits.Bytes && !asking.ended {
+	if cause == causeBytes && g.used > g.limits.Bytes && !asking.ended && asking.stage == arriving {
 		g.endOne(cause, asking)
 	}
 }
