--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -164,15 +164,17 @@
 	fail := func(err error) (*configuration, platform.Queue, jobs.Job, error) {
 		return nil, platform.Queue{}, jobs.Job{}, err
 	}
-	data, err := intake.ReadBody(r, maxSubmissionBytes)
-	if errors.Is(err, intake.ErrCrowded) {
+	var j jobs.Job
+	err := intake.DecodeBody(r, maxSubmissionBytes, func(body []byte) (err error) {
+		j, err = jobs.DecodeUnvalidated(body)
+		return err
+	})
+	switch {
+	case errors.Is(err, intake.ErrCrowded):
 		return fail(errors.Wrap(err, "the job was refused and has not run"))
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrCutOff):
 		return fail(errors.Wrap(jobs.ErrInvalid, err.Error()))
-	}
-	j, err := jobs.DecodeUnvalidated(data)
-	if err != nil {
+	case err != nil:
 		return fail(err)
 	}
 	c := d.config.Load()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -47,7 +47,6 @@
 	net.Conn
 	gate  *Gate
 	entry entry
-	body  bool // its handler reads a body; guarded by the gate's mutex
 	once  sync.Once
 }
 
@@ -63,7 +62,7 @@
 // end makes the handler's read fail, so that it can refuse the request, or closes the connection
 // if no handler reads. The gate calls it with its mutex held.
 func (c *conn) end() {
-	if c.body {
+	if c.entry.body {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
@@ -89,8 +88,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// smallWrite is the length in bytes up to which a write is not counted: it fits into the buffer
+// that every connection has.
+const smallWrite = 4 << 10
+
 // Write is part of [net.Conn].
 func (c *conn) Write(p []byte) (int, error) {
+	if len(p) <= smallWrite {
+		return c.Conn.Write(p)
+	}
 	c.gate.setWriting(&c.entry, int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.gate.setWriting(&c.entry, -int64(len(p)))
@@ -112,17 +118,6 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) setBody(reading bool) {
-	c.gate.mu.Lock()
-	c.body = reading
-	c.gate.mu.Unlock()
-	if reading {
-		c.gate.setStage(&c.entry, arriving)
-	} else {
-		c.gate.setStage(&c.entry, served)
-	}
-}
-
 func (c *conn) ended() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -137,7 +132,7 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, guarded := r.Context().Value(connKey{}).(*conn); guarded {
-			g.begin(&c.entry)
+			g.begin(&c.entry, r.ContentLength != 0)
 		}
 		if len(r.Header) > headerFields {
 			w.Header().Set("Connection", "close")
@@ -149,7 +144,7 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, guarded := c.(*conn); guarded && state == http.StateIdle {
-			g.setStage(&c.entry, idle)
+			g.finish(&c.entry)
 		}
 	}
 	if s.ReadTimeout == 0 {
@@ -167,59 +162,105 @@
 
 var blocks = sync.Pool{New: func() any { return new([blockBytes]byte) }}
 
+// decoders bounds how many bodies longer than a block are joined, and decoded by [DecodeBody], at
+// the same time. Either takes more memory than the bytes that count.
+var decoders = make(chan struct{}, 4)
+
 // ReadBody reads the body of a request, which may have up to limit bytes. Memory is taken as the
-// bytes arrive. The error is an [ErrTooLong], an [ErrCrowded] or that of the connection.
-func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+// bytes arrive. The error is an [ErrTooLong], an [ErrCrowded] or an [ErrCutOff].
+func ReadBody(r *http.Request, limit int64) (body []byte, err error) {
+	err = DecodeBody(r, limit, func(data []byte) error {
+		body = data
+		return nil
+	})
+	return body, err
+}
+
+// DecodeBody reads the body of a request as [ReadBody] does, calls decode with it and returns the
+// error of either. Only a few long bodies are decoded at the same time.
+func DecodeBody(r *http.Request, limit int64, decode func(data []byte) error) error {
 	if r.ContentLength > limit {
-		return nil, errors.WithStack(ErrTooLong)
+		return errors.WithStack(ErrTooLong)
 	}
-	c, guarded := r.Context().Value(connKey{}).(*conn)
-	if guarded {
-		c.setBody(true)
-		defer c.setBody(false)
+	if r.ContentLength >= 0 && r.ContentLength <= blockBytes {
+		data := make([]byte, r.ContentLength)
+		if err := reading(r, func() error {
+			_, err := io.ReadFull(r.Body, data)
+			return errors.Mark(err, ErrCutOff)
+		}); err != nil {
+			return err
+		}
+		return decode(data)
 	}
-	body, err := readBody(r.Body, r.ContentLength, limit)
-	if err != nil && guarded && c.ended() {
-		return nil, errors.WithStack(ErrCrowded)
+	var b body
+	defer b.free()
+	if err := reading(r, func() error { return b.read(r.Body, limit) }); err != nil {
+		return err
 	}
-	return body, err
+	if len(b.blocks) > 1 {
+		select {
+		case decoders <- struct{}{}:
+			defer func() { <-decoders }()
+		case <-r.Context().Done():
+			return errors.Mark(r.Context().Err(), ErrCutOff)
+		}
+	}
+	return decode(b.join())
 }
 
-func readBody(body io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 && length <= blockBytes {
-		data := make([]byte, length)
-		_, err := io.ReadFull(body, data)
-		return data, errors.Wrap(err, "read the body")
+// reading calls f, which reads the body of a request, and returns its error, or [ErrCrowded] if
+// the request was ended meanwhile.
+func reading(r *http.Request, f func() error) error {
+	c, guarded := r.Context().Value(connKey{}).(*conn)
+	if !guarded {
+		return f()
 	}
-	var full []*[blockBytes]byte
-	defer func() {
-		for _, b := range full {
-			blocks.Put(b)
-		}
-	}()
-	total := 0
+	defer c.gate.arrived(&c.entry)
+	err := f()
+	if err != nil && c.ended() {
+		return errors.WithStack(ErrCrowded)
+	}
+	return err
+}
+
+// body is a body that arrives.
+type body struct {
+	blocks []*[blockBytes]byte
+	size   int
+}
+
+func (b *body) read(from io.Reader, limit int64) error {
 	for used := blockBytes; ; {
 		if used == blockBytes {
-			full, used = append(full, blocks.Get().(*[blockBytes]byte)), 0
+			b.blocks, used = append(b.blocks, blocks.Get().(*[blockBytes]byte)), 0
 		}
-		n, err := body.Read(full[len(full)-1][used:])
+		n, err := from.Read(b.blocks[len(b.blocks)-1][used:])
 		used += n
-		total += n
+		b.size += n
 		switch {
-		case int64(total) > limit:
-			return nil, errors.WithStack(ErrTooLong)
+		case int64(b.size) > limit:
+			return errors.WithStack(ErrTooLong)
 		case errors.Is(err, io.EOF):
-			return join(full, total), nil
+			return nil
 		case err != nil:
-			return nil, errors.Wrap(err, "read the body")
+			return errors.Mark(err, ErrCutOff)
 		}
 	}
 }
 
-func join(full []*[blockBytes]byte, total int) []byte {
-	data := make([]byte, 0, total)
-	for _, b := range full {
-		data = append(data, b[:min(blockBytes, total-len(data))]...)
+// join returns the whole body and frees its blocks.
+func (b *body) join() []byte {
+	data := make([]byte, 0, b.size)
+	for _, block := range b.blocks {
+		data = append(data, block[:min(blockBytes, b.size-len(data))]...)
 	}
+	b.free()
 	return data
 }
+
+func (b *body) free() {
+	for _, block := range b.blocks {
+		blocks.Put(block)
+	}
+	b.blocks = nil
+}
