--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -283,7 +283,7 @@
 		case now.Before(a.declared):
 			*amount = 0
 		default:
-			*amount -= unseen
+			*amount = max(0, *amount-unseen)
 		}
 	}
 	set(limit.Millicores, a.unseen.Millicores, &allotment.Millicores)
