--- a/internal/ahead/ahead_test.go
+++ b/internal/ahead/ahead_test.go
@@ -1,6 +1,8 @@
 package ahead_test
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -89,3 +91,26 @@
 		}
 	})
 }
+
+func TestQuantileFollowsItsStream(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, share := range []float64{0.5, 0.95} {
+		q := ahead.NewQuantile(share, 1)
+		for _, scale := range []float64{10, 0.1} {
+			for range 2000 {
+				q.Add(scale * random.Float64())
+			}
+			below := 0
+			for range 2000 {
+				sample := scale * random.Float64()
+				if sample <= q.Value() {
+					below++
+				}
+				q.Add(sample)
+			}
+			if have := float64(below) / 2000; math.Abs(have-share) > 0.02 {
+				t.Errorf("%v of samples up to %v are below the estimate, want %v", have, scale, share)
+			}
+		}
+	}
+}
