--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -327,9 +327,9 @@
 	b.rejected = rejections{}
 }
 
-// chooseBeside is [Board.chooseWorker] for a task of a candidate, which may have reservations or
-// be backfilled on the workers of others.
-func (b *Board) chooseBeside(c candidate, t jobs.Task, now time.Time) *worker {
+// chooseWithReservations is [Board.chooseWorker] for a task of a candidate, which may have
+// reservations or be backfilled on the workers of others.
+func (b *Board) chooseWithReservations(c candidate, t jobs.Task, now time.Time) *worker {
 	step := &c.entry.job.Steps[c.key.step]
 	if !b.ahead.on || step.LongRunning {
 		return b.chooseWorker(c.entry, step, t, now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -390,7 +390,7 @@
 			b.noteLimit(step, now)
 			break
 		}
-		w := b.chooseBeside(c, t, now)
+		w := b.chooseWithReservations(c, t, now)
 		if w == nil {
 			break
 		}
