place: in an overload, jobs that can be on time go first, and organisations share by weight

Cause: in order of the latest start alone a pool with more work than it can do makes nearly all its jobs late together, and one organisation's flood is paid by all. Change: a plan, at most each 100 ms and only while tasks wait for more than is free, goes through the steps in the order of their latest starts and drops jobs whenever the work up to one can't be started in time. Dropped jobs stand by. Organisations get start tags (start-time fair queueing); jobs beyond their rate come last and are refused at once while the pool is overloaded. It is on where a queue of the pool has a target duration. Growth is recorded for replays.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +15,7 @@
 	admissionMargin = 3           // the estimated wait must exceed the acceptable wait by this factor, because the pool may grow meanwhile
 	minRetryAfter   = time.Second // bounds of the retry delay given to a refused caller
 	maxRetryAfter   = 10 * time.Second
+	growthKnown     = 2 * time.Second // an overload that has lasted this long has all the hosts that it gets
 )
 
 // admissionRefresh is how long the sums of an [admissionEstimate] are used. They go through
@@ -33,6 +36,7 @@
 // SetGrowth sets the capacity of the hosts that are on their way to the pool, in
 // millicores.
 func (b *Board) SetGrowth(millicores int, now time.Time) {
+	b.recordStep(Step{Kind: StepGrowth, Limit: millicores, At: now})
 	b.growth, b.growthUntil = millicores, now.Add(growthValidity)
 }
 
@@ -52,14 +56,36 @@
 	if b.admission.millicores == 0 {
 		return false, 0
 	}
+	switch excess := b.exceedsRate(j.Organisation, now); {
+	case excess && b.overloaded(now):
+		return true, spread(j.ID, minRetryAfter)
+	case !excess && b.belowShare(j.Organisation):
+		return false, 0 // the backlog is of others, and it comes before them
+	}
 	wait := time.Duration(min(b.admission.work/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
 	factor := b.estimates.factor(j.Queue)
 	criticalPath := time.Duration(factor * float64(slices.Max(j.CriticalPaths())))
 	maxWait := expiryFactor*j.Objective(0, criticalPath).Sub(j.Submitted) - criticalPath
-	if float64(wait) < admissionMargin*float64(maxWait) {
+	margin := float64(admissionMargin)
+	if b.overloaded(now) && now.Sub(b.plan.since) >= growthKnown {
+		margin = 1
+	}
+	if float64(wait) < margin*float64(maxWait) {
 		return false, 0
 	}
-	return true, min(max(wait-maxWait, minRetryAfter), maxRetryAfter)
+	retry := min(max(wait-maxWait, minRetryAfter), maxRetryAfter)
+	if b.shedding {
+		retry = min(spread(j.ID, retry), maxRetryAfter)
+	}
+	return true, retry
+}
+
+// spread returns up to half more than a delay, by a job's id: callers that are refused at the same
+// time come back one after the other.
+func spread(id jobs.ID, delay time.Duration) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return delay + time.Duration(float64(delay)/2*float64(h.Sum32())/math.MaxUint32)
 }
 
 // hasRoomFor reports whether a worker has free capacity for a task of a step.
@@ -96,7 +122,7 @@
 func (b *Board) backlog(now time.Time) float64 {
 	work := 0.0
 	for _, e := range b.pending.unfinished {
-		if e.job.LongRunning() || e.job.Repetitions > 0 {
+		if e.job.LongRunning() || e.job.Repetitions > 0 || b.shedding && e.standing.excess {
 			continue
 		}
 		factor := b.estimates.factor(e.job.Queue)
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -37,6 +37,7 @@
 	lasting        map[stepKey]*lastingStep // long-running steps that have or had attempts
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
+	standing       standing
 }
 
 // backoff delays the restart of a long-running task.
@@ -66,6 +67,10 @@
 	rejected         rejections          // by the present decision
 	idleChanged      map[string]struct{} // workers whose first attempt was added or last one removed
 	admission        admissionEstimate
+	shedding         bool // see SetShedding
+	plan             overloadPlan
+	service          service
+	virtualTime      float64     // of the organisations' shares
 	growth           int         // millicores of hosts that are on their way to the pool
 	growthUntil      time.Time   // until when growth is valid
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
@@ -148,15 +153,22 @@
 	b.pending.unfinished[j.ID] = e
 	b.pending.changedJobs[j.ID] = e
 	if j.Repetitions == 0 && !j.LongRunning() && now.Sub(j.Submitted) < arrivalWindow {
-		work := 0.0
-		for i := range j.Steps {
-			work += e.estimatedWork(i, j.Steps[i].Count)
-		}
+		work := e.totalWork()
+		b.join(e, work, now)
 		b.admission.work += float64(b.estimates.factor(j.Queue) * work)
 		b.arrivals.add(work, now)
 	}
 }
 
+// totalWork returns the work of all steps of the job, in millicore seconds.
+func (e *jobEntry) totalWork() float64 {
+	work := 0.0
+	for i := range e.job.Steps {
+		work += e.estimatedWork(i, e.job.Steps[i].Count)
+	}
+	return work
+}
+
 // estimatedWork returns the work of a number of tasks of a step, in millicore seconds.
 func (e *jobEntry) estimatedWork(step, tasks int) float64 {
 	s := &e.job.Steps[step]
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -14,6 +14,7 @@
 	entry       *jobEntry
 	key         stepKey
 	class       int       // lowest first
+	begun       int       // 1 if a task of the job has been started, in classStandby
 	latestStart time.Time // that still meets the objective, or the expiry of a late job
 }
 
@@ -52,6 +53,12 @@
 	if x.entry.job.Priority != y.entry.job.Priority {
 		return cmp.Compare(x.entry.job.Priority, y.entry.job.Priority)
 	}
+	if x.class == classStandby && x.begun != y.begun {
+		return cmp.Compare(y.begun, x.begun)
+	}
+	if x.class >= classStandby && x.entry.standing.startTag != y.entry.standing.startTag {
+		return cmp.Compare(x.entry.standing.startTag, y.entry.standing.startTag)
+	}
 	if order := x.latestStart.Compare(y.latestStart); order != 0 {
 		return order
 	}
@@ -85,6 +92,13 @@
 		if c.latestStart.Before(now) {
 			c.class = classExpired
 		}
+	case e.standing.standby && e.standing.excess:
+		c.class = classExcess
+	case e.standing.standby:
+		c.class = classStandby
+		if e.begun() {
+			c.begun = 1
+		}
 	}
 	return c
 }
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -18,6 +18,7 @@
 	b.stopStalled(now)
 	b.speculate(now)
 	b.placeTasks(&o, now)
+	b.advanceVirtualTime(o.Starts)
 	b.beginPass(passOrders)
 	b.orderStops(&o)
 	b.adjustPaces(&o, now)
@@ -259,8 +260,10 @@
 const (
 	classLongRunning = iota
 	classOnTime
-	classLate // misses its objective, but has not expired
+	classStandby // would be on time, but the pool has too much to do
+	classLate    // misses its objective, but has not expired
 	classBestEffort
+	classExcess  // beyond the rate of their organisations, in an overload
 	classExpired // worthless to the caller, but accepted jobs are still run
 )
 
@@ -274,6 +277,7 @@
 	}
 	b.reservations, b.rejected = nil, rejections{}
 	b.releaseArriving()
+	b.planOverload(now)
 	candidates := b.candidates(now)
 	b.startsLeft, b.reservationsLeft = b.startLimit, maxBatchReservations
 	lasting := 0
--- a/internal/place/org.go
+++ b/internal/place/org.go
@@ -13,6 +13,7 @@
 	allotment jobs.Resources // what its tasks may claim in this pool
 	claimed   jobs.Resources // by its attempts, until they are known to have ended
 	attempts  int
+	share     share
 }
 
 func (o *organisation) use(claim jobs.Resources) {
--- /dev/null
+++ b/internal/place/overload_test.go
@@ -0,0 +1,258 @@
+package place_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
+	"github.com/papayarudder/papayarudder/internal/place"
+)
+
+// load is a number of jobs and the pool that they are for.
+type load struct {
+	workers       int // of 16 cores
+	shedding      bool
+	organisations map[string]place.Organisation
+	calls         []*call
+}
+
+// call is a job as its caller sees it.
+type call struct {
+	at           time.Duration // since the start of the load
+	organisation string
+	width, steps int
+
+	done     time.Duration // when its last task ended, 0 before
+	due      time.Duration // until when it is on time
+	refusal  time.Duration // the last Retry-After
+	tries    int
+	left     int
+	longest  time.Duration     // chain of tasks
+	runTimes [][]time.Duration // by step and index
+}
+
+// draw draws the run times of the tasks.
+func (c *call) draw(estimate time.Duration) {
+	random := rand.New(rand.NewPCG(uint64(c.at), uint64(c.width)))
+	for range c.steps {
+		var runTimes []time.Duration
+		for range c.width {
+			runTimes = append(runTimes, time.Duration(float64(estimate)*(0.85+0.3*random.Float64())))
+		}
+		c.runTimes = append(c.runTimes, runTimes)
+		c.longest += slices.Max(runTimes)
+	}
+}
+
+// Times that a job takes beside the runs of its tasks.
+const (
+	startDelay  = 40 * time.Millisecond  // from an order until the task runs
+	noticeDelay = 60 * time.Millisecond  // from its end until the owner knows it
+	answerDelay = 100 * time.Millisecond // from the owner's knowing of the last end until the caller knows
+	maxTries    = 4
+)
+
+// turn adds the jobs of an organisation, 8 tasks wide, at a rate a second.
+func (l *load) turn(organisation string, from, until time.Duration, rate float64) {
+	for at := from; at < until; at += time.Duration(float64(time.Second) / rate) {
+		l.calls = append(l.calls, &call{at: at, organisation: organisation, width: 8, steps: 1 + len(l.calls)%5/2})
+	}
+}
+
+// play runs the load until all jobs have ended, 10 ms after 10 ms.
+func (l *load) play(t *testing.T) {
+	t.Helper()
+	f := newTestBoard(0, 0)
+	size := jobs.Resources{Millicores: 16_000, MemoryMB: 64_000}
+	for i := range l.workers {
+		f.SetWorker(place.Worker{Key: key(i), ID: key(i), Size: size})
+	}
+	f.SetOrganisations(l.organisations)
+	f.SetShedding(l.shedding)
+	sends, byID := map[time.Duration][]*call{}, map[jobs.ID]*call{}
+	const tick = 10 * time.Millisecond
+	for _, c := range l.calls {
+		sends[c.at.Truncate(tick)] = append(sends[c.at.Truncate(tick)], c)
+	}
+	ends := map[time.Duration]map[string][]place.Ended{}
+	for now := time.Duration(0); len(sends)+len(ends) > 0; now += tick {
+		f.now = start.Add(now)
+		for _, worker := range slices.Sorted(maps.Keys(ends[now])) {
+			ended := ends[now][worker]
+			f.Listed(worker, f.without(worker, ended), ended, f.now, f.now)
+			for _, end := range ended {
+				if c := byID[end.Task.Job]; c.left == 1 {
+					c.done = now + answerDelay
+				} else {
+					c.left--
+				}
+			}
+		}
+		delete(ends, now)
+		for _, c := range sends[now] {
+			l.send(f, c, now, sends, byID)
+		}
+		delete(sends, now)
+		for _, s := range f.decide() {
+			at := (now + startDelay + byID[s.Task.Job].runTimes[s.Task.Step][s.Task.Index] + noticeDelay).Truncate(tick)
+			if ends[at] == nil {
+				ends[at] = map[string][]place.Ended{}
+			}
+			ends[at][s.Worker] = append(ends[at][s.Worker], place.Ended{Task: s.Task, Attempt: s.Attempt, Outcome: jobs.Done})
+		}
+	}
+}
+
+// without returns a worker's listing of its attempts but for those that have ended.
+func (f *testBoard) without(worker string, ended []place.Ended) []place.Running {
+	var running []place.Running
+	for _, a := range f.Attempts(worker) {
+		gone := false
+		for _, end := range ended {
+			gone = gone || end.Task == a.Task
+		}
+		if !gone {
+			running = append(running, place.Running{Task: a.Task, Attempt: a.Number})
+		}
+	}
+	return running
+}
+
+func (l *load) send(f *testBoard, c *call, now time.Duration, sends map[time.Duration][]*call, byID map[jobs.ID]*call) {
+	step := jobs.Step{Count: c.width, Size: jobs.Resources{Millicores: 1500, MemoryMB: 500}, Estimate: 800 * time.Millisecond}
+	j := jobs.Job{ID: jobs.ID(fmt.Sprintf("%016x", len(byID)+1)), Queue: "q", Pool: "p", Submitted: f.now, Slack: 1.6, Target: 600 * time.Millisecond, Organisation: c.organisation}
+	for i := range c.steps {
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	if c.tries++; c.tries == 1 {
+		c.draw(step.Estimate)
+		c.due = j.Objective(0, c.longest).Sub(start)
+	}
+	if refused, after := f.CannotFinishInTime(j, f.now); refused {
+		c.refusal = after
+		if at := (now + after).Truncate(10 * time.Millisecond); c.tries < maxTries {
+			sends[at] = append(sends[at], c)
+		}
+		return
+	}
+	c.left = c.width * c.steps
+	byID[j.ID] = c
+	f.add(j)
+}
+
+// inTime returns how many jobs that match are on time, and how many there are.
+func (l *load) inTime(match func(*call) bool) (inTime, all int) {
+	for _, c := range l.calls {
+		if !match(c) {
+			continue
+		}
+		all++
+		if c.done > 0 && c.done <= c.due {
+			inTime++
+		}
+	}
+	return inTime, all
+}
+
+func anyCall(*call) bool { return true }
+
+func of(organisation string) func(*call) bool {
+	return func(c *call) bool { return c.organisation == organisation }
+}
+
+// A queue's turn asks five times its mean for some seconds, more than twice what its pool can do. In
+// order of urgency nearly all jobs were late together, long after the turn as well.
+func TestJobsInTimeInATurn(t *testing.T) {
+	counts := map[bool]int{}
+	for _, shedding := range []bool{false, true} {
+		l := load{workers: 40, shedding: shedding}
+		l.turn("", 0, 2*time.Second, 16)
+		l.turn("", 2*time.Second, 8*time.Second, 80)
+		l.turn("", 8*time.Second, 12*time.Second, 16)
+		l.play(t)
+		n, all := l.inTime(anyCall)
+		counts[shedding] = n
+		t.Logf("shedding %v: %d of %d jobs in time", shedding, n, all)
+	}
+	if counts[true]*2 < counts[false]*3 {
+		t.Errorf("%d jobs in time, want half more than the %d in order of urgency", counts[true], counts[false])
+	}
+}
+
+// One organisation sends ten times its weight. Before, all organisations paid for it.
+func TestOrganisationBeyondItsWeight(t *testing.T) {
+	const weight = 8
+	play := func(rate float64, shedding bool) *load {
+		l := &load{workers: 40, shedding: shedding, organisations: map[string]place.Organisation{}}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			l.organisations[name] = place.Organisation{Weight: weight}
+		}
+		l.turn("b", 0, 10*time.Second, 4)
+		l.turn("c", 70*time.Millisecond, 10*time.Second, 3)
+		l.turn("d", 130*time.Millisecond, 10*time.Second, 5)
+		l.turn("a", 3*time.Second, 8*time.Second, rate)
+		l.play(t)
+		return l
+	}
+	calm, flood, without := play(weight, true), play(10*weight, true), play(10*weight, false)
+	for _, name := range []string{"b", "c", "d"} {
+		want, all := calm.inTime(of(name))
+		have, _ := flood.inTime(of(name))
+		before, _ := without.inTime(of(name))
+		t.Logf("%s: of %d jobs %d in time, %d in calm, %d without shares", name, all, have, want, before)
+		if have*100 < want*99 {
+			t.Errorf("%s: %d of %d jobs in time beside the flood, want within 1%% of %d", name, have, all, want)
+		}
+		if before*10 > want*8 {
+			t.Errorf("%s: %d jobs in time without shares, so that the load shows nothing", name, before)
+		}
+	}
+	mine, _ := flood.inTime(of("a"))
+	t.Logf("a: %d jobs in time", mine)
+	if mine < 5*weight*9/10 {
+		t.Errorf("a: %d jobs in time, want nearly the %d to which it is entitled", mine, 5*weight)
+	}
+}
+
+// An organisation that has slept gets its share at once, though others have filled the pool.
+func TestSleepingOrganisationReturns(t *testing.T) {
+	play := func(shedding bool) (early, all int) {
+		l := load{workers: 40, shedding: shedding, organisations: map[string]place.Organisation{"busy": {Weight: 100}, "sleeper": {Weight: 100}}}
+		l.turn("busy", 0, 10*time.Second, 60)
+		l.turn("sleeper", 6*time.Second, 8*time.Second, 10)
+		l.play(t)
+		return l.inTime(of("sleeper"))
+	}
+	have, all := play(true)
+	before, _ := play(false)
+	t.Logf("%d of %d jobs in time, %d without shares", have, all, before)
+	if have*4 < all*3 || before >= have {
+		t.Errorf("%d of the sleeper's %d jobs in time (%d without shares), want three quarters: what has begun is finished first", have, all, before)
+	}
+}
+
+// Jobs three times as wide as the others must not be starved: the largest tenth of a kind is served at least half
+// as often as the whole.
+func TestWideJobsAreServedInATurn(t *testing.T) {
+	l := load{workers: 40, shedding: true}
+	l.turn("", 0, 8*time.Second, 60)
+	for i, c := range l.calls {
+		if i%10 == 3 {
+			c.width = 24
+		}
+	}
+	l.play(t)
+	wide, wides := l.inTime(func(c *call) bool { return c.width == 24 })
+	n, all := l.inTime(anyCall)
+	t.Logf("%d of %d wide jobs in time, %d of all %d", wide, wides, n, all)
+	if wide*all*2 < n*wides {
+		t.Errorf("%d of %d wide jobs in time, want half the share of all: %d of %d", wide, wides, n, all)
+	}
+}
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -15,6 +15,7 @@
 	StepAdvised         StepKind = "advised"
 	StepAdviceFailed    StepKind = "advice-failed"
 	StepAllotment       StepKind = "allotment"
+	StepShedding        StepKind = "shedding"
 	StepSetAdvised      StepKind = "queues-with-advice"
 	StepCancel          StepKind = "cancel"
 	StepCrashed         StepKind = "crashed"
@@ -22,6 +23,7 @@
 	StepTicketRejected  StepKind = "ticket-rejected"
 	StepUnconfirmed     StepKind = "doubt"
 	StepExpire          StepKind = "expire"
+	StepGrowth          StepKind = "growth"
 	StepLapse           StepKind = "lapse"
 	StepLeft            StepKind = "left"
 	StepLifetimeEnded   StepKind = "lifetime-ended"
@@ -131,6 +133,10 @@
 		b.SetUnconfirmedUntil(s.Until)
 	case StepExpire:
 		b.Expire(s.Kept, s.At)
+	case StepGrowth:
+		b.SetGrowth(s.Limit, s.At)
+	case StepShedding:
+		b.SetShedding(s.Flag)
 	case StepLapse:
 		b.ExpireLeases(s.Key, s.At)
 	case StepLeft:
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -87,11 +87,12 @@
 	advised       bool // the queue "advised" is
 	crashes       bool // workers crash, most often right after a start, and jobs are suspended
 	checkReserved bool
+	shedding      bool
 	suspended     map[jobs.ID]time.Time
 }
 
 func newScanTest(seed uint64) *scanTest {
-	s := &scanTest{rng: rand.New(rand.NewPCG(seed, 1)), now: start, stored: map[jobs.ID][]byte{}, known: map[jobs.ID]jobs.Job{}, counts: map[string]int{}, suspended: map[jobs.ID]time.Time{}}
+	s := &scanTest{rng: rand.New(rand.NewPCG(seed, 1)), now: start, stored: map[jobs.ID][]byte{}, known: map[jobs.ID]jobs.Job{}, counts: map[string]int{}, suspended: map[jobs.ID]time.Time{}, shedding: seed%4 == 2}
 	for range 4 + s.n(8) {
 		s.addWorker(fmt.Sprintf("w%d", len(s.workers)), len(s.workers)/3)
 	}
@@ -136,6 +137,7 @@
 	clear(s.suspended)
 	s.advised = true
 	s.board.SetAdvised(map[string]bool{"advised": true})
+	s.board.SetShedding(s.shedding)
 	for _, j := range s.jobs {
 		p := jobs.NewProgress(j)
 		if data := s.stored[j.ID]; data != nil {
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -73,11 +73,12 @@
 	Used     int  // millicores claimed on these workers
 	Wanted   int  // millicores of waiting tasks
 	Limited  bool // batch tasks wait for their owner to send starts, not for a worker
+	Standby  int  // jobs that stand by while the pool is overloaded
 }
 
 // Summary returns the current counts of the pool.
 func (b *Board) Summary(now time.Time) Summary {
-	s := Summary{Workers: len(b.workers), Limited: b.startsLimited(now)}
+	s := Summary{Workers: len(b.workers), Limited: b.startsLimited(now), Standby: b.plan.standby}
 	for _, w := range b.workers {
 		s.Attempts += len(w.attempts)
 		count := func(n *int, is bool) {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -354,14 +354,16 @@
 // SetQueues sets the configuration of the pool's queues.
 func (o *Owner) SetQueues(queues []platform.Queue) {
 	o.post(func() {
-		advised := map[string]bool{}
+		advised, targets := map[string]bool{}, false
 		for _, q := range queues {
+			targets = targets || q.Pool == o.name && q.Target > 0
 			o.queues[q.Name] = q
 			if q.Advice != nil {
 				advised[q.Name] = true
 			}
 		}
 		o.board.SetAdvised(advised)
+		o.board.SetShedding(targets)
 	})
 }
 
