place, pool: an overload in log and metrics; the less urgent queue stands by first

Cause: operators could not see who is refused for which cause, and a more urgent job could stand by beside a less urgent one that does not. Change: "pool is overloaded" and its end are logged, pool state has Standby, papayarudder_jobs_refused_total has the cause, papayarudder_pool_overloads_total is new. Once an urgent job stands by, less urgent ones that have not begun do, too. Measured: TestUrgentJobsGoFirstInAnOverload, TestPlanCost (350 workers, 2,000 steps, 230 organisations) and the others of overload_test.go pass.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -15,7 +15,6 @@
 	admissionMargin = 3           // the estimated wait must exceed the acceptable wait by this factor, because the pool may grow meanwhile
 	minRetryAfter   = time.Second // bounds of the retry delay given to a refused caller
 	maxRetryAfter   = 10 * time.Second
-	growthKnown     = 2 * time.Second // an overload that has lasted this long has all the hosts that it gets
 )
 
 // admissionRefresh is how long the sums of an [admissionEstimate] are used. They go through
@@ -56,8 +55,8 @@
 	if b.admission.millicores == 0 {
 		return false, 0
 	}
-	switch excess := b.exceedsRate(j.Organisation, now); {
-	case excess && b.overloaded(now):
+	switch excess := b.ExceedsRate(j.Organisation, now); {
+	case excess && b.Overloaded(now):
 		return true, spread(j.ID, minRetryAfter)
 	case !excess && b.belowShare(j.Organisation):
 		return false, 0 // the backlog is of others, and it comes before them
@@ -66,11 +65,7 @@
 	factor := b.estimates.factor(j.Queue)
 	criticalPath := time.Duration(factor * float64(slices.Max(j.CriticalPaths())))
 	maxWait := expiryFactor*j.Objective(0, criticalPath).Sub(j.Submitted) - criticalPath
-	margin := float64(admissionMargin)
-	if b.overloaded(now) && now.Sub(b.plan.since) >= growthKnown {
-		margin = 1
-	}
-	if float64(wait) < margin*float64(maxWait) {
+	if float64(wait) < admissionMargin*float64(maxWait) {
 		return false, 0
 	}
 	retry := min(max(wait-maxWait, minRetryAfter), maxRetryAfter)
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // A pool is overloaded while it has more work than its workers, and the hosts on their way, can
@@ -37,7 +35,6 @@
 type overloadPlan struct {
 	at        time.Time
 	standby   int       // jobs that stand by
-	since     time.Time // since when the pool has been overloaded
 	droppedAt time.Time // when a plan last dropped a job
 }
 
@@ -108,8 +105,8 @@
 	}
 }
 
-// overloaded reports whether a plan of the last moments has dropped jobs.
-func (b *Board) overloaded(now time.Time) bool {
+// Overloaded reports whether a plan of the last moments has dropped jobs.
+func (b *Board) Overloaded(now time.Time) bool {
 	return b.shedding && !b.plan.droppedAt.IsZero() && now.Sub(b.plan.droppedAt) < overloadMemory
 }
 
@@ -127,19 +124,14 @@
 		return
 	}
 	demands := b.demands(now)
-	overloaded := b.overloaded(now)
+	overloaded := b.Overloaded(now)
 	for _, d := range demands {
 		d.entry.standing.standby = overloaded && d.entry.standing.excess
 	}
 	standby := b.chooseStandby(demands, room, now)
-	b.plan.standby = standby
-	if standby == 0 {
-		return
+	if b.plan.standby = standby; standby > 0 {
+		b.plan.droppedAt = now
 	}
-	if !b.overloaded(now) {
-		b.plan.since = now
-	}
-	b.plan.droppedAt = now
 }
 
 // endOverload ends the overload of the last plan.
@@ -272,13 +264,13 @@
 }
 
 // chooseStandby goes through the demands in the order of their latest starts and drops a job
-// whenever the work up to one of them can't be started by then (Moore and Hodgson's rule, with
-// the jobs that have begun kept). It returns how many it has dropped.
+// whenever the work up to one of them can't be started by then (Moore and Hodgson's rule, but for
+// the order in which jobs are dropped). It returns how many jobs stand by.
 func (b *Board) chooseStandby(demands []demand, room supply, now time.Time) int {
 	var drops dropOrder
 	seen := map[*jobEntry]*planned{}
 	shares := map[*organisation]float64{} // of the jobs planned so far
-	work, dropped := 0.0, 0
+	work, dropped, urgent := 0.0, 0, math.MaxInt
 	mean := meanWork(demands)
 	for i, d := range demands {
 		if d.entry.standing.standby {
@@ -306,10 +298,16 @@
 			p := heap.Pop(&drops).(*planned)
 			p.entry.standing.standby = true
 			work -= p.work
+			urgent = min(urgent, p.entry.job.Priority)
 			dropped++
 		}
 	}
 	for _, p := range drops {
+		if p.entry.job.Priority > urgent && !p.begun {
+			p.entry.standing.standby = true // behind the more urgent ones that were dropped
+			dropped++
+			continue
+		}
 		p.entry.standing.admitted = true
 	}
 	return dropped
@@ -326,6 +324,3 @@
 
 // begun reports whether a task of the job has been started.
 func (e *jobEntry) begun() bool { return e.progress.Begun || len(e.attempts) > 0 }
-
-// Standing returns whether a job stands by, for operators.
-func (b *Board) Standing(id jobs.ID) bool { return b.jobs[id] != nil && b.jobs[id].standing.standby }
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -44,7 +44,7 @@
 		e.standing.excess = true
 	default:
 		// Until the next plan. Otherwise a new job, which has all its time left, is tried at once.
-		e.standing.standby = b.overloaded(now) && !b.belowShare(e.job.Organisation)
+		e.standing.standby = b.Overloaded(now) && !b.belowShare(e.job.Organisation)
 		o.share.arrivals = append(slices.DeleteFunc(o.share.arrivals, func(t time.Time) bool { return now.Sub(t) > rateWindow }), now)
 	}
 }
@@ -78,10 +78,12 @@
 		return
 	}
 	for _, o := range b.organisations {
+		b.examined++
 		o.share.waiting = false
 	}
 	if b.contended {
 		for _, c := range b.pending.steps {
+			b.examined++
 			if o := b.sharing(c.entry.job.Organisation); o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess {
 				o.share.waiting = true
 			}
@@ -106,8 +108,8 @@
 	}
 }
 
-// exceedsRate reports whether a new job is beyond the rate of its organisation.
-func (b *Board) exceedsRate(organisation string, now time.Time) bool {
+// ExceedsRate reports whether a new job is beyond the rate of its organisation.
+func (b *Board) ExceedsRate(organisation string, now time.Time) bool {
 	o := b.sharing(organisation)
 	return o != nil && o.share.exceeds(o.Weight, now)
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -194,6 +194,7 @@
 	loop                loopStats
 	startRate           startRate
 	holdPause           holdPause
+	overloaded          bool // as logged last
 	flushing            bool
 	closed              bool
 	deposed             bool
@@ -481,6 +482,7 @@
 	o.holdPause.update(o.loop.recordTick(now))
 	o.startRate.update(o.startsSent.Load(), now)
 	o.offerHandover(now)
+	o.noteOverload(now)
 	if now.Sub(o.summarizedAt) > summaryPeriod {
 		o.summarizedAt = now
 		if s := o.board.Summary(now); s.Jobs > 0 {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -118,8 +118,7 @@
 			o.queueSubmission(&submission{job: j, row: row, progress: progress, receivedAt: now, waiters: []chan Verdict{reply}})
 		default:
 			if cannotFinish, retry := o.board.CannotFinishInTime(j, now); cannotFinish {
-				o.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "retry-ms": retry.Milliseconds()}).
-					Info("job refused: the estimated wait exceeds its deadline")
+				o.refuse(j, retry, now)
 				retryAfter = retry
 				reply <- Overloaded
 				return
