place: jobs beyond their organisation's rate stay behind all others until they expire

Cause: a new one was tried at once before the next plan, and a late one went with the others' late jobs. Change: the class of such a job is set for each decision while the pool is overloaded.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -55,10 +55,11 @@
 	if b.admission.millicores == 0 {
 		return false, 0
 	}
-	switch excess := b.ExceedsRate(j.Organisation, now); {
-	case excess && b.Overloaded(now):
-		return true, spread(j.ID, minRetryAfter)
-	case !excess && b.belowShare(j.Organisation):
+	if b.ExceedsRate(j.Organisation, now) {
+		if b.Overloaded(now) {
+			return true, spread(j.ID, minRetryAfter)
+		}
+	} else if b.belowShare(j.Organisation) {
 		return false, 0 // the backlog is of others, and it comes before them
 	}
 	wait := time.Duration(min(b.admission.work/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -37,7 +37,7 @@
 		}
 		if b.lookAt(c.entry, c.key, now) {
 			c = newCandidate(c.entry, c.key, factor, now)
-			c.share = b.usedShare(c.entry)
+			b.rankOrganisation(&c, now)
 		}
 		steps = append(steps, c) // also one of a suspended job, which the passes skip
 	}
@@ -97,8 +97,6 @@
 		if c.latestStart.Before(now) {
 			c.class = classExpired
 		}
-	case e.standing.standby && e.standing.excess:
-		c.class = classExcess
 	case e.standing.standby:
 		c.class = classStandby
 		if e.begun() {
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -57,6 +57,15 @@
 	return b.leastShare
 }
 
+// rankOrganisation sets what the order of candidates takes from the organisation of a job.
+func (b *Board) rankOrganisation(c *candidate, now time.Time) {
+	c.share = b.usedShare(c.entry)
+	batch := c.class == classOnTime || c.class == classStandby || c.class == classLate
+	if batch && c.entry.standing.excess && b.Overloaded(now) {
+		c.class = classExcess
+	}
+}
+
 // chargeStarts counts the work that a decision has started.
 func (b *Board) chargeStarts(starts []StartOrder) {
 	for _, s := range starts {
