--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +35,7 @@
 // SetGrowth sets the capacity of the hosts that are on their way to the pool, in
 // millicores.
 func (b *Board) SetGrowth(millicores int, now time.Time) {
+	b.recordStep(Step{Kind: StepGrowth, Limit: millicores, At: now})
 	b.growth, b.growthUntil = millicores, now.Add(growthValidity)
 }
 
@@ -52,6 +55,13 @@
 	if b.admission.millicores == 0 {
 		return false, 0
 	}
+	if b.ExceedsRate(j.Organisation, now) {
+		if b.Overloaded(now) {
+			return true, spread(j.ID, minRetryAfter)
+		}
+	} else if b.belowShare(j.Organisation) {
+		return false, 0 // the backlog is of others, and it comes before them
+	}
 	wait := time.Duration(min(b.admission.work/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
 	factor := b.estimates.factor(j.Queue)
 	criticalPath := time.Duration(factor * float64(slices.Max(j.CriticalPaths())))
@@ -59,7 +69,19 @@
 	if float64(wait) < admissionMargin*float64(maxWait) {
 		return false, 0
 	}
-	return true, min(max(wait-maxWait, minRetryAfter), maxRetryAfter)
+	retry := min(max(wait-maxWait, minRetryAfter), maxRetryAfter)
+	if b.shedding {
+		retry = spread(j.ID, min(retry, maxRetryAfter*2/3))
+	}
+	return true, retry
+}
+
+// spread returns up to half more than a delay, by a job's id: callers that are refused at the same
+// time come back one after the other.
+func spread(id jobs.ID, delay time.Duration) time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return delay + time.Duration(float64(delay)/2*float64(h.Sum32())/math.MaxUint32)
 }
 
 // hasRoomFor reports whether a worker has free capacity for a task of a step.
@@ -96,7 +118,7 @@
 func (b *Board) backlog(now time.Time) float64 {
 	work := 0.0
 	for _, e := range b.pending.unfinished {
-		if e.job.LongRunning() || e.job.Repetitions > 0 {
+		if e.job.LongRunning() || e.job.Repetitions > 0 || b.shedding && e.standing.excess {
 			continue
 		}
 		factor := b.estimates.factor(e.job.Queue)
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -40,6 +40,7 @@
 	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
 	reserved       map[stepKey]int          // how many reservations a step has; nil if none had any
 	runTimes       map[stepKey]runTimes     // of finished tasks, if placement looks ahead
+	standing       standing                 // in an overload
 }
 
 func newJobEntry(j jobs.Job, p *jobs.Progress) *jobEntry {
@@ -82,6 +83,11 @@
 	rejected         rejections          // by the present decision
 	idleChanged      map[string]struct{} // workers whose first attempt was added or last one removed
 	admission        admissionEstimate
+	shedding         bool // see SetShedding
+	plan             overloadPlan
+	service          service
+	contended        bool        // tasks waited for more room than there was at the last plan
+	leastShare       float64     // that an organisation with waiting tasks has had
 	growth           int         // millicores of hosts that are on their way to the pool
 	growthUntil      time.Time   // until when growth is valid
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
@@ -159,10 +165,8 @@
 	b.pending.unfinished[j.ID] = e
 	b.pending.changedJobs[j.ID] = e
 	if j.Repetitions == 0 && !j.LongRunning() && now.Sub(j.Submitted) < arrivalWindow {
-		work := 0.0
-		for i := range j.Steps {
-			work += e.estimatedWork(i, j.Steps[i].Count)
-		}
+		work := e.totalWork()
+		b.countArrival(e, now)
 		b.admission.work += float64(b.estimates.factor(j.Queue) * work)
 		if b.organisationOf(e).attempts == 0 || !b.heldUp(e, &j.Steps[0]) { // hosts would not help it otherwise
 			b.arrivals.add(work, now)
@@ -170,6 +174,15 @@
 	}
 }
 
+// totalWork returns the work of all steps of the job, in millicore seconds.
+func (e *jobEntry) totalWork() float64 {
+	work := 0.0
+	for i := range e.job.Steps {
+		work += e.estimatedWork(i, e.job.Steps[i].Count)
+	}
+	return work
+}
+
 // estimatedWork returns the work of a number of tasks of a step, in millicore seconds.
 func (e *jobEntry) estimatedWork(step, tasks int) float64 {
 	s := &e.job.Steps[step]
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -14,6 +14,8 @@
 	entry       *jobEntry
 	key         stepKey
 	class       int       // lowest first
+	begun       int       // 1 if a task of the job has been started, in classStandby
+	share       float64   // what the job's organisation has had for its weight
 	latestStart time.Time // that still meets the objective, or the expiry of a late job
 }
 
@@ -35,6 +37,7 @@
 		}
 		if b.lookAt(c.entry, c.key, now) {
 			c = newCandidate(c.entry, c.key, factor, now)
+			b.rankOrganisation(&c, now)
 		}
 		steps = append(steps, c) // also one of a suspended job, which the passes skip
 	}
@@ -52,7 +55,16 @@
 	if x.entry.job.Priority != y.entry.job.Priority {
 		return cmp.Compare(x.entry.job.Priority, y.entry.job.Priority)
 	}
+	if x.class == classStandby && x.begun != y.begun {
+		return cmp.Compare(y.begun, x.begun)
+	}
+	if x.class >= classStandby && x.share != y.share {
+		return cmp.Compare(x.share, y.share)
+	}
 	if order := x.latestStart.Compare(y.latestStart); order != 0 {
+		if x.class == classStandby && x.begun == 0 {
+			return -order // the newest can wait longest, so that it may still be on time
+		}
 		return order
 	}
 	return cmp.Or(
@@ -85,6 +97,11 @@
 		if c.latestStart.Before(now) {
 			c.class = classExpired
 		}
+	case e.standing.standby:
+		c.class = classStandby
+		if e.begun() {
+			c.begun = 1
+		}
 	}
 	return c
 }
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -20,6 +20,7 @@
 	reserved := len(b.ahead.reservations) > 0
 	b.placeTasks(&o, now)
 	b.noteStarts(o.Starts, now)
+	b.chargeStarts(o.Starts)
 	b.beginPass(passOrders)
 	b.orderStops(&o)
 	b.adjustPaces(&o, now)
@@ -262,8 +263,10 @@
 const (
 	classLongRunning = iota
 	classOnTime
-	classLate // misses its objective, but has not expired
+	classStandby // would be on time, but the pool has too much to do
+	classLate    // misses its objective, but has not expired
 	classBestEffort
+	classExcess  // beyond the rate of their organisations, in an overload
 	classExpired // worthless to the caller, but accepted jobs are still run
 )
 
@@ -277,6 +280,7 @@
 	}
 	b.reservations, b.rejected = nil, rejections{}
 	b.releaseArriving()
+	b.planOverload(now)
 	candidates := b.candidates(now)
 	b.reviewReservations(now)
 	b.startsLeft, b.reservationsLeft = b.startLimit, maxBatchReservations
--- a/internal/place/org.go
+++ b/internal/place/org.go
@@ -14,6 +14,7 @@
 	claimed   jobs.Resources // by its attempts, until they are known to have ended
 	adopted   jobs.Resources // the part of claimed for attempts that an earlier owner started
 	attempts  int
+	share     share
 }
 
 func (o *organisation) use(a *Attempt) {
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -89,12 +89,13 @@
 	checkReserved bool
 	quotas        bool // jobs are of organisations whose allotments change
 	lookAhead     bool
+	shedding      bool
 	suspended     map[jobs.ID]time.Time
 	allotments    map[string]jobs.Resources // of the present owner's board
 }
 
 func newScanTest(seed uint64) *scanTest {
-	s := &scanTest{rng: rand.New(rand.NewPCG(seed, 1)), now: start, stored: map[jobs.ID][]byte{}, known: map[jobs.ID]jobs.Job{}, counts: map[string]int{}, suspended: map[jobs.ID]time.Time{}, allotments: map[string]jobs.Resources{}}
+	s := &scanTest{rng: rand.New(rand.NewPCG(seed, 1)), now: start, stored: map[jobs.ID][]byte{}, known: map[jobs.ID]jobs.Job{}, counts: map[string]int{}, suspended: map[jobs.ID]time.Time{}, allotments: map[string]jobs.Resources{}, shedding: seed%4 == 2}
 	for range 4 + s.n(8) {
 		s.addWorker(fmt.Sprintf("w%d", len(s.workers)), len(s.workers)/3)
 	}
@@ -141,6 +142,7 @@
 	s.advised = true
 	s.board.SetAdvised(map[string]bool{"advised": true})
 	s.board.SetLookAhead(s.lookAhead)
+	s.board.SetShedding(s.shedding)
 	for _, j := range s.jobs {
 		p := jobs.NewProgress(j)
 		if data := s.stored[j.ID]; data != nil {
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -75,11 +75,12 @@
 	Largest  int  // millicores of the largest of them
 	TooSmall int  // free millicores on workers that accept new tasks, each with less than Largest
 	Limited  bool // batch tasks wait for their owner to send starts, not for a worker
+	Standby  int  // jobs that stand by while the pool is overloaded
 }
 
 // Summary returns the current counts of the pool.
 func (b *Board) Summary(now time.Time) Summary {
-	s := Summary{Workers: len(b.workers), Limited: b.startsLimited(now)}
+	s := Summary{Workers: len(b.workers), Limited: b.startsLimited(now), Standby: b.plan.standby}
 	for _, w := range b.workers {
 		s.Attempts += len(w.attempts)
 		count := func(n *int, is bool) {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -199,6 +199,7 @@
 	stepWaits           stepWaits
 	startRate           startRate
 	holdPause           holdPause
+	overloaded          bool // as logged last
 	flushing            bool
 	closed              bool
 	deposed             bool
@@ -503,6 +504,7 @@
 	o.holdPause.update(o.loop.recordTick(now))
 	o.startRate.update(o.startsSent.Load(), now)
 	o.offerHandover(now)
+	o.noteOverload(now)
 	if now.Sub(o.summarizedAt) > summaryPeriod {
 		o.summarizedAt = now
 		if s := o.board.Summary(now); s.Jobs > 0 {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -139,8 +139,7 @@
 			o.queueSubmission(&submission{job: j, row: row, progress: progress, receivedAt: now, waiters: []chan Verdict{reply}})
 		default:
 			if cannotFinish, retry := o.board.CannotFinishInTime(j, now); cannotFinish {
-				o.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue, "retry-ms": retry.Milliseconds()}).
-					Info("job refused: the estimated wait exceeds its deadline")
+				o.refuse(j, retry, now)
 				retryAfter = retry
 				o.countRefusal(j.Organisation, CauseTooLate)
 				reply <- Overloaded
@@ -395,14 +394,16 @@
 // SetQueues sets the configuration of the pool's queues.
 func (o *Owner) SetQueues(queues []platform.Queue) {
 	o.post(func() {
-		advised := map[string]bool{}
+		advised, targets := map[string]bool{}, false
 		for _, q := range queues {
+			targets = targets || q.Pool == o.name && q.Target > 0
 			o.queues[q.Name] = q
 			if q.Advice != nil {
 				advised[q.Name] = true
 			}
 		}
 		o.board.SetAdvised(advised)
+		o.board.SetShedding(targets)
 	})
 }
 
