--- a/internal/wire/inbound.go
+++ b/internal/wire/inbound.go
@@ -29,6 +29,9 @@
 	return ServerLimits{Message: 32 << 20, Bytes: 64 << 20, Conns: 1024, Calls: 1 << 14}
 }
 
+// decoderChunk is what encoding/gob allocates for a message, by its length, before it reads it.
+const decoderChunk = 10 << 20
+
 // writeTimeout is how long a peer may take to read an answer.
 const writeTimeout = 10 * time.Second
 
@@ -39,7 +42,7 @@
 	server *Server
 
 	// Guarded by the server's mutex.
-	held   int64     // bytes of the longest message so far
+	held   int64     // bytes of the buffer for the longest message so far
 	usedAt time.Time // when a message last arrived whole, or the connection was made
 
 	// Used by Read only.
@@ -92,6 +95,7 @@
 			return false
 		}
 		if c.lacking == 0 {
+			longest = max(longest, min(c.length, decoderChunk))
 			c.rest, c.length = c.length, 0
 		}
 	}
--- a/internal/wire/inbound_test.go
+++ b/internal/wire/inbound_test.go
@@ -124,12 +124,12 @@
 func TestConnectionsThatHoldMostAreClosed(t *testing.T) {
 	s := NewLimitedServer(ServerLimits{Message: 1 << 20, Bytes: 1 << 20, Conns: 3, Calls: 1})
 	var conns []*inbound
-	for i, held := range []int{1000, 900_000, 300_000} {
+	for i, held := range []int{1000, 900_000, 300_000} { // of messages of that length
 		conn, other := net.Pipe()
 		defer func() { _ = other.Close() }()
 		c := &inbound{Conn: conn, server: s, usedAt: time.Unix(int64(i), 0)}
 		s.track(c)
-		c.follow(append([]byte{0xfd, 0x0f, 0xff, 0xff}, make([]byte, held)...))
+		c.follow([]byte{0xfd, byte(held >> 16), byte(held >> 8), byte(held)})
 		conns = append(conns, c)
 	}
 	if !s.conns[conns[0]] || s.conns[conns[1]] || !s.conns[conns[2]] || s.held != 301_000 {
