pool, place: looks at the demands of organisations take a twentieth of an owner's time at most

An owner with a long backlog looked through it for each job that arrived. Change: the next look follows after 20 times the duration of the last; a job keeps a pointer to its organisation.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -22,9 +22,10 @@
 	longestPath   time.Duration // the longest of criticalPaths
 	storedState   jobs.State    // last state written to storage
 	dirty         bool
-	dirtyOrder    uint64    // orders the dirty jobs by how long they have been
-	inherited     bool      // its attempts may have been started by an earlier owner
-	finalSince    time.Time // when Expire first found its final state stored
+	dirtyOrder    uint64        // orders the dirty jobs by how long they have been
+	organisation  *organisation // see organisationOf
+	inherited     bool          // its attempts may have been started by an earlier owner
+	finalSince    time.Time     // when Expire first found its final state stored
 
 	attempts       map[jobs.Task][]*Attempt
 	lastAttempt    map[jobs.Task]int       // highest attempt number of a task
--- a/internal/place/org.go
+++ b/internal/place/org.go
@@ -37,7 +37,12 @@
 
 // organisationOf returns the organisation of a job. Jobs without one share the empty name,
 // which has no limit.
-func (b *Board) organisationOf(e *jobEntry) *organisation { return b.organisation(e.job.Organisation) }
+func (b *Board) organisationOf(e *jobEntry) *organisation {
+	if e.organisation == nil {
+		e.organisation = b.organisation(e.job.Organisation)
+	}
+	return e.organisation
+}
 
 func (b *Board) organisation(name string) *organisation {
 	o := b.organisations[name]
--- a/internal/place/quota.go
+++ b/internal/place/quota.go
@@ -16,21 +16,22 @@
 
 // Demands returns the demand of all organisations whose allotment is limited.
 func (b *Board) Demands() map[string]OrganisationDemand {
+	found := map[*organisation]*OrganisationDemand{}
 	demands := map[string]OrganisationDemand{}
-	for name, o := range b.organisations {
-		if o.allotment != unlimited {
-			demands[name] = OrganisationDemand{Claimed: o.claimed, Adopted: o.adopted}
-		}
-	}
-	if len(demands) == 0 {
-		return demands
-	}
 	for _, c := range b.pending.steps {
-		d, limited := demands[c.entry.job.Organisation]
+		o := b.organisationOf(c.entry)
+		if o.allotment == unlimited {
+			continue
+		}
 		tasks := len(c.entry.waiting[c.key])
-		if !limited || tasks == 0 {
+		if tasks == 0 {
 			continue
 		}
+		d := found[o]
+		if d == nil {
+			d = &OrganisationDemand{}
+			found[o] = d
+		}
 		step := &c.entry.job.Steps[c.key.step]
 		all := times(step.Size, tasks)
 		unit := step.Size
@@ -42,7 +43,17 @@
 		if b.heldUp(c.entry, step) {
 			d.HeldUp += tasks
 		}
-		demands[c.entry.job.Organisation] = d
+	}
+	for name, o := range b.organisations {
+		if o.allotment == unlimited {
+			continue
+		}
+		d := OrganisationDemand{}
+		if known := found[o]; known != nil {
+			d = *known
+		}
+		d.Claimed, d.Adopted = o.claimed, o.adopted
+		demands[name] = d
 	}
 	return demands
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -430,7 +430,7 @@
 // changes.
 func (o *Owner) dispatch(now time.Time) {
 	if len(o.unseenUntil) > 0 {
-		o.quotas.dirty = true
+		o.quotas.dirty, o.quotas.lookAfter = true, time.Time{}
 		o.dealQuotas(now) // what may run unseen grows as tasks that were seen end
 	}
 	if o.started && !o.flushing && !now.Before(o.decideAfter) && o.status.current(now) {
--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -28,7 +28,8 @@
 )
 
 const (
-	quotaInterval   = 10 * time.Millisecond  // between looks at the demands, unless something has changed
+	quotaInterval   = 20 * time.Millisecond  // between looks at the demands, unless something has changed
+	quotaPause      = 20                     // after a look, as a multiple of its duration
 	quotaRetryDelay = 100 * time.Millisecond // after a call that failed
 	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more
 	quotaNeedWindow = 2 * time.Second        // an allotment that was not needed for one to two of these is given back
@@ -85,7 +86,9 @@
 	parts    map[string]*quotaPart
 	dirty    bool // something has changed since the last look
 	lookedAt time.Time
-	heldUp   int64
+	// lookAfter is when the next look may follow.
+	lookAfter time.Time
+	heldUp    int64
 }
 
 func newQuotas() quotas {
@@ -163,10 +166,11 @@
 // dealQuotas asks for what the tasks of organisations need, and gives back what they don't.
 func (o *Owner) dealQuotas(now time.Time) {
 	q := &o.quotas
-	if len(q.accounts) == 0 || o.flushing || !q.dirty && now.Sub(q.lookedAt) < quotaInterval {
+	if len(q.accounts) == 0 || o.flushing || now.Before(q.lookAfter) || !q.dirty && now.Sub(q.lookedAt) < quotaInterval {
 		return
 	}
 	q.dirty, q.lookedAt = false, now
+	defer func() { q.lookAfter = now.Add(min(quotaPause*time.Since(now), tickPeriod)) }()
 	demands := o.board.Demands()
 	arriving := o.arrivingSizes()
 	capacity := o.unseenCapacity()
