pool: hints go to pools with more than their share, and polls get rarer while nothing changes

Cause: with a long backlog in all pools each owner gave hints to all others 4 times a second for each organisation, and each hint is a read. Change: only owners of pools with more than their fair share get a hint; the time between reads doubles twice while the row stays the same; looks take a fiftieth of the time.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -29,9 +29,10 @@
 
 const (
 	quotaInterval   = 20 * time.Millisecond  // between looks at the demands, unless something has changed
-	quotaPause      = 20                     // after a look, as a multiple of its duration
+	quotaPause      = 50                     // after a look, as a multiple of its duration
 	quotaRetryDelay = 100 * time.Millisecond // after a call that failed
-	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more
+	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more; doubles while nothing changes
+	maxUnchanged    = 2                      // that make it longer
 	quotaNeedWindow = 2 * time.Second        // an allotment that was not needed for one to two of these is given back
 	quotaIdleWrites = time.Second            // between writes for which nobody waits
 	quotaBurst      = 6                      // urgent writes of a row that may follow each other at once
@@ -62,6 +63,7 @@
 	hinted      bool      // another pool waits: what is not needed now is given back
 	readDue     bool
 	readAt      time.Time
+	unchanged   int       // reads in a row that found nothing new
 	hintedAt    time.Time // when the owners of other pools were last given a hint
 	wroteAt     time.Time
 	budget      float64 // urgent writes that may be sent now
@@ -304,7 +306,7 @@
 		if a.settled {
 			continue
 		}
-		polls := a.blocked && now.Sub(a.readAt) >= quotaPollPeriod
+		polls := a.blocked && now.Sub(a.readAt) >= quotaPollPeriod<<a.unchanged
 		if a.NeedsRead() || (a.readDue || polls) && now.Sub(a.readAt) >= quotaPollPeriod/5 {
 			reads = append(reads, a)
 			continue
@@ -347,24 +349,25 @@
 	return a.budget >= 1
 }
 
-// hintWhoHolds tells the owners of the pools with an allotment that tasks of an organisation wait
-// here.
+// hintWhoHolds tells the owners of the pools with more than their share that tasks of an organisation
+// wait here.
 func (o *Owner) hintWhoHolds(a *quotaAccount, now time.Time) {
 	if now.Sub(a.hintedAt) < quotaPollPeriod {
 		return
 	}
 	a.hintedAt = now
-	o.hintOthers(a, func(other quota.Allotment) bool { return other.Size != (jobs.Resources{}) })
+	holders := a.Holders(a.usage)
+	o.hintOthers(a, func(name string, _ quota.Allotment) bool { return slices.Contains(holders, name) })
 }
 
 // hintOthers makes the owners of some other pools read the row of an organisation.
-func (o *Owner) hintOthers(a *quotaAccount, concerns func(quota.Allotment) bool) {
+func (o *Owner) hintOthers(a *quotaAccount, concerns func(name string, other quota.Allotment) bool) {
 	if o.hintQuota == nil {
 		return
 	}
 	row, _ := a.Row()
 	for name, other := range row.Pools {
-		if name != o.name && concerns(other) {
+		if name != o.name && concerns(name, other) {
 			metricQuotaHints.Inc()
 			go o.hintQuota(name, a.name)
 		}
@@ -417,7 +420,7 @@
 			metricQuotaWrites.Inc()
 			o.logQuota(a, before)
 			if row, _ := a.Row(); !before.Pools[o.name].Size.Fits(row.Pools[o.name].Size) {
-				o.hintOthers(a, func(other quota.Allotment) bool { return !other.Want.Fits(other.Size) })
+				o.hintOthers(a, func(_ string, other quota.Allotment) bool { return !other.Want.Fits(other.Size) })
 			}
 		case errors.Is(err, platform.ErrConflict):
 			metricQuotaConflicts.Inc()
@@ -459,6 +462,11 @@
 // quotaRead applies a row as it stands in the store.
 func (o *Owner) quotaRead(a *quotaAccount, r platform.Row, now time.Time) {
 	a.readAt, a.readDue = now, false
+	if _, before := a.Row(); r.Version == before {
+		a.unchanged = min(a.unchanged+1, maxUnchanged)
+	} else {
+		a.unchanged = 0
+	}
 	var row quota.Row
 	if r.Version > 0 {
 		var err error
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -179,6 +179,37 @@
 	return false
 }
 
+// Holders returns the pools that have more than their share of what this pool waits for.
+func (a *Account) Holders(u Usage) []string {
+	limit, needed, allotted := vectorOf(a.Limit()), vectorOf(u.Needed), vectorOf(a.Allotment(u))
+	var holders []string
+	for pool, o := range a.row.Pools {
+		for i, size := range vectorOf(o.Size) {
+			if pool == a.pool || limit[i] == 0 || size == 0 || needed[i] <= allotted[i] {
+				continue
+			}
+			if own := share(limit[i], a.demands(i, u), pool, a.row.Turn); size > own+own/8 {
+				holders = append(holders, pool)
+				break
+			}
+		}
+	}
+	return holders
+}
+
+// demands returns what all pools want of a resource.
+func (a *Account) demands(i int, u Usage) []demand {
+	limit := vectorOf(a.Limit())[i]
+	need := min(vectorOf(u.Recent)[i], limit)
+	demands := []demand{{a.pool, need, min(vectorOf(u.Unit)[i], need)}}
+	for pool, o := range a.row.Pools {
+		if pool != a.pool {
+			demands = append(demands, demand{pool, min(vectorOf(o.Want)[i], limit), vectorOf(o.Unit)[i]})
+		}
+	}
+	return demands
+}
+
 // An owner asks for half as much more as it needs, and for at least a part of the quota, as long
 // as no other pool needs it: demands that come and go then cause few writes.
 const (
@@ -193,14 +224,11 @@
 	limit := vectorOf(a.Limit())[i]
 	need := min(vectorOf(u.Recent)[i], limit)
 	spare := limit
-	demands := []demand{{a.pool, need, min(vectorOf(u.Unit)[i], need)}}
+	demands := a.demands(i, u)
 	for pool, o := range a.row.Pools {
-		if pool == a.pool {
-			continue
+		if pool != a.pool {
+			spare -= max(vectorOf(o.Want)[i], vectorOf(o.Size)[i])
 		}
-		want, size := vectorOf(o.Want)[i], vectorOf(o.Size)[i]
-		spare -= max(want, size)
-		demands = append(demands, demand{pool, min(want, limit), vectorOf(o.Unit)[i]})
 	}
 	level := fairLevel(limit, demands)
 	own := share(limit, demands, a.pool, a.row.Turn)
