place: the strict order of an overload begins when hosts have had time to come; shares go before what has begun

Cause: at the begin of a turn hosts are on their way or about to be: jobs with long run times that could wait for them were dropped, and the newest went first. An organisation fell behind its share by more than a second of the pool while others' jobs were finished. Change: in the first two seconds of an overload a plan uses all the time that a job can wait, and jobs that stand by go in the order of their latest starts; after that the reserve and newest first apply. Among those that stand by, shares come first, then what has begun.

--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -15,6 +15,7 @@
 	key         stepKey
 	class       int       // lowest first
 	begun       int       // 1 if a task of the job has been started, in classStandby
+	newestFirst bool      // among those that stand by: the newest can wait longest, so that they may still be on time
 	share       float64   // what the job's organisation has had for its weight
 	latestStart time.Time // that still meets the objective, or the expiry of a late job
 }
@@ -55,15 +56,15 @@
 	if x.entry.job.Priority != y.entry.job.Priority {
 		return cmp.Compare(x.entry.job.Priority, y.entry.job.Priority)
 	}
-	if x.class == classStandby && x.begun != y.begun {
-		return cmp.Compare(y.begun, x.begun)
-	}
 	if x.class >= classStandby && x.share != y.share {
 		return cmp.Compare(x.share, y.share)
 	}
+	if x.class == classStandby && x.begun != y.begun {
+		return cmp.Compare(y.begun, x.begun)
+	}
 	if order := x.latestStart.Compare(y.latestStart); order != 0 {
-		if x.class == classStandby && x.begun == 0 {
-			return -order // the newest can wait longest, so that it may still be on time
+		if x.newestFirst && y.newestFirst {
+			return -order
 		}
 		return order
 	}
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -23,6 +23,7 @@
 const (
 	planInterval   = 100 * time.Millisecond // between two plans
 	growthDelay    = 750 * time.Millisecond // until half of the hosts on their way have arrived
+	hostsDelay     = 2 * time.Second        // from the begin of an overload until the hosts for it have come, if there are any
 	overloadMemory = time.Second            // from when no job stands by any more until the overload counts as over
 	wideMargin     = 150 * time.Millisecond // by which a wide step may be late, so that narrow ones do not take all the room there is
 )
@@ -38,6 +39,7 @@
 type overloadPlan struct {
 	at        time.Time
 	standby   int       // jobs that stand by
+	since     time.Time // since when the pool has been overloaded
 	droppedAt time.Time // when a plan last dropped a job
 }
 
@@ -115,6 +117,11 @@
 	return b.shedding && !b.plan.droppedAt.IsZero() && now.Sub(b.plan.droppedAt) < overloadMemory
 }
 
+// lastingOverload reports whether the pool has been overloaded for longer than hosts take to come.
+func (b *Board) lastingOverload(now time.Time) bool {
+	return b.Overloaded(now) && now.Sub(b.plan.since) >= hostsDelay
+}
+
 // planOverload decides which jobs stand by.
 func (b *Board) planOverload(now time.Time) {
 	if !b.shedding || now.Sub(b.plan.at) < planInterval && !now.Before(b.plan.at) {
@@ -135,6 +142,9 @@
 	}
 	standby := b.chooseStandby(demands, room, now)
 	if b.plan.standby = standby; standby > 0 {
+		if !overloaded {
+			b.plan.since = now
+		}
 		b.plan.droppedAt = now
 	}
 }
@@ -185,6 +195,7 @@
 // starts.
 func (b *Board) demands(now time.Time) []demand {
 	var demands []demand
+	lasting := b.lastingOverload(now)
 	for _, e := range b.pending.unfinished {
 		b.examined++
 		if e.job.LongRunning() || e.job.Repetitions > 0 {
@@ -210,7 +221,9 @@
 				break
 			}
 			d.wait = d.latestStart.Sub(now)
-			d.reserve = planReserve + time.Duration(b.estimates.error(e.job.Queue)*float64(scaled(e.criticalPaths[i])))
+			if lasting {
+				d.reserve = planReserve + time.Duration(b.estimates.error(e.job.Queue)*float64(scaled(e.criticalPaths[i])))
+			}
 			d.work, d.one = factor*e.estimatedWork(i, tasks), factor*e.estimatedWork(i, 1)
 			demands = append(demands, d)
 		}
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -60,6 +60,7 @@
 // rankOrganisation sets what the order of candidates takes from the organisation of a job.
 func (b *Board) rankOrganisation(c *candidate, now time.Time) {
 	c.share = b.usedShare(c.entry)
+	c.newestFirst = c.class == classStandby && c.begun == 0 && b.lastingOverload(now)
 	batch := c.class == classOnTime || c.class == classStandby || c.class == classLate
 	if batch && c.entry.standing.excess && b.Overloaded(now) {
 		c.class = classExcess
