place: the test of shares stops once it has seen enough

Cause: it played each load to the end of its last job, which took 17 to 76 s. Change: it stops after 5 s of virtual time. The bound is the same.

--- a/internal/place/overload_test.go
+++ b/internal/place/overload_test.go
@@ -21,10 +21,10 @@
 	guess         float64 // standard deviation of the logarithms of declared run times
 	organisations map[string]place.Organisation
 	calls         []*call
+	until         time.Duration // when to stop, 0 for when all jobs have ended
 
 	refusals          map[*call]time.Duration // after which the callers were to come back last
 	refusedBesideRoom int                     // workers that had room for a job that was refused
-	usedAt            map[string]float64      // what the organisations have had for their weights after usedAfter
 }
 
 // call is a job as its caller sees it.
@@ -60,7 +60,6 @@
 	noticeDelay = 60 * time.Millisecond  // from its end until the owner knows it
 	answerDelay = 100 * time.Millisecond // from the owner's knowing of the last end until the caller knows
 	maxTries    = 4
-	usedAfter   = 5 * time.Second
 )
 
 // turn adds the jobs of an organisation, 8 tasks wide, at a rate a second.
@@ -70,7 +69,7 @@
 	}
 }
 
-// play runs the load until all jobs have ended, 10 ms after 10 ms.
+// play runs the load, 10 ms after 10 ms.
 func (l *load) play(t *testing.T) *testBoard {
 	t.Helper()
 	f := newTestBoard(0, 0)
@@ -88,8 +87,8 @@
 	}
 	ends := map[time.Duration]map[string][]place.Ended{}
 	for now := time.Duration(0); len(sends)+len(ends) > 0; now += tick {
-		if now == usedAfter {
-			l.usedAt = f.UsedShares()
+		if now == l.until && now > 0 {
+			break
 		}
 		f.now = start.Add(now)
 		for _, worker := range slices.Sorted(maps.Keys(ends[now])) {
@@ -259,20 +258,20 @@
 // Organisations that all ask for more than their part of a full pool get room by their weights.
 func TestSharesFollowWeights(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		l := load{workers: 10, shedding: true, organisations: map[string]place.Organisation{}}
+		l := load{workers: 10, shedding: true, until: 5 * time.Second, organisations: map[string]place.Organisation{}}
 		for _, name := range []string{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(rt, "organisations")] {
 			l.organisations[name] = place.Organisation{Weight: rapid.IntRange(20, 60).Draw(rt, "weight")}
 			l.turn(name, time.Duration(rapid.IntRange(0, 500).Draw(rt, "from"))*time.Millisecond, 6*time.Second, 18)
 		}
-		l.play(t)
+		usedShares := l.play(t).UsedShares()
 		most := 0.0
-		for _, used := range l.usedAt {
+		for _, used := range usedShares {
 			most = max(most, used)
 		}
 		const second = 10 * 15_000.0 // what the pool does in a second, in millicore seconds
 		for name, o := range l.organisations {
-			if behind := (most - l.usedAt[name]) * float64(o.Weight); behind > second {
-				rt.Fatalf("%s is behind its share by %v millicore seconds, want at most a second of the pool: %v by weights %v", name, behind, l.usedAt, l.organisations)
+			if behind := (most - usedShares[name]) * float64(o.Weight); behind > second {
+				rt.Fatalf("%s is behind its share by %v millicore seconds, want at most a second of the pool: %v by weights %v", name, behind, usedShares, l.organisations)
 			}
 		}
 	})
