pool: a newly blocked organisation's hint goes to all pools with an allotment

Change: hints go to all pools with an allotment once a second, to those with more than their share 4 times.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -32,6 +32,7 @@
 	quotaPause      = 50                     // after a look, as a multiple of its duration
 	quotaRetryDelay = 100 * time.Millisecond // after a call that failed
 	quotaPollPeriod = 250 * time.Millisecond // between reads of a row while tasks wait for more; doubles while nothing changes
+	quotaHintPeriod = time.Second            // between hints to the owners of all pools with an allotment
 	maxUnchanged    = 2                      // that make it longer
 	quotaNeedWindow = 2 * time.Second        // an allotment that was not needed for one to two of these is given back
 	quotaIdleWrites = time.Second            // between writes for which nobody waits
@@ -63,7 +64,8 @@
 	hinted      bool      // another pool waits: what is not needed now is given back
 	readDue     bool
 	readAt      time.Time
-	unchanged   int       // reads in a row that found nothing new
+	unchanged   int // reads in a row that found nothing new
+	hintedAllAt time.Time
 	hintedAt    time.Time // when the owners of other pools were last given a hint
 	wroteAt     time.Time
 	budget      float64 // urgent writes that may be sent now
@@ -350,12 +352,17 @@
 }
 
 // hintWhoHolds tells the owners of the pools with more than their share that tasks of an organisation
-// wait here.
+// wait here, and now and then those of all pools with an allotment.
 func (o *Owner) hintWhoHolds(a *quotaAccount, now time.Time) {
 	if now.Sub(a.hintedAt) < quotaPollPeriod {
 		return
 	}
 	a.hintedAt = now
+	if now.Sub(a.hintedAllAt) >= quotaHintPeriod { // what the row says that others want may be old
+		a.hintedAllAt = now
+		o.hintOthers(a, func(_ string, other quota.Allotment) bool { return other.Size != (jobs.Resources{}) })
+		return
+	}
 	holders := a.Holders(a.usage)
 	o.hintOthers(a, func(name string, _ quota.Allotment) bool { return slices.Contains(holders, name) })
 }
