place: replays make the plans of an overload at the same times

Cause: decisions without orders were recorded only if reservations were held, but each may make a plan, which changes who stands by, the measured rate and the shares. And a job that came while the pool counted as overloaded stood by until the next overload if the last plan had dropped none, also with room, and after shedding was switched off, where shares stayed as they were. Change: a decision that made a plan is recorded, unless no batch task waited at it and the one before; the time between plans begins anew then. Jobs that stand by from their arrival on count, so that the end of the contention or of shedding frees them. Shares end with shedding.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -18,6 +18,7 @@
 	b.stopStalled(now)
 	b.speculate(now)
 	reserved := len(b.ahead.reservations) > 0
+	b.plan.made = false
 	b.placeTasks(&o, now)
 	b.noteStarts(o.Starts, now)
 	b.chargeStarts(o.Starts)
@@ -26,7 +27,7 @@
 	b.adjustPaces(&o, now)
 	b.focus = focus{}
 	if b.Record != nil {
-		b.recordStep(Step{Kind: StepDecide, At: now, Orders: o, Flag: reserved || len(b.ahead.reservations) > 0})
+		b.recordStep(Step{Kind: StepDecide, At: now, Orders: o, Flag: reserved || len(b.ahead.reservations) > 0 || b.plan.made})
 	}
 	return o
 }
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -33,7 +33,8 @@
 
 // overloadPlan describes the last plan.
 type overloadPlan struct {
-	at        time.Time
+	at        time.Time // zero if no batch task waited
+	made      bool      // by the present decision, and later ones depend on it
 	standby   int       // jobs that stand by
 	droppedAt time.Time // when a plan last dropped a job
 }
@@ -101,6 +102,8 @@
 	b.recordStep(Step{Kind: StepShedding, Flag: on})
 	b.shedding = on
 	if !on {
+		b.contended, b.plan.at = false, time.Time{}
+		b.levelShares()
 		b.endOverload()
 	}
 }
@@ -115,9 +118,12 @@
 	if !b.shedding || now.Sub(b.plan.at) < planInterval && !now.Before(b.plan.at) {
 		return
 	}
-	b.plan.at = now
-	room, contended := b.supply(now)
-	b.contended = contended
+	room, waiting, contended := b.supply(now)
+	b.plan.made = waiting || !b.plan.at.IsZero()
+	b.contended, b.plan.at = contended, time.Time{}
+	if waiting {
+		b.plan.at = now
+	}
 	b.levelShares()
 	if !contended {
 		b.endOverload()
@@ -146,8 +152,9 @@
 	}
 }
 
-// supply returns the room of the pool, and whether tasks wait for more than is free now.
-func (b *Board) supply(now time.Time) (s supply, contended bool) {
+// supply returns the room of the pool, whether tasks wait for some, and whether for more than is
+// free now.
+func (b *Board) supply(now time.Time) (s supply, waiting, contended bool) {
 	wanted, smallest := 0, math.MaxInt
 	for _, c := range b.pending.steps {
 		b.examined++
@@ -158,14 +165,14 @@
 		}
 	}
 	if wanted == 0 {
-		return supply{}, false
+		return supply{}, false, false
 	}
 	for _, w := range b.pending.room.atLeast(smallest) {
 		b.examined++
 		s.free += w.free().Millicores
 	}
 	if wanted <= s.free {
-		return s, false
+		return s, true, false
 	}
 	if now.Before(b.growthUntil) {
 		s.growth = b.growth
@@ -173,7 +180,7 @@
 	capacity := b.batchCapacity(now) - s.growth
 	b.service.update(capacity, now)
 	s.rate = float64(b.service.efficiency * float64(capacity))
-	return s, true
+	return s, true, true
 }
 
 // demands returns the steps of jobs that can still be on time, in the order of their latest
--- a/internal/place/overload_test.go
+++ b/internal/place/overload_test.go
@@ -21,6 +21,7 @@
 	guess         float64 // standard deviation of the logarithms of declared run times
 	organisations map[string]place.Organisation
 	calls         []*call
+	record        func(place.Step) // what the board records, if set
 
 	refusals          map[*call]time.Duration // after which the callers were to come back last
 	refusedBesideRoom int                     // workers that had room for a job that was refused
@@ -74,6 +75,7 @@
 func (l *load) play(t *testing.T) *testBoard {
 	t.Helper()
 	f := newTestBoard(0, 0)
+	f.Record = l.record
 	l.refusals = map[*call]time.Duration{}
 	size := jobs.Resources{Millicores: 16_000, MemoryMB: 64_000}
 	for i := range l.workers {
@@ -401,3 +403,43 @@
 		t.Errorf("%d looks, want at most %d", have, want)
 	}
 }
+
+// A job that came while the pool was overloaded does not stand by once it has room, nor once
+// nobody sheds any more.
+func TestNothingStandsByWithRoom(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := newTestBoard(0, 4)
+		f.SetShedding(true)
+		f.SetOrganisations(map[string]place.Organisation{"a": {Weight: 1000}, "b": {Weight: 1000}})
+		for i := range 40 {
+			j := newJob(byte(1+i), batch(4, 1000))
+			j.Organisation = "a"
+			f.add(j)
+		}
+		starts := f.decide()
+		if f.Summary(f.now).Standby == 0 {
+			t.Fatal("no job stands by, so that the load shows nothing")
+		}
+		for i := range 39 {
+			f.Cancel(newJob(byte(2+i)).ID, f.now)
+		}
+		for _, s := range starts {
+			f.endAttempt(s, jobs.Done)
+		}
+		f.now = f.now.Add(110 * time.Millisecond)
+		f.decide()
+		step := batch(1, 1000)
+		step.Label = "none" // it waits beside room
+		j := newJob(100, step)
+		j.Organisation, j.Submitted = "a", f.now
+		f.add(j)
+		if off {
+			f.SetShedding(false)
+		}
+		f.now = f.now.Add(110 * time.Millisecond)
+		f.decide()
+		if where := f.Where(j, f.now); where[0].Class != "on-time" {
+			t.Errorf("shedding off %v: class %q, want on-time", off, where[0].Class)
+		}
+	}
+}
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -62,7 +62,7 @@
 	Key      string // of a worker
 	Task     jobs.Task
 	Attempt  int
-	Flag     bool // of a decision: it made or held reservations
+	Flag     bool // of a decision: it made or held reservations, or planned for an overload
 	Running  []Running
 	Ended    []Ended
 	Asked    time.Time
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -44,7 +44,10 @@
 		e.standing.excess = true
 	default:
 		// Until the next plan. Otherwise a new job, which has all its time left, is tried at once.
-		e.standing.standby = b.Overloaded(now) && !b.belowShare(e.job.Organisation)
+		if b.Overloaded(now) && !b.belowShare(e.job.Organisation) {
+			e.standing.standby = true
+			b.plan.standby++
+		}
 		o.share.arrivals = append(slices.DeleteFunc(o.share.arrivals, func(t time.Time) bool { return now.Sub(t) > rateWindow }), now)
 	}
 }
--- a/internal/trace/board.go
+++ b/internal/trace/board.go
@@ -20,7 +20,7 @@
 	log.Add(event.PlacementStart, pool, uint64(base), "")
 	board.Record = func(s place.Step) {
 		if s.Kind == place.StepDecide && hasNoOrders(s.Orders) && !s.Flag {
-			return // without orders and reservations, it changes nothing that the next decision would not change
+			return // without orders, reservations and a plan, it changes nothing that the next decision would not change
 		}
 		text, err := encodeBoardStep(s)
 		if err != nil {
