place: where knows the classes and shares of an overload

Cause: the classes of jobs that stand by or are excess had no names, and neither the answer to where nor the review of a reservation looked at shares and excess, so that an excess job counted as on time. Change: both rank as candidates do; two names. Measured: TestWhereInAnOverload failed for the class before and passes now. The line in the review of a reservation is by reading, without a test of its own.

--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -254,6 +254,7 @@
 		return CauseSuspended
 	}
 	r.candidate = newCandidate(e, key, b.estimates.factor(e.job.Queue), now)
+	b.rankOrganisation(&r.candidate, now)
 	tasks, _ := b.splitSuspects(r.candidate)
 	switch {
 	case b.workers[w.Key] != w:
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -60,7 +60,8 @@
 
 // classNames are the names of the classes of candidates.
 var classNames = map[int]string{
-	classLongRunning: "long-running", classOnTime: "on-time", classLate: "late", classBestEffort: "best-effort", classExpired: "expired",
+	classLongRunning: "long-running", classOnTime: "on-time", classStandby: "standby", classLate: "late",
+	classBestEffort: "best-effort", classExcess: "excess", classExpired: "expired",
 }
 
 // Where tells where the steps of a job would go if they were ready now, whether or not the board
@@ -90,6 +91,7 @@
 		t = tasks[0]
 	}
 	c := newCandidate(e, key, b.estimates.factor(e.job.Queue), now)
+	b.rankOrganisation(&c, now)
 	p := StepPlacement{Step: key.step, Tasks: step.Count, Claim: step.Claim(), Class: classNames[c.class], Blocked: b.blocked(e, key, now)}
 	for _, o := range b.pending.steps {
 		if tasks := o.entry.waiting[o.key]; len(tasks) > 0 && (o.entry != e || o.key != key) && compareCandidates(o, c) < 0 {
--- a/internal/place/where_test.go
+++ b/internal/place/where_test.go
@@ -79,3 +79,27 @@
 		t.Errorf("starts in %v, want the second that the task on w0 lasts", in)
 	}
 }
+
+// In an overload jobs stand by, and those beyond the rate of their organisation go behind.
+func TestWhereInAnOverload(t *testing.T) {
+	f := newTestBoard(0, 4)
+	f.SetShedding(true)
+	f.SetOrganisations(map[string]place.Organisation{"a": {Weight: 15}, "b": {Weight: 15}})
+	for i := range 40 {
+		j := newJob(byte(1+i), batch(4, 1000))
+		j.Organisation = "a"
+		f.add(j)
+	}
+	f.decide()
+	standby, excess, first := newJob(30, batch(4, 1000)), newJob(40, batch(4, 1000)), newJob(50, batch(4, 1000))
+	first.Organisation = "b"
+	f.add(first)
+	for _, c := range []struct {
+		job  jobs.Job
+		want string
+	}{{standby, "standby"}, {excess, "excess"}, {first, "on-time"}} {
+		if where := f.Where(c.job, f.now); len(where) != 1 || where[0].Class != c.want {
+			t.Errorf("job %s: %+v, want %s", c.job.ID, where, c.want)
+		}
+	}
+}
