jobs: elements of steps that are no objects count as well

Cause: CheckObjects counted only opening braces. {"steps":[0,0,...]} makes a step of some 200 bytes of each two bytes before encoding/json reports the wrong type; null does without an error. Change: commas in the list of steps are counted too.

--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -242,28 +242,38 @@
 
 const (
 	maxObjects   = 4 * (1 + MaxSteps) // in the JSON form of a job, with room for fields of later versions
+	stepsDepth   = 2                  // of the list of steps
 	maxErrorText = 200                // characters of an error of encoding/json, which quotes numbers of any length
 )
 
-// CheckObjects returns an [ErrInvalid] if the JSON form of a job has far more objects than steps
-// are allowed. Each would take many times its own size when it is decoded.
+// CheckObjects returns an [ErrInvalid] if the JSON form of a job has far more objects, or elements
+// of its list of steps, than steps are allowed. Each would take many times its own size when it is
+// decoded, an element of another type than an object too.
 func CheckObjects(data []byte) error {
-	if bytes.Count(data, []byte("{")) <= maxObjects {
+	if bytes.Count(data, []byte("{"))+bytes.Count(data, []byte(",")) <= maxObjects {
 		return nil
 	}
-	objects, quoted := 0, false
+	objects, elements, depth, quoted := 0, 0, 0, false
 	for i := 0; i < len(data); i++ {
 		switch c := data[i]; {
 		case c == '"':
 			quoted = !quoted
 		case quoted && c == '\\':
 			i++
-		case !quoted && c == '{':
+		case quoted:
+		case c == '{':
 			objects++
+			depth++
+		case c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		case c == ',' && depth <= stepsDepth:
+			elements++
 		}
 	}
-	if objects > maxObjects {
-		return errors.Wrapf(ErrInvalid, "steps: %d objects, allowed: up to %d steps", objects, MaxSteps)
+	if most := max(objects, elements); most > maxObjects {
+		return errors.Wrapf(ErrInvalid, "steps: %d objects or elements, allowed: up to %d steps", most, MaxSteps)
 	}
 	return nil
 }
