place: what waits for a quota is not ahead of others

Cause: tasks that the allotment of their organisation holds up counted as waiting for room, so that a pool with 15 of 16 cores free was overloaded and other jobs stood by; the whole backlog of such an organisation counted as ahead of a new job of another one, which was refused with 429 though at most the allotment is ahead of it; and an organisation that is held up kept the shares of others from being brought level. Change: the plan counts what the allotment covers; the estimate for admission lets an organisation's work ahead take no more room than its allotment during the wait, and the rest counts for its own jobs alone; held-up tasks don't wait for a share. Measured: TestHeldUpTasksDoNotOverload (396 of 400 jobs stood by) and TestHeldUpTasksAreNotAhead (refused for 8.9 s) failed before and pass now.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -26,6 +26,8 @@
 	at         time.Time
 	work       float64 // of the jobs ahead, in millicore seconds
 	millicores int     // available to batch tasks, now or soon
+	// heldUp is the work of organisations that their allotments keep behind new jobs of others.
+	heldUp map[string]float64
 }
 
 // growthValidity is how long [Board.SetGrowth] holds: some periods in which the holder of
@@ -50,7 +52,7 @@
 		return false, 0
 	}
 	if now.Sub(b.admission.at) >= admissionRefresh || now.Before(b.admission.at) {
-		b.admission = admissionEstimate{now, b.backlog(now), b.batchCapacity(now)}
+		b.admission = b.estimateAdmission(now)
 	}
 	if b.admission.millicores == 0 {
 		return false, 0
@@ -62,7 +64,7 @@
 	} else if b.belowShare(j.Organisation) {
 		return false, 0 // the backlog is of others, and it comes before them
 	}
-	wait := time.Duration(min(b.admission.work/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
+	wait := time.Duration(min((b.admission.work+b.admission.heldUp[j.Organisation])/float64(b.admission.millicores), maxBacklog.Seconds()) * float64(time.Second))
 	factor := b.estimates.factor(j.Queue)
 	criticalPath := time.Duration(factor * float64(slices.Max(j.CriticalPaths())))
 	maxWait := expiryFactor*j.Objective(0, criticalPath).Sub(j.Submitted) - criticalPath
@@ -113,10 +115,50 @@
 	return millicores
 }
 
-// backlog returns the remaining work of the jobs ahead of a new one, in millicore
+// heldUpRounds is how often the wait is estimated anew, each time with less work ahead.
+const heldUpRounds = 8
+
+// estimateAdmission returns what a new job has to wait for. While it waits, the tasks of an
+// organisation take no more room than its allotment covers.
+func (b *Board) estimateAdmission(now time.Time) admissionEstimate {
+	a := admissionEstimate{at: now, millicores: b.batchCapacity(now)}
+	works := b.backlog(now)
+	total, unlimited := 0.0, 0.0
+	for o, work := range works {
+		total += work
+		if o.allotment.Millicores == jobs.Unlimited {
+			unlimited += work
+		}
+	}
+	a.work = total
+	if unlimited == total || a.millicores == 0 {
+		return a
+	}
+	ahead := func(o *organisation, work float64) float64 {
+		return min(work, float64(o.allotment.Millicores)*a.work/float64(a.millicores))
+	}
+	for range heldUpRounds {
+		next := unlimited
+		for o, work := range works {
+			if o.allotment.Millicores != jobs.Unlimited {
+				next += ahead(o, work)
+			}
+		}
+		a.work = next
+	}
+	a.heldUp = map[string]float64{}
+	for name, o := range b.organisations {
+		if o.allotment.Millicores != jobs.Unlimited {
+			a.heldUp[name] = works[o] - ahead(o, works[o])
+		}
+	}
+	return a
+}
+
+// backlog returns the remaining work of the jobs ahead of a new one by organisation, in millicore
 // seconds. Expired jobs don't count: they run last.
-func (b *Board) backlog(now time.Time) float64 {
-	work := 0.0
+func (b *Board) backlog(now time.Time) map[*organisation]float64 {
+	works := map[*organisation]float64{}
 	for _, e := range b.pending.unfinished {
 		if e.job.LongRunning() || e.job.Repetitions > 0 || b.shedding && e.standing.excess {
 			continue
@@ -127,9 +169,10 @@
 		if now.After(due.Add(expiryFactor * e.job.Objective(0, criticalPath).Sub(due))) {
 			continue
 		}
+		o := b.organisationOf(e)
 		for i := range e.job.Steps {
-			work += float64(factor * e.estimatedWork(i, e.progress.Left(0, i)))
+			works[o] += float64(factor * e.estimatedWork(i, e.progress.Left(0, i)))
 		}
 	}
-	return work
+	return works
 }
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // A pool is overloaded while it has more work than its workers, and the hosts on their way, can
@@ -156,13 +158,23 @@
 // free now.
 func (b *Board) supply(now time.Time) (s supply, waiting, contended bool) {
 	wanted, smallest := 0, math.MaxInt
+	limited := map[*organisation]int{} // wanted by those with an allotment
 	for _, c := range b.pending.steps {
 		b.examined++
 		step := &c.entry.job.Steps[c.key.step]
-		if tasks := len(c.entry.waiting[c.key]); tasks > 0 && !step.LongRunning {
+		tasks := len(c.entry.waiting[c.key])
+		if tasks == 0 || step.LongRunning || b.heldUp(c.entry, step) {
+			continue
+		}
+		if o := b.organisationOf(c.entry); o.allotment.Millicores == jobs.Unlimited {
 			wanted += tasks * step.Claim().Millicores
-			smallest = min(smallest, step.Claim().Millicores)
+		} else {
+			limited[o] += tasks * step.Claim().Millicores
 		}
+		smallest = min(smallest, step.Claim().Millicores)
+	}
+	for o, millicores := range limited {
+		wanted += min(millicores, o.allotment.Millicores-o.claimed.Millicores)
 	}
 	if wanted == 0 {
 		return supply{}, false, false
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -96,7 +96,8 @@
 	if b.contended {
 		for _, c := range b.pending.steps {
 			b.examined++
-			if o := b.sharing(c.entry.job.Organisation); o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess {
+			o, step := b.sharing(c.entry.job.Organisation), &c.entry.job.Steps[c.key.step]
+			if o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess && !b.heldUp(c.entry, step) {
 				o.share.waiting = true
 			}
 		}
