wire: a connection holds its last message, not its longest

Cause: each connection of a peer counted its longest message for ever, as if the decoder kept a buffer of that size. encoding/gob keeps the last message until the next one is whole. So on a host of 184 MB (23 MiB) some 96 peers that had once sent a job of 250 KB had their connections dropped, with the calls on them, whenever a further one did. Change: the last whole message and what has come of the next one count.

--- a/internal/wire/inbound.go
+++ b/internal/wire/inbound.go
@@ -33,18 +33,19 @@
 const writeTimeout = 10 * time.Second
 
 // inbound is a connection from a peer. It follows the lengths that encoding/gob writes in front of
-// its messages. The decoder keeps a buffer for the longest message of its connection.
+// its messages. The decoder keeps the last message until the next one is whole.
 type inbound struct {
 	net.Conn
 	server *Server
 
 	// Guarded by the server's mutex.
-	held   int64     // bytes of the longest message so far
+	held   int64     // bytes of the last whole message, and of the current one
 	usedAt time.Time // when a message last arrived whole, or the connection was made
 
 	// Used by Read only.
 	length  uint64 // of the message that begins, as far as it has arrived
 	lacking int    // bytes of the length that have not arrived
+	last    uint64 // bytes of the last message that has arrived whole
 	got     uint64 // bytes of the current message that have arrived
 	rest    uint64 // and those that have not
 }
@@ -66,15 +67,14 @@
 
 // follow counts the bytes of messages. It reports whether no message is too long.
 func (c *inbound) follow(data []byte) bool {
-	longest, whole := c.got, false
+	whole := false
 	for len(data) > 0 {
 		if c.rest > 0 {
 			n := min(c.rest, uint64(len(data)))
 			data = data[n:]
 			c.got, c.rest = c.got+n, c.rest-n
-			longest = max(longest, c.got)
 			if c.rest == 0 {
-				c.got, whole = 0, true
+				c.last, c.got, whole = c.got, 0, true
 			}
 			continue
 		}
@@ -95,7 +95,7 @@
 			c.rest, c.length = c.length, 0
 		}
 	}
-	c.server.received(c, int64(longest), whole)
+	c.server.received(c, int64(c.last+c.got), whole)
 	return true
 }
 
--- a/internal/wire/inbound_test.go
+++ b/internal/wire/inbound_test.go
@@ -7,13 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 )
 
 // TestMessagesAreCounted feeds messages in pieces of random sizes and checks that each is noticed
-// as whole, and what the longest took.
+// as whole, and that the last one and what has come of the next are held.
 func TestMessagesAreCounted(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 50 {
@@ -22,26 +23,89 @@
 		s.conns[c] = true
 		var stream bytes.Buffer
 		encoder := gob.NewEncoder(&stream)
+		var begins, ends []int // of the messages behind their lengths
 		for range 20 {
-			if err := encoder.Encode(make([]byte, random.IntN(100_000))); err != nil {
+			length := 200 + random.IntN(100_000) // as a message, two bytes or more
+			if err := encoder.Encode(make([]byte, length)); err != nil {
 				t.Fatal(err)
 			}
+			prefix := 3
+			if stream.Len()-end(ends)-prefix > 0xffff {
+				prefix = 4
+			}
+			if stream.Len()-end(ends)-2 < 0x100 {
+				prefix = 2
+			}
+			begins, ends = append(begins, end(ends)+prefix), append(ends, stream.Len())
 		}
 		data := stream.Bytes()
-		for len(data) > 0 {
-			n := min(len(data), 1+random.IntN(9000))
-			if !c.follow(data[:n]) {
+		for at := 0; at < len(data); {
+			n := min(len(data)-at, 1+random.IntN(9000))
+			if !c.follow(data[at : at+n]) {
 				t.Fatal("a message counts as too long")
 			}
-			data = data[n:]
+			at += n
+			want := 0
+			for i := range ends {
+				switch {
+				case ends[i] <= at:
+					want = ends[i] - begins[i]
+				case begins[i] < at:
+					want += at - begins[i]
+				}
+			}
+			if s.held != c.held || c.held != int64(want) {
+				t.Fatalf("%d bytes: held %d, of the connection %d, want %d", at, s.held, c.held, want)
+			}
 		}
 		if c.rest != 0 || c.lacking != 0 || c.got != 0 || c.usedAt.IsZero() {
 			t.Fatalf("after whole messages: %+v", c)
 		}
-		if s.held != c.held || c.held > 100_100 || c.held < 1000 {
-			t.Fatalf("held %d, of the connection %d", s.held, c.held)
+	}
+}
+
+func end(ends []int) int {
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[len(ends)-1]
+}
+
+type lengthService struct{}
+
+// Length is an RPC method.
+func (lengthService) Length(s string, n *int) error {
+	*n = len(s)
+	return nil
+}
+
+// Peers that each send a long job once keep their connections, on a host of 184 MB.
+func TestOrdinaryPeersAreKept(t *testing.T) {
+	server := NewLimitedServer(ServerLimits{Message: 4 << 20, Bytes: 23 << 20, Conns: 800, Calls: 4096})
+	if err := server.Register("Length", lengthService{}); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	defer server.Close()
+	go func() { _ = server.Serve(listener) }()
+	before := droppedPeers.Get()
+	for range 149 {
+		peer := NewPeer(netip.MustParseAddrPort(listener.Addr().String()), DefaultTiming(), nil)
+		defer peer.Close()
+		for _, length := range []int{250_000, 10} {
+			var n int
+			if err := peer.Call(t.Context(), "Length.Length", strings.Repeat("x", length), &n); err != nil || n != length {
+				t.Errorf("%d, %v", n, err)
+			}
 		}
 	}
+	if dropped := droppedPeers.Get() - before; dropped > 0 {
+		t.Errorf("%d connections were dropped", dropped)
+	}
 }
 
 func TestMessageLength(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -414,17 +414,17 @@
 }
 
 // received records bytes of a connection. If all hold too much, it closes those that hold most.
-func (s *Server) received(conn *inbound, longest int64, whole bool) {
+func (s *Server) received(conn *inbound, held int64, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if whole {
 		conn.usedAt = time.Now()
 	}
-	if longest <= conn.held || !s.conns[conn] {
+	if !s.conns[conn] {
 		return
 	}
-	s.held += longest - conn.held
-	conn.held = longest
+	s.held += held - conn.held
+	conn.held = held
 	for s.held > s.limits.Bytes && len(s.conns) > 0 {
 		s.drop(func(c, o *inbound) bool { return c.held > o.held })
 	}
