--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/papayarudder/papayarudder/internal/jobs"
 )
 
 // A pool is overloaded while it has more work than its workers, and the hosts on their way, can
@@ -37,7 +39,8 @@
 
 // overloadPlan describes the last plan.
 type overloadPlan struct {
-	at        time.Time
+	at        time.Time // zero if no batch task waited
+	made      bool      // by the present decision, and later ones depend on it
 	standby   int       // jobs that stand by
 	since     time.Time // since when the pool has been overloaded
 	droppedAt time.Time // when a plan last dropped a job
@@ -108,6 +111,8 @@
 	b.recordStep(Step{Kind: StepShedding, Flag: on})
 	b.shedding = on
 	if !on {
+		b.contended, b.plan.at = false, time.Time{}
+		b.levelShares()
 		b.endOverload()
 	}
 }
@@ -127,9 +132,12 @@
 	if !b.shedding || now.Sub(b.plan.at) < planInterval && !now.Before(b.plan.at) {
 		return
 	}
-	b.plan.at = now
-	room, contended := b.supply(now)
-	b.contended = contended
+	room, waiting, contended := b.supply(now)
+	b.plan.made = waiting || !b.plan.at.IsZero()
+	b.contended, b.plan.at = contended, time.Time{}
+	if waiting {
+		b.plan.at = now
+	}
 	b.levelShares()
 	if !contended {
 		b.endOverload()
@@ -161,26 +169,37 @@
 	}
 }
 
-// supply returns the room of the pool, and whether tasks wait for more than is free now.
-func (b *Board) supply(now time.Time) (s supply, contended bool) {
+// supply returns the room of the pool, whether tasks wait for some, and whether for more than is
+// free now.
+func (b *Board) supply(now time.Time) (s supply, waiting, contended bool) {
 	wanted, smallest := 0, math.MaxInt
+	limited := map[*organisation]int{} // wanted by those with an allotment
 	for _, c := range b.pending.steps {
 		b.examined++
 		step := &c.entry.job.Steps[c.key.step]
-		if tasks := len(c.entry.waiting[c.key]); tasks > 0 && !step.LongRunning {
+		tasks := len(c.entry.waiting[c.key])
+		if tasks == 0 || step.LongRunning || b.heldUp(c.entry, step) {
+			continue
+		}
+		if o := b.organisationOf(c.entry); o.allotment.Millicores == jobs.Unlimited {
 			wanted += tasks * step.Claim().Millicores
-			smallest = min(smallest, step.Claim().Millicores)
+		} else {
+			limited[o] += tasks * step.Claim().Millicores
 		}
+		smallest = min(smallest, step.Claim().Millicores)
+	}
+	for o, millicores := range limited {
+		wanted += min(millicores, o.allotment.Millicores-o.claimed.Millicores)
 	}
 	if wanted == 0 {
-		return supply{}, false
+		return supply{}, false, false
 	}
 	for _, w := range b.pending.room.atLeast(smallest) {
 		b.examined++
 		s.free += w.free().Millicores
 	}
 	if wanted <= s.free {
-		return s, false
+		return s, true, false
 	}
 	if now.Before(b.growthUntil) {
 		s.growth = b.growth
@@ -188,7 +207,7 @@
 	capacity := b.batchCapacity(now) - s.growth
 	b.service.update(capacity, now)
 	s.rate = float64(b.service.efficiency * float64(capacity))
-	return s, true
+	return s, true, true
 }
 
 // demands returns the steps of jobs that can still be on time, in the order of their latest
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -44,7 +44,10 @@
 		e.standing.excess = true
 	default:
 		// Until the next plan. Otherwise a new job, which has all its time left, is tried at once.
-		e.standing.standby = b.Overloaded(now) && !b.belowShare(e.job.Organisation)
+		if b.Overloaded(now) && !b.belowShare(e.job.Organisation) {
+			e.standing.standby = true
+			b.plan.standby++
+		}
 		o.share.arrivals = append(slices.DeleteFunc(o.share.arrivals, func(t time.Time) bool { return now.Sub(t) > rateWindow }), now)
 	}
 }
@@ -94,7 +97,8 @@
 	if b.contended {
 		for _, c := range b.pending.steps {
 			b.examined++
-			if o := b.sharing(c.entry.job.Organisation); o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess {
+			o, step := b.sharing(c.entry.job.Organisation), &c.entry.job.Steps[c.key.step]
+			if o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess && !b.heldUp(c.entry, step) {
 				o.share.waiting = true
 			}
 		}
--- a/internal/wire/inbound.go
+++ b/internal/wire/inbound.go
@@ -36,20 +36,22 @@
 const writeTimeout = 10 * time.Second
 
 // inbound is a connection from a peer. It follows the lengths that encoding/gob writes in front of
-// its messages. The decoder keeps a buffer for the longest message of its connection.
+// its messages. The decoder keeps the last message until the next one is whole.
 type inbound struct {
 	net.Conn
 	server *Server
 
 	// Guarded by the server's mutex.
-	held   int64     // bytes of the buffer for the longest message so far
+	held   int64     // bytes of the last whole message, and what the decoder has taken for the current one
 	usedAt time.Time // when a message last arrived whole, or the connection was made
 
 	// Used by Read only.
 	length  uint64 // of the message that begins, as far as it has arrived
 	lacking int    // bytes of the length that have not arrived
+	last    uint64 // bytes of the last message that has arrived whole
 	got     uint64 // bytes of the current message that have arrived
 	rest    uint64 // and those that have not
+	ahead   uint64 // bytes that the decoder allocates for it by its length
 }
 
 // Read is part of [net.Conn].
@@ -69,15 +71,14 @@
 
 // follow counts the bytes of messages. It reports whether no message is too long.
 func (c *inbound) follow(data []byte) bool {
-	longest, whole := c.got, false
+	whole := false
 	for len(data) > 0 {
 		if c.rest > 0 {
 			n := min(c.rest, uint64(len(data)))
 			data = data[n:]
 			c.got, c.rest = c.got+n, c.rest-n
-			longest = max(longest, c.got)
 			if c.rest == 0 {
-				c.got, whole = 0, true
+				c.last, c.got, c.ahead, whole = c.got, 0, 0, true
 			}
 			continue
 		}
@@ -95,11 +96,10 @@
 			return false
 		}
 		if c.lacking == 0 {
-			longest = max(longest, min(c.length, decoderChunk))
-			c.rest, c.length = c.length, 0
+			c.rest, c.ahead, c.length = c.length, min(c.length, decoderChunk), 0
 		}
 	}
-	c.server.received(c, int64(longest), whole)
+	c.server.received(c, int64(c.last+max(c.got, c.ahead)), whole)
 	return true
 }
 
