pool: a late answer about a quota does not undo that its limit was removed

Cause: while a row is read or written, a version of the configuration may remove the organisation's limit. The answer then set the former allotment again. Without an account nothing ever changed it: the organisation stayed bounded in that pool until the next owner.

Change: only the account in use sets the allotment.

Measured: TestLateAnswersAboutARemovedLimitChangeNothing failed for a read and for a write (2 tasks run after 2 s, want 8), and passes; tests of quotas of internal/pool pass.

--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -274,6 +274,9 @@
 
 // applyAllotment tells the board what an organisation's tasks may claim.
 func (o *Owner) applyAllotment(a *quotaAccount, now time.Time) {
+	if o.quotas.accounts[a.name] != a {
+		return // the limit was removed while a call was under way
+	}
 	a.settled = false
 	allotment := a.Allotment(a.usage)
 	limit := a.Limit()
