quota: a pool that has given all back does not hold up an organisation

Cause: when a resource becomes limited that was not, nothing starts until each pool in the row has written its allotment under the new limits. The entry of a pool that was removed from the configuration stays in the row, and nobody writes for it any more.

Change: an entry without an allotment and a want counts as little as one that is not there.

Measured: TestPoolThatHasGivenAllBackHoldsUpNobody failed (0 MB allotted of 4000) and passes; all tests of internal/quota pass, the model among them.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -96,10 +96,11 @@
 }
 
 // undeclared reports whether a pool may claim more than its allotment tells, as its owner had no
-// limit when it wrote it.
+// limit when it wrote it. A pool that has given all back counts as one that is not in the row: it
+// may have been removed from the configuration, and then nobody writes for it any more.
 func (r *Row) undeclared(i int) bool {
 	for _, a := range r.Pools {
-		if a.Version < r.Since[i] {
+		if a.Version < r.Since[i] && (a.Size != jobs.Resources{} || a.Want != jobs.Resources{}) {
 			return true
 		}
 	}
