daemon: a route is closed at a removed pool that has no owner

Cause: a pool that was removed from the configuration and has no owner counted as closed for its routes, and nothing was stored. Since openings are stored with the pool, its next owner, once the pool is back, took a route for open that had led elsewhere meanwhile. It did not ask the pool in between: a job sent again ran in both.

Change: the closure is stored for the next owner, unless the pool is claimed meanwhile.

Measured: TestRouteLeadsBackToAPoolThatWasRemoved failed (the job was in p1 and p2) and passes; all tests of internal/daemon pass.

--- a/internal/daemon/route_pools_test.go
+++ b/internal/daemon/route_pools_test.go
@@ -472,3 +472,32 @@
 		t.Errorf("the job of a closed route is in %v", in)
 	}
 }
+
+// Guards against a pool that was removed without an owner and comes back: its next owner finds that
+// the route leads to it, and accepts a job that the pool in between has.
+func TestRouteLeadsBackToAPoolThatWasRemoved(t *testing.T) {
+	t.Parallel()
+	r := newRoutedPools(t, 1, "p1", "p2")
+	d := r.processes[0]
+	submit := func(id jobs.ID, to string, version uint64, in string) {
+		t.Helper()
+		if v := r.submit(0, id, to, version); v != pool.Accepted {
+			t.Errorf("job %s, pool %s, version %d: verdict %v, want %v", id, to, version, v, pool.Accepted)
+		}
+		if at := r.where(id); !slices.Equal(at, []string{in}) {
+			t.Errorf("job %s is in %v, want %s alone", id, at, in)
+		}
+	}
+	submit("0000000000000001", "p1", 1, "p1")
+	submit("0000000000000002", "p1", 1, "p1") // its transaction stores the opening
+	former := r.owners["p1"]
+	former.Close()
+	delete(r.owners, "p1")
+	d.config.Store(&configuration{Config: platform.Config{Version: 2, Pools: []platform.PoolConfig{{Name: "p2"}}}})
+	submit("0000000000000003", "p2", 2, "p2")
+	d.config.Store(&configuration{Config: platform.Config{Version: 3, Pools: []platform.PoolConfig{{Name: "p1"}, {Name: "p2"}}}})
+	r.owners["p1"] = former
+	r.restart("p1")
+	submit("0000000000000003", "p1", 3, "p2")
+	submit("0000000000000004", "p1", 3, "p1")
+}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -229,10 +229,17 @@
 	reply, err := d.askPool(ctx, from, version, "Peer.CloseRoute", CloseRouteArgs{from, name, version}, func(o *pool.Owner) Reply {
 		return Reply{Verdict: o.CloseRoute(ctx, name, version)}
 	})
-	if err == nil && reply.Verdict == pool.Unknown {
-		err = errors.Wrapf(errPoolUnknown, "pool %.60q", from)
+	switch {
+	case err != nil:
+		return err
+	case reply.Verdict == pool.Unknown:
+		return errors.Wrapf(errPoolUnknown, "pool %.60q", from)
+	case reply.Verdict == pool.Missing: // the pool was removed and has no owner; it may come back
+		ctx, cancel := context.WithTimeout(ctx, callEachPool)
+		defer cancel()
+		return pool.CloseUnowned(ctx, d.store, from, name, version)
 	}
-	return err
+	return nil
 }
 
 // askPool is askOnce for a pool that may have been removed from the configuration, which had it
--- a/internal/pool/routes.go
+++ b/internal/pool/routes.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/zeebo/xxh3"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -86,6 +87,37 @@
 	})
 }
 
+// CloseUnowned closes a route as of a version at a pool that has no owner, so that its next owner
+// finds it closed. It fails if the pool is claimed meanwhile.
+func CloseUnowned(ctx context.Context, store *platform.Store, name, route string, version uint64) error {
+	keys := []platform.Row{{Table: TableOwner, Part: name, Key: keyOwner}, {Table: tableClosed, Part: name, Key: RouteKey(route)}}
+	var closed platform.Row
+	for i, key := range keys {
+		row, err := store.ReadRow(ctx, key.Table, key.Part, key.Key)
+		if err != nil {
+			return errors.Wrapf(err, "close a route at pool %.60q", name)
+		}
+		keys[i].Version, closed = row.Version, row
+	}
+	var w closureRow
+	if closed.Version > 0 {
+		if err := json.Unmarshal(closed.Value, &w); err != nil {
+			w = closureRow{} // the next owner would ignore it
+		}
+	}
+	if w.Version >= version {
+		return nil
+	}
+	w.Route, w.Version = route, version
+	value, err := json.Marshal(w)
+	if err != nil {
+		return errors.Wrap(err, "closed route")
+	}
+	write := platform.Row{Table: tableClosed, Part: name, Key: RouteKey(route), Value: value}
+	_, _, err = store.Commit(ctx, platform.Transaction{Expect: keys, Write: []platform.Row{write}})
+	return errors.Wrapf(err, "close a route at pool %.60q", name)
+}
+
 // closureOf returns what is known of a route, nothing at first.
 func (o *Owner) closureOf(route string) *closure {
 	c := o.closures[route]
