place: where a job would go tells of its quota as decisions do

Cause: a step was said to be held up by its quota by what it claims on a worker. That is no processor time for a best-effort task, and counted resources that the task has none of.

Change: the question is that of decisions. The example of package quota named a method that does not exist.

Measured: TestWhereTellsOfTheQuotaAsDecisionsDo failed in both cases and passes; all tests of internal/place and internal/quota pass.

--- a/internal/place/quota_test.go
+++ b/internal/place/quota_test.go
@@ -111,3 +111,21 @@
 		t.Errorf("%d starts, want 3", len(starts))
 	}
 }
+
+// Guards against a task that is said to wait for a quota of a resource that it does not need, and a
+// best-effort task of which the quota's part is not seen.
+func TestWhereTellsOfTheQuotaAsDecisionsDo(t *testing.T) {
+	b := quotaBoard()
+	filling := jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 3000, MemoryMB: 10}, LongRunning: true, BestEffort: true}
+	if p := b.Where(quotaJob(1, "a", filling), start); len(p) != 1 || p[0].Blocked == "" {
+		t.Errorf("a best-effort task that is larger than the allotment: %+v", p)
+	}
+	b.SetAllotment("a", jobs.Resources{Millicores: 2500, MemoryMB: 1000})
+	running := quotaJob(2, "a", jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 100, MemoryMB: 900}})
+	b.Add(running, jobs.NewProgress(running), start)
+	b.Decide(start)
+	b.SetAllotment("a", jobs.Resources{Millicores: 2500, MemoryMB: 500}) // lowered below what runs
+	if p := b.Where(quotaJob(3, "a", jobs.Step{Count: 1, Size: jobs.Resources{Millicores: 100}}), start); len(p) != 1 || p[0].Blocked != "" {
+		t.Errorf("a task that needs no memory: %+v", p)
+	}
+}
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -166,7 +166,7 @@
 		return "a decision about the job panicked: it is suspended"
 	case b.unconfirmed(e, now) && !step.Speculative:
 		return "tasks of an earlier owner may be running on workers that do not answer"
-	case o != nil && !o.claimed.Add(step.Claim()).Fits(o.allotment):
+	case o != nil && b.heldUp(e, step):
 		return "the quota of its organisation is used up in this pool"
 	case !step.LongRunning && b.startLimit <= 0:
 		return "the owner sends as many starts as it can"
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,7 +12,7 @@
 //	account.Learned(row, version) // as read
 //	if row, due, _ := account.Propose(usage); due {
 //		account.Sent(row)
-//		// write row if its version is still account.RowVersion(), then call
+//		// write row if the store's version is still that of account.Row, then call
 //		// account.Written, account.NotDone, account.Unanswered or account.Learned
 //	}
 //	board.SetAllotment(organisation.Name, account.Allotment(usage))
