--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -11,7 +11,8 @@
 
 // A pool is overloaded while it has more work than its workers, and the hosts on their way, can
 // do in time. In order of urgency nearly all its jobs would then be late together. The plan
-// chooses those that can be on time. The others stand by: they run in room that is left.
+// chooses those that can be on time. The others stand by: they run in room that is left. Before the
+// hosts for an overload have had time to come, only jobs beyond their organisation's rate do.
 
 // A plan keeps a part of the time that a job can wait in reserve, for what it can't know: later
 // steps have to wait as well, and declared run times are wrong. It uses planShare at least.
@@ -291,7 +292,7 @@
 	seen := map[*jobEntry]*planned{}
 	shares := map[*organisation]float64{} // of the jobs planned so far
 	work, dropped, urgent := 0.0, 0, math.MaxInt
-	mean := meanWork(demands)
+	mean, lasting := meanWork(demands), b.lastingOverload(now)
 	for i, d := range demands {
 		if d.entry.standing.standby {
 			if seen[d.entry] == nil {
@@ -316,7 +317,7 @@
 		limit := room.before(max(d.wait-d.reserve, time.Duration(planShare*float64(d.wait))), d.runTime) + max(d.one, wide)
 		for work > limit && len(drops) > 0 {
 			p := heap.Pop(&drops).(*planned)
-			p.entry.standing.standby = true
+			p.entry.standing.standby = lasting
 			work -= p.work
 			urgent = min(urgent, p.entry.job.Priority)
 			dropped++
@@ -324,7 +325,7 @@
 	}
 	for _, p := range drops {
 		if p.entry.job.Priority > urgent && !p.begun {
-			p.entry.standing.standby = true // behind the more urgent ones that were dropped
+			p.entry.standing.standby = lasting // behind the more urgent ones that were dropped
 			dropped++
 			continue
 		}
