--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -11,8 +11,7 @@
 
 // A pool is overloaded while it has more work than its workers, and the hosts on their way, can
 // do in time. In order of urgency nearly all its jobs would then be late together. The plan
-// chooses those that can be on time. The others stand by: they run in room that is left. Before the
-// hosts for an overload have had time to come, only jobs beyond their organisation's rate do.
+// chooses those that can be on time. The others stand by: they run in room that is left.
 
 // A plan keeps a part of the time that a job can wait in reserve, for what it can't know: later
 // steps have to wait as well, and declared run times are wrong. It uses planShare at least.
@@ -292,7 +291,7 @@
 	seen := map[*jobEntry]*planned{}
 	shares := map[*organisation]float64{} // of the jobs planned so far
 	work, dropped, urgent := 0.0, 0, math.MaxInt
-	mean, lasting := meanWork(demands), b.lastingOverload(now)
+	mean := meanWork(demands)
 	for i, d := range demands {
 		if d.entry.standing.standby {
 			if seen[d.entry] == nil {
@@ -317,7 +316,7 @@
 		limit := room.before(max(d.wait-d.reserve, time.Duration(planShare*float64(d.wait))), d.runTime) + max(d.one, wide)
 		for work > limit && len(drops) > 0 {
 			p := heap.Pop(&drops).(*planned)
-			p.entry.standing.standby = lasting
+			p.entry.standing.standby = true
 			work -= p.work
 			urgent = min(urgent, p.entry.job.Priority)
 			dropped++
@@ -325,7 +324,7 @@
 	}
 	for _, p := range drops {
 		if p.entry.job.Priority > urgent && !p.begun {
-			p.entry.standing.standby = lasting // behind the more urgent ones that were dropped
+			p.entry.standing.standby = true // behind the more urgent ones that were dropped
 			dropped++
 			continue
 		}
