jobs: the larger, the smaller and a multiple of sizes are methods

Change: Resources has Min, Max and Times.

Measured: tests of quota, jobs, pool and place about quotas, reservations and the scan pass.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -84,6 +84,21 @@
 	return Resources{s.Millicores - o.Millicores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// Times returns the size of n of the same size.
+func (s Resources) Times(n int) Resources {
+	return Resources{s.Millicores * n, s.MemoryMB * n, s.Accelerators * n}
+}
+
+// Min returns the smaller amount of each resource.
+func (s Resources) Min(o Resources) Resources {
+	return Resources{min(s.Millicores, o.Millicores), min(s.MemoryMB, o.MemoryMB), min(s.Accelerators, o.Accelerators)}
+}
+
+// Max returns the larger amount of each resource.
+func (s Resources) Max(o Resources) Resources {
+	return Resources{max(s.Millicores, o.Millicores), max(s.MemoryMB, o.MemoryMB), max(s.Accelerators, o.Accelerators)}
+}
+
 // Unlimited is a limit that no claim reaches.
 const Unlimited = math.MaxInt
 
--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -231,18 +231,11 @@
 		if !r.worker.reserved { // a suspect's reservation of the last decision is over
 			b.pending.setReserved(r.worker, true)
 		}
-		l.mostFree = larger(l.mostFree, r.worker.free())
+		l.mostFree = l.mostFree.Max(r.worker.free())
 	}
 	l.scansLeft, l.backfillsLeft = reservationScans, len(b.workers)+len(b.pending.steps)
 }
 
-// larger returns the largest of each resource.
-func larger(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{
-		Millicores: max(x.Millicores, y.Millicores), MemoryMB: max(x.MemoryMB, y.MemoryMB), Accelerators: max(x.Accelerators, y.Accelerators),
-	}
-}
-
 // reviewReservation updates a reservation. It returns why it is to be given up, "" if it is not.
 func (b *Board) reviewReservation(r *reservation, now time.Time) GiveUpCause {
 	e, key, w := r.candidate.entry, r.candidate.key, r.worker
@@ -459,7 +452,7 @@
 		}
 		e.reserved[c.key]++
 		l.reservations = append(l.reservations, r)
-		l.mostFree = larger(l.mostFree, r.worker.free())
+		l.mostFree = l.mostFree.Max(r.worker.free())
 		l.counts.Made++
 		b.pending.setReserved(r.worker, true)
 	}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -81,7 +81,7 @@
 				continue // no host is missing where the organisation's quota holds its tasks up
 			}
 			if o.allotment != unlimited {
-				taken[o] = taken[o].Add(times(step.Size, waiting))
+				taken[o] = taken[o].Add(step.Size.Times(waiting))
 			}
 			if step.LongRunning && !step.BestEffort {
 				l.Lasting += waiting
--- a/internal/place/quota.go
+++ b/internal/place/quota.go
@@ -33,13 +33,13 @@
 			found[o] = d
 		}
 		step := &c.entry.job.Steps[c.key.step]
-		all := times(step.Size, tasks)
+		all := step.Size.Times(tasks)
 		unit := step.Size
 		if step.Gang {
 			unit = all
 		}
 		d.Waiting = d.Waiting.Add(all)
-		d.Largest = largest(d.Largest, unit)
+		d.Largest = d.Largest.Max(unit)
 		if b.heldUp(c.entry, step) {
 			d.HeldUp += tasks
 		}
@@ -65,7 +65,7 @@
 	if step.Gang {
 		n = step.Count
 	}
-	return !b.organisationOf(e).admits(times(step.Size, n))
+	return !b.organisationOf(e).admits(step.Size.Times(n))
 }
 
 // admits reports whether the allotment has room for a size. What a size has none of does not
@@ -106,14 +106,3 @@
 	}
 	w.unexpectedClaims = claims
 }
-
-func times(r jobs.Resources, n int) jobs.Resources {
-	return jobs.Resources{Millicores: r.Millicores * n, MemoryMB: r.MemoryMB * n, Accelerators: r.Accelerators * n}
-}
-
-// largest returns the larger amount of each resource.
-func largest(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{
-		Millicores: max(x.Millicores, y.Millicores), MemoryMB: max(x.MemoryMB, y.MemoryMB), Accelerators: max(x.Accelerators, y.Accelerators),
-	}
-}
--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -208,12 +208,12 @@
 			if len(step.After) > 0 {
 				continue
 			}
-			all := multiply(step.Size, step.Count)
+			all := step.Size.Times(step.Count)
 			u.Needed = u.Needed.Add(all)
 			if step.Gang {
-				u.Unit = larger(u.Unit, all)
+				u.Unit = u.Unit.Max(all)
 			} else {
-				u.Unit = larger(u.Unit, step.Size)
+				u.Unit = u.Unit.Max(step.Size)
 			}
 		}
 		sizes[s.job.Organisation] = u
@@ -245,10 +245,10 @@
 // updateUsage takes in what an organisation uses and needs now. What earlier owners may have
 // started on workers that have not answered counts as claimed.
 func (o *Owner) updateUsage(a *quotaAccount, d place.OrganisationDemand, arriving quota.Usage, capacity jobs.Resources, now time.Time) {
-	unseen := larger(smaller(capacity, a.Inherited().Sub(d.Adopted)), jobs.Resources{})
-	u := quota.Usage{Claimed: smaller(d.Claimed.Add(unseen), jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount})}
+	unseen := capacity.Min(a.Inherited().Sub(d.Adopted)).Max(jobs.Resources{})
+	u := quota.Usage{Claimed: d.Claimed.Add(unseen).Min(jobs.Resources{Millicores: maxQuotaAmount, MemoryMB: maxQuotaAmount, Accelerators: maxQuotaAmount})}
 	u.Needed = u.Claimed.Add(d.Waiting).Add(arriving.Needed)
-	u.Unit = larger(d.Largest, arriving.Unit)
+	u.Unit = d.Largest.Max(arriving.Unit)
 	if d.HeldUp > 0 || d.Waiting == (jobs.Resources{}) {
 		a.unusedSince = time.Time{}
 	} else if a.unusedSince.IsZero() {
@@ -257,14 +257,14 @@
 	u.Unused = !a.unusedSince.IsZero() && now.Sub(a.unusedSince) > unusedTime
 	a.modest = u.Unused && (a.modest || a.OthersWait())
 	if a.modest {
-		u.Needed = smaller(u.Needed, u.Claimed.Add(u.Unit))
+		u.Needed = u.Needed.Min(u.Claimed.Add(u.Unit))
 	}
 	if now.Sub(a.windowSince) >= quotaNeedWindow {
 		a.needs = [2]jobs.Resources{{}, a.needs[0]}
 		a.windowSince = now
 	}
-	a.needs[0] = larger(a.needs[0], u.Needed)
-	u.Recent = larger(a.needs[0], a.needs[1])
+	a.needs[0] = a.needs[0].Max(u.Needed)
+	u.Recent = a.needs[0].Max(a.needs[1])
 	if a.hinted {
 		u.Recent = u.Needed
 	}
@@ -342,7 +342,7 @@
 // mayDeclare reports whether it is known what an organisation may claim. Before the workers have
 // answered, it may be more than a row can tell.
 func (o *Owner) mayDeclare(a *quotaAccount) bool {
-	return o.started || smaller(a.usage.Claimed, a.Inherited()) == a.usage.Claimed && a.Inherited().Fits(a.Limit())
+	return o.started || a.usage.Claimed.Min(a.Inherited()) == a.usage.Claimed && a.Inherited().Fits(a.Limit())
 }
 
 // mayWrite reports whether the budget of urgent writes allows one.
@@ -567,17 +567,3 @@
 	quotaHeldUp.Add(-o.quotas.heldUp)
 	o.quotas.heldUp = 0
 }
-
-func multiply(r jobs.Resources, n int) jobs.Resources {
-	return jobs.Resources{Millicores: r.Millicores * n, MemoryMB: r.MemoryMB * n, Accelerators: r.Accelerators * n}
-}
-
-// larger returns the larger amount of each resource.
-func larger(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{Millicores: max(x.Millicores, y.Millicores), MemoryMB: max(x.MemoryMB, y.MemoryMB), Accelerators: max(x.Accelerators, y.Accelerators)}
-}
-
-// smaller returns the smaller amount of each resource.
-func smaller(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{Millicores: min(x.Millicores, y.Millicores), MemoryMB: min(x.MemoryMB, y.MemoryMB), Accelerators: min(x.Accelerators, y.Accelerators)}
-}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -78,7 +78,7 @@
 				size[i] = maxAmount
 			}
 		}
-		a.inherited = most(a.inherited, size.resources())
+		a.inherited = a.inherited.Max(size.resources())
 	}
 	if version != a.rowVersion {
 		a.unresolved = nil
@@ -140,10 +140,10 @@
 	}
 	size := own.Size
 	if a.sent != nil {
-		size = least(size, a.sent.Pools[a.pool].Size)
+		size = size.Min(a.sent.Pools[a.pool].Size)
 	}
 	if a.unresolved != nil {
-		size = least(size, *a.unresolved)
+		size = size.Min(*a.unresolved)
 	}
 	return size
 }
@@ -313,17 +313,3 @@
 	}
 	return over
 }
-
-// least returns the smaller amount of each resource.
-func least(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{
-		Millicores: min(x.Millicores, y.Millicores), MemoryMB: min(x.MemoryMB, y.MemoryMB), Accelerators: min(x.Accelerators, y.Accelerators),
-	}
-}
-
-// most returns the larger amount of each resource.
-func most(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{
-		Millicores: max(x.Millicores, y.Millicores), MemoryMB: max(x.MemoryMB, y.MemoryMB), Accelerators: max(x.Accelerators, y.Accelerators),
-	}
-}
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -113,7 +113,7 @@
 		}
 	}
 	if o.unseen && o.fault != ignoresUnseen {
-		unseen = least(o.account.Inherited(), o.unseenRoom)
+		unseen = o.account.Inherited().Min(o.unseenRoom)
 		u.Claimed = u.Claimed.Add(unseen)
 	}
 	u.Needed = u.Claimed
@@ -135,10 +135,6 @@
 	return sum
 }
 
-func least(x, y jobs.Resources) jobs.Resources {
-	return jobs.Resources{Millicores: min(x.Millicores, y.Millicores), MemoryMB: min(x.MemoryMB, y.MemoryMB)}
-}
-
 // decide lets an owner send what is due.
 func (m *model) decide(o *owner) {
 	if o.call != nil {
