daemon, place, pool, creds: names and comments after the review

Cause: readers stumbled over a question that changes state, a method that reads like a comparison, a comment that is not true, a limit written twice, and a search that was made for nothing.

Change: freshness.noteRunning, supply.workBefore, platform.MaxKeyBytes; submissions without waiters are passed over first.

Measured: tests of pool about submissions and outages, of creds, platform and place about keys and overloads pass.

--- a/internal/creds/creds.go
+++ b/internal/creds/creds.go
@@ -21,11 +21,7 @@
 	"github.com/papayarudder/papayarudder/platform"
 )
 
-const (
-	secretBytes = 32
-	// maxKeyBytes is the length of the longest key that a configuration may hold.
-	maxKeyBytes = 200
-)
+const secretBytes = 32
 
 type digest [sha256.Size]byte
 
@@ -38,7 +34,7 @@
 // hasher computes digests in buffers of its own, so that a look-up does not allocate.
 type hasher struct {
 	mac hash.Hash
-	key [maxKeyBytes]byte
+	key [platform.MaxKeyBytes]byte
 	sum digest
 }
 
@@ -71,7 +67,7 @@
 
 // digest returns the keyed digest of a key, and false if no configuration may hold the key.
 func (x *Index) digest(key string) (digest, bool) {
-	if key == "" || len(key) > maxKeyBytes {
+	if key == "" || len(key) > platform.MaxKeyBytes {
 		return digest{}, false
 	}
 	h := x.hashers.Get().(*hasher)
--- a/internal/daemon/fresh.go
+++ b/internal/daemon/fresh.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// paused reports whether this process has stood still since it last knew the newest
-// configuration. Each call shows that the process runs.
-func (f *freshness) paused(now time.Time) bool {
+// noteRunning records that this process runs, and reports whether it has stood still since it last
+// knew the newest configuration.
+func (f *freshness) noteRunning(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wall := now.Round(0)
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -111,7 +111,7 @@
 	if c.keys == nil {
 		return c.admit(r)
 	}
-	if d.fresh.paused(time.Now()) {
+	if d.fresh.noteRunning(time.Now()) {
 		c = d.refreshConfig(ctx)
 	} else {
 		c = d.config.Load() // another call may have refreshed it since
--- a/internal/daemon/keys_test.go
+++ b/internal/daemon/keys_test.go
@@ -19,21 +19,21 @@
 	var f freshness
 	f.confirm(at(0))
 	for ms := 0; ms <= 2000; ms += 250 {
-		if f.paused(at(ms)) {
+		if f.noteRunning(at(ms)) {
 			t.Fatalf("paused at %d ms while it runs", ms)
 		}
 	}
-	if !f.paused(at(3000)) || !f.paused(at(3010)) {
+	if !f.noteRunning(at(3000)) || !f.noteRunning(at(3010)) {
 		t.Error("a standstill of a second is not noticed")
 	}
-	if f.confirm(at(2500)); !f.paused(at(3020)) {
+	if f.confirm(at(2500)); !f.noteRunning(at(3020)) {
 		t.Error("an answer to a request from before the standstill counts")
 	}
-	if f.confirm(at(3030)); f.paused(at(3040)) {
+	if f.confirm(at(3030)); f.noteRunning(at(3040)) {
 		t.Error("paused after the configuration was read")
 	}
 	f.runningWall = f.runningWall.Add(-time.Second) // the host was suspended, and the monotonic clock with it
-	if !f.paused(at(3050)) {
+	if !f.noteRunning(at(3050)) {
 		t.Error("a suspension is not noticed")
 	}
 	reads := 0
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -36,7 +36,7 @@
 	syncs := 0
 	return every(ctx, pingPeriod, func() {
 		now := time.Now()
-		d.fresh.paused(now)
+		d.fresh.noteRunning(now)
 		d.probeTick(ctx, now)
 		d.mu.Lock()
 		n, _ := d.view.Len()
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -321,7 +321,7 @@
 	if open && len(known.Earlier) == 0 {
 		return known, nil
 	}
-	row, err := d.openRoute(ctx, name, o.Name(), version, refused) // which forgets earlier pools
+	row, err := d.openRoute(ctx, name, o.Name(), version, refused) // whose row may name fewer earlier pools
 	switch {
 	case err == nil:
 		o.RecordOpening(name, pool.Opening{Version: row.Version, Earlier: row.Earlier})
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -65,9 +65,9 @@
 	growth int     // millicores of hosts on their way
 }
 
-// before returns how much work of tasks with a run time can be started within a duration, in
+// workBefore returns how much work of tasks with a run time can be started within a duration, in
 // millicore seconds. Each free millicore takes a task at once, and again when that has ended.
-func (s supply) before(d, runTime time.Duration) float64 {
+func (s supply) workBefore(d, runTime time.Duration) float64 {
 	work := float64(float64(s.free)*runTime.Seconds()) + float64(s.rate*max(0, d).Seconds())
 	if late := d - growthDelay; late > 0 {
 		work += float64(float64(s.growth) * (late + runTime).Seconds())
@@ -332,7 +332,7 @@
 		}
 		p.work += d.work
 		wide := min(max(0, d.work-mean), float64(room.rate*wideMargin.Seconds()))
-		limit := room.before(max(d.wait-d.reserve, time.Duration(planShare*float64(d.wait))), d.runTime) + max(d.one, wide)
+		limit := room.workBefore(max(d.wait-d.reserve, time.Duration(planShare*float64(d.wait))), d.runTime) + max(d.one, wide)
 		for work > limit && len(drops) > 0 {
 			p := heap.Pop(&drops).(*planned)
 			p.entry.standing.standby = true
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -31,11 +31,11 @@
 // transaction that was sent still may; one that waits behind it never will.
 func (o *Owner) answerLateSubmissions(now time.Time) {
 	for _, s := range o.pending {
-		if now.Sub(s.receivedAt) <= submitTimeout {
+		if now.Sub(s.receivedAt) <= submitTimeout || len(s.waiters) == 0 {
 			continue
 		}
 		verdict := Unknown
-		if i := slices.Index(o.queue, s); i >= 0 && len(s.waiters) > 0 && o.status.current(now) {
+		if i := slices.Index(o.queue, s); i >= 0 && o.status.current(now) {
 			o.queue = slices.Delete(o.queue, i, i+1)
 			verdict = Refused
 			o.log.WithField("job", s.job.ID).Info("job refused: the store did not answer in time")
