--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -117,6 +117,9 @@
 	}
 }
 
+// Sheds reports whether [Board.SetShedding] is on.
+func (b *Board) Sheds() bool { return b.shedding }
+
 // Overloaded reports whether a plan of the last moments has dropped jobs.
 func (b *Board) Overloaded(now time.Time) bool {
 	return b.shedding && !b.plan.droppedAt.IsZero() && now.Sub(b.plan.droppedAt) < overloadMemory
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -205,6 +205,7 @@
 	deposed             bool
 	panicked            bool // read by others once the ownership has ended
 	queues              map[string]platform.Queue
+	hasTargets          bool // a queue of the pool has a target duration
 	organisations       []platform.Organisation
 	// organisationsVersion is the version of the configuration that organisations are from.
 	organisationsVersion uint64
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -403,10 +403,17 @@
 			}
 		}
 		o.board.SetAdvised(advised)
-		o.board.SetShedding(targets)
+		o.hasTargets = targets
+		o.updateShedding()
 	})
 }
 
+// updateShedding switches the plan for overloads on where organisations share the pool and its
+// jobs have a time by which they should be complete.
+func (o *Owner) updateShedding() {
+	o.board.SetShedding(o.hasTargets && len(o.organisations) > 0)
+}
+
 // SetOrganisations sets the organisations of a version of the configuration.
 func (o *Owner) SetOrganisations(organisations []platform.Organisation, version uint64) {
 	o.post(func() {
@@ -420,6 +427,7 @@
 			shares[org.Name] = place.Organisation{Weight: org.Weight}
 		}
 		o.board.SetOrganisations(shares)
+		o.updateShedding()
 	})
 }
 
