place: two faults found in review are listed with their tests

Cause: a review showed that jobs without an organisation go before those with one in a full pool, and that a reservation that became too old is made anew by the same decision.

--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -235,3 +235,38 @@
 		}
 	})
 }
+
+// A worker is kept for a reservation for 2 s at most, so that small tasks get a turn.
+func TestReservationIsNotMadeAnewAtOnce(t *testing.T) {
+	f := newTestBoard(0, 1)
+	f.SetLookAhead(true)
+	long := batch(1, 3000)
+	long.Estimate = 5 * time.Second
+	f.add(newJob(1, long))
+	f.decide()
+	f.now = f.now.Add(1100 * time.Millisecond)
+	large := newJob(2, batch(1, 4000))
+	large.Submitted = f.now
+	f.add(large)
+	f.decide()
+	for i := range 10 {
+		j := newJob(byte(10+i), batch(1, 1000))
+		j.Submitted = f.now
+		f.add(j)
+	}
+	kept := time.Duration(0)
+	for range 90 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		if len(f.decide()) > 0 {
+			break
+		}
+		if len(f.Reservations()) == 0 {
+			break
+		}
+		kept += 50 * time.Millisecond
+	}
+	t.Log(kept, f.TakeReservations())
+	if kept > 2100*time.Millisecond {
+		t.Errorf("the worker is kept for %v", kept)
+	}
+}
--- a/internal/place/overload_test.go
+++ b/internal/place/overload_test.go
@@ -442,3 +442,20 @@
 		}
 	}
 }
+
+// Jobs without an organisation do not keep all room of a full pool from those with one.
+func TestJobsWithoutOrganisationShare(t *testing.T) {
+	l := load{workers: 40, shedding: true, organisations: map[string]place.Organisation{"a": {Weight: 100}, "b": {Weight: 100}}}
+	l.turn("", 0, 10*time.Second, 60)
+	l.turn("a", 0, 10*time.Second, 4)
+	l.turn("b", 0, 10*time.Second, 4)
+	l.play(t)
+	for _, name := range []string{"", "a", "b"} {
+		in, all := l.inTime(of(name))
+		t.Logf("%q: %d of %d in time", name, in, all)
+	}
+	in, all := l.inTime(of("a"))
+	if in*10 < all*5 {
+		t.Errorf("%d of %d jobs of an organisation with a small demand are in time", in, all)
+	}
+}
