--- a/internal/place/ahead_load_test.go
+++ b/internal/place/ahead_load_test.go
@@ -180,6 +180,7 @@
 // workers list progress or not. Guards against large tasks that starve and against small ones that pay
 // for it.
 func TestLargeTasksBesideSmallOnesWithoutEnd(t *testing.T) {
+	t.Parallel()
 	const (
 		bound     = 1500 * time.Millisecond // the longest run of a small task: a worker is empty by then
 		gain      = 0.5                     // of the large tasks' wait, as workers list progress
--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -15,6 +15,7 @@
 // Guards against a decision with look-ahead that differs from that of a scan, keeps a long-running
 // task from room, or panics: all of the random tests' events beside reservations.
 func TestOrdersAreThoseOfAScanWithLookAhead(t *testing.T) {
+	t.Parallel()
 	counts := map[string]int{}
 	for seed := range uint64(200) {
 		s := newScanTest(seed)
@@ -202,6 +203,7 @@
 // Property: after a decision that started nothing no room is free that a waiting task could use
 // without delaying a reservation, and once no more jobs come all tasks start.
 func TestReservationsWasteNoRoomAndNothingStarves(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(1, 40).Draw(t, "workers")
 		l := newAheadLoad(workers, true, rapid.SampledFrom([]float64{0.1, 1, 10}).Draw(t, "declared"), rapid.Uint64().Draw(t, "seed"))
--- a/internal/place/hunt_test.go
+++ b/internal/place/hunt_test.go
@@ -12,6 +12,7 @@
 // Guards against long-running tasks that stay down beside room for them, in random orders of vacated,
 // silent and shrinking workers and failures.
 func TestLongRunningTasksUseTheRoomThereIs(t *testing.T) {
+	t.Parallel()
 	found := 0
 	for seed := range uint64(60) {
 		r := rand.New(rand.NewPCG(seed, 7))
--- a/internal/place/overload_test.go
+++ b/internal/place/overload_test.go
@@ -191,6 +191,7 @@
 // A queue's turn asks five times its mean for some seconds, more than twice what its pool can do. In
 // order of urgency nearly all jobs were late together, long after the turn as well.
 func TestJobsInTimeInATurn(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		declared string
 		guess    float64
@@ -217,6 +218,7 @@
 
 // Callers of a pool that has fallen far behind are refused, and come back one after the other.
 func TestRefusedCallersComeBackSpread(t *testing.T) {
+	t.Parallel()
 	l := load{workers: 4, shedding: true}
 	l.turn("", 0, 10*time.Second, 80)
 	l.play(t)
@@ -259,6 +261,7 @@
 
 // Organisations that all ask for more than their part of a full pool get room by their weights.
 func TestSharesFollowWeights(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		l := load{workers: 10, shedding: true, until: 5 * time.Second, organisations: map[string]place.Organisation{}}
 		for _, name := range []string{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(rt, "organisations")] {
@@ -316,6 +319,7 @@
 
 // An organisation that has slept gets its share at once, though others have filled the pool.
 func TestSleepingOrganisationReturns(t *testing.T) {
+	t.Parallel()
 	play := func(shedding bool) (early, all int) {
 		l := load{workers: 40, shedding: shedding, organisations: map[string]place.Organisation{"busy": {Weight: 100}, "sleeper": {Weight: 100}}}
 		l.turn("busy", 0, 10*time.Second, 60)
--- a/internal/place/quota_test.go
+++ b/internal/place/quota_test.go
@@ -37,6 +37,7 @@
 // Guards against starts beyond an allotment, and sums of claims that lose an attempt: in random
 // orders of crashes, lost answers, moves, copies, gangs and changed allotments.
 func TestStartsKeepToAllotments(t *testing.T) {
+	t.Parallel()
 	counts := map[string]int{}
 	for seed := range uint64(200) {
 		s := newScanTest(seed)
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -16,6 +16,7 @@
 // Guards against a task, stop, copy, pace or move that is never ordered because an index of
 // pending work lacks it: the orders must be those of a board that scans everything.
 func TestOrdersAreThoseOfAScan(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(100) {
 		if err := newScanTest(seed).run(300); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
@@ -27,6 +28,7 @@
 // passes holds tasks that an earlier one has started: suspects of crashed workers, advice,
 // copies, gangs, moves and reservations in random orders.
 func TestOrdersAreThoseOfAScanBesideCrashes(t *testing.T) {
+	t.Parallel()
 	counts := map[string]int{}
 	for seed := range uint64(200) {
 		s := newScanTest(seed)
@@ -48,6 +50,7 @@
 // Guards against a long-running suspect that waits beside a reserved worker with room for it, on
 // which a long-running task that is down may start.
 func TestLongRunningSuspectsUseReservedWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(200) {
 		s := newScanTest(seed)
 		s.crashes, s.checkReserved = true, true
