--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -52,8 +52,9 @@
 }
 
 var scenarios = map[string]func() scenario{
-	"flap":   flapScenario,
-	"advice": adviceScenario,
+	"advice":  adviceScenario,
+	"crowd":   crowdScenario,
+	"lasting": lastingScenario,
 }
 
 // caseRun is one play of a case.
@@ -62,6 +63,7 @@
 	entries  []netip.Addr
 	client   http.Client
 	trouble  bool
+	dir      string // of the settings files
 	began    time.Time
 
 	mu     sync.Mutex
@@ -93,7 +95,7 @@
 	defer p.Close()
 	c := &caseRun{
 		platform: p, client: http.Client{Timeout: callTimeout}, trouble: os.Getenv("TROUBLE") != "0",
-		began: time.Now(), record: record,
+		dir: dir, began: time.Now(), record: record,
 	}
 	c.note("disruption: %t", c.trouble)
 	c.configure(s.config(1))
