--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -15,6 +15,8 @@
 package jobs
 
 import (
+	"bytes"
+	"cmp"
 	"math"
 	"strconv"
 	"strings"
@@ -107,6 +109,23 @@
 	return s.Millicores <= capacity.Millicores && s.MemoryMB <= capacity.MemoryMB && s.Accelerators <= capacity.Accelerators
 }
 
+// Count returns how many times s fits into capacity, [Unlimited] if s is nothing.
+func (s Resources) Count(capacity Resources) int {
+	n := Unlimited
+	fit := func(size, capacity int) {
+		switch {
+		case size > 0:
+			n = min(n, max(0, capacity)/size)
+		case capacity < 0:
+			n = 0
+		}
+	}
+	fit(s.Millicores, capacity.Millicores)
+	fit(s.MemoryMB, capacity.MemoryMB)
+	fit(s.Accelerators, capacity.Accelerators)
+	return n
+}
+
 // Step is a number of identical tasks.
 type Step struct {
 	Count    int
@@ -313,6 +332,25 @@
 	return string(b)
 }
 
+// Compare compares tasks by their names, like [strings.Compare].
+func (t Task) Compare(o Task) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, o.Job),
+		compareDigits(t.Occurrence, o.Occurrence),
+		compareDigits(t.Step, o.Step),
+		compareDigits(t.Index, o.Index),
+	)
+}
+
+// compareDigits compares the decimal forms of two numbers that are not negative.
+func compareDigits(x, y int) int {
+	if x == y {
+		return 0
+	}
+	var xDigits, yDigits [20]byte
+	return bytes.Compare(strconv.AppendInt(xDigits[:0], int64(x), 10), strconv.AppendInt(yDigits[:0], int64(y), 10))
+}
+
 // ParseTask parses a task's name as returned by String.
 func ParseTask(name string) (Task, error) {
 	if strings.Count(name, ".") != 3 {
--- a/internal/place/advice.go
+++ b/internal/place/advice.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -98,14 +97,11 @@
 		if !b.accepts(e, step, t, w, now) {
 			continue
 		}
-		free, limit := w.free(), step.Count
+		limit := step.Count
 		if step.MaxPerWorker > 0 {
-			limit = step.MaxPerWorker - b.countOnWorker(w, t)
-		}
-		for n := 0; n < limit && claim.Fits(free); n++ {
-			free = free.Sub(claim)
-			room++
+			limit = step.MaxPerWorker - e.countOnWorker(stepKey{t.Occurrence, t.Step}, w)
 		}
+		room += max(0, min(limit, claim.Count(w.free())))
 	}
 	return usable, room
 }
@@ -234,7 +230,7 @@
 			tasks = append(tasks, movable[0].Task)
 		}
 	}
-	slices.SortFunc(tasks, func(x, y jobs.Task) int { return strings.Compare(x.String(), y.String()) })
+	slices.SortFunc(tasks, jobs.Task.Compare)
 	for _, t := range tasks {
 		e, key := b.jobs[t.Job], stepKey{t.Occurrence, t.Step}
 		b.lookAt(e, key, now)
--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -248,15 +248,15 @@
 	}
 	r.candidate = newCandidate(e, key, b.estimates.factor(e.job.Queue), now)
 	b.rankOrganisation(&r.candidate, now)
-	tasks, _ := b.splitSuspects(r.candidate)
+	t, found := r.candidate.firstInnocent()
 	switch {
 	case b.workers[w.Key] != w:
 		return CauseWorkerGone
 	case !w.acceptsTasks():
 		return CauseClosed
-	case len(tasks) < e.reserved[key]:
+	case !found || r.candidate.countInnocents() < e.reserved[key]:
 		return CauseNoTask
-	case !b.fitForReservation(e, step, tasks[0], w, now):
+	case !b.fitForReservation(e, step, t, w, now):
 		return CauseUnfit
 	case now.Sub(r.madeAt) > maxReservationAge:
 		return CauseAge
@@ -421,10 +421,10 @@
 
 // reserveAhead reserves workers for tasks of a step that fit no worker now. It reports whether
 // the step has any.
-func (b *Board) reserveAhead(c candidate, tasks []jobs.Task, now time.Time) bool {
+func (b *Board) reserveAhead(c candidate, t jobs.Task, now time.Time) bool {
 	e, l := c.entry, &b.ahead
 	step := &e.job.Steps[c.key.step]
-	n := min(len(tasks)-e.reserved[c.key], b.reservationsAllowed()-len(l.reservations))
+	n := min(c.countInnocents()-e.reserved[c.key], b.reservationsAllowed()-len(l.reservations))
 	if n <= 0 || b.unconfirmed(e, now) && !step.Speculative || !b.hasLabel(step.Label) || !b.withinAllotment(e, step.Claim()) {
 		return e.reserved[c.key] > 0
 	}
@@ -433,7 +433,7 @@
 	workers := b.pending.room.workers
 	for _, w := range workers[max(0, len(workers)-scannedWorkers):] {
 		b.examined++
-		if !b.fitForReservation(e, step, tasks[0], w, now) {
+		if !b.fitForReservation(e, step, t, w, now) {
 			continue
 		}
 		if r, ok := ahead.Reserve(b.timeline(w, now), step.Claim(), now); ok && r.Start.Sub(now) <= reservationHorizon {
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
@@ -28,14 +27,16 @@
 	finalSince    time.Time     // when Expire first found its final state stored
 
 	attempts       map[jobs.Task][]*Attempt
-	lastAttempt    map[jobs.Task]int       // highest attempt number of a task
-	lastStart      map[jobs.Task]int       // the same of those that this owner ordered
-	waiting        map[stepKey][]jobs.Task // tasks ready to start
-	enqueuedSteps  map[stepKey]bool        // steps whose tasks were added to waiting
-	backoffs       map[jobs.Task]backoff   // of long-running tasks that ended
+	lastAttempt    map[jobs.Task]int      // highest attempt number of a task
+	lastStart      map[jobs.Task]int      // the same of those that this owner ordered
+	waiting        map[stepKey]*taskQueue // tasks ready to start
+	enqueuedSteps  map[stepKey]bool       // steps whose tasks were added to waiting
+	backoffs       map[jobs.Task]backoff  // of long-running tasks that ended
 	advice         map[stepKey]*stepAdvice
 	promises       map[jobs.Task]*worker    // long-running tasks that are stopped in order to run there; nil if there are none
 	lasting        map[stepKey]*lastingStep // long-running steps that have or had attempts
+	spreads        map[stepKey]*stepSpread  // see isSpread
+	racks          map[stepRack]int         // attempts of long-running steps
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
 	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
@@ -49,8 +50,9 @@
 	return &jobEntry{
 		job: j, progress: p, criticalPaths: criticalPaths, longestPath: slices.Max(criticalPaths), storedState: p.State(),
 		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
-		waiting: map[stepKey][]jobs.Task{}, enqueuedSteps: map[stepKey]bool{},
+		waiting: map[stepKey]*taskQueue{}, enqueuedSteps: map[stepKey]bool{},
 		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
+		spreads: map[stepKey]*stepSpread{}, racks: map[stepRack]int{},
 	}
 }
 
@@ -94,6 +96,8 @@
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
 	startLimit       int         // batch tasks that a decision may start, see SetStartLimit
 	startsLeft       int         // of startLimit, for the present decision
+	lastingLimit     int         // long-running tasks that a decision may start, see SetLastingStartLimit
+	lastingLeft      int         // of lastingLimit, for the present decision
 	reservationsLeft int         // of maxBatchReservations, for the present decision
 	limitedAt        time.Time   // when startLimit last held tasks back
 	trying           bool        // starts may be undone, so that a rejection does not hold
@@ -117,7 +121,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, routes: map[string]int{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{}, organisations: map[string]*organisation{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, lastingLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{}, organisations: map[string]*organisation{},
 	}
 }
 
@@ -133,8 +137,8 @@
 }
 
 // SetStartLimit sets how many batch tasks each decision from now on may start, since the
-// owner can't send more. It holds until it is set again. Gangs start whole and
-// long-running tasks always.
+// owner can't send more. It holds until it is set again. Gangs start whole;
+// long-running tasks have a limit of their own.
 func (b *Board) SetStartLimit(limit int) {
 	if limit == b.startLimit {
 		return
@@ -143,6 +147,16 @@
 	b.startLimit = limit
 }
 
+// SetLastingStartLimit sets how many long-running tasks each decision from now on may start, but
+// for gangs and tasks with recorded crashes. It holds until it is set again.
+func (b *Board) SetLastingStartLimit(limit int) {
+	if limit == b.lastingLimit {
+		return
+	}
+	b.recordStep(Step{Kind: StepLastingLimit, Limit: limit})
+	b.lastingLimit = limit
+}
+
 // Add adds a job with its stored progress, unless the job is already known.
 func (b *Board) Add(j jobs.Job, p *jobs.Progress, now time.Time) {
 	if _, known := b.jobs[j.ID]; known {
@@ -279,10 +293,9 @@
 // finish sets a job's final state and requests a stop of all its attempts.
 func (b *Board) finish(e *jobEntry, s jobs.State, now time.Time) {
 	e.progress.Final = s
-	for key := range e.waiting {
-		e.emptyWaiting(key)
+	for _, q := range e.waiting {
+		q.clear()
 	}
-	e.backoffs = map[jobs.Task]backoff{}
 	for t := range e.promises {
 		b.releasePromise(e, t)
 	}
@@ -417,8 +430,11 @@
 func (b *Board) changeWorker(w *worker, change func()) {
 	b.pending.roomOf(w).remove(w)
 	b.pending.countWorker(w, -1)
-	silent, leaving := w.Silent, w.isLeaving()
+	silent, leaving, rack := w.Silent, w.isLeaving(), w.Rack
 	change()
+	if w.Rack != rack {
+		w.rackChanged(rack)
+	}
 	b.pending.countWorker(w, 1)
 	if w.acceptsTasks() {
 		b.pending.roomOf(w).insert(w)
@@ -565,9 +581,17 @@
 	return attempts
 }
 
+// CountAttempts returns the number of attempts at a worker.
+func (b *Board) CountAttempts(key string) int {
+	if w := b.workers[key]; w != nil {
+		return len(w.attempts)
+	}
+	return 0
+}
+
 // sortAttempts sorts attempts by task, so that a replay gives the same orders.
 func sortAttempts(attempts []*Attempt) {
-	slices.SortFunc(attempts, func(x, y *Attempt) int { return strings.Compare(x.Task.String(), y.Task.String()) })
+	slices.SortFunc(attempts, func(x, y *Attempt) int { return x.Task.Compare(y.Task) })
 }
 
 // findAttempt returns the attempt with this task and number at a worker, or nil.
@@ -595,6 +619,7 @@
 		b.idleChanged[w.Key] = struct{}{}
 	}
 	w.count(a.step, 1)
+	e.countAttempt(a.stepKey(), w, 1)
 	b.setUsed(w, w.used.Add(a.step.Claim()))
 	b.pending.attemptAdded(a)
 	b.organisationOf(e).use(a)
@@ -612,6 +637,7 @@
 			b.idleChanged[w.Key] = struct{}{}
 		}
 		w.count(a.step, -1)
+		a.entry.countAttempt(a.stepKey(), w, -1)
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
 		b.organisationOf(a.entry).release(a)
 		b.pending.paceable(w)
@@ -651,13 +677,13 @@
 	if !e.enqueuedSteps[key] {
 		return // enqueueReadySteps will queue the task
 	}
-	if a.step.Gang && b.gangHasAttempts(e, key) {
+	if a.step.Gang && e.hasAttempts(key) {
 		return // the last member to end requeues all
 	}
 	if a.step.Gang {
-		e.emptyWaiting(key)
+		e.waiting[key].clear()
 		for i := range a.step.Count {
-			b.wait(e, jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: i})
+			b.enqueue(e, jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: i})
 		}
 		return
 	}
@@ -677,36 +703,19 @@
 	b.enqueue(e, a.Task) // a copy of it may be queued already
 }
 
-// emptyWaiting removes the waiting tasks of a step. The step keeps its entry until the
-// next decision.
-func (e *jobEntry) emptyWaiting(key stepKey) {
-	if _, known := e.waiting[key]; known {
-		e.waiting[key] = nil
-	}
-}
-
-// wait adds a task to the waiting ones.
-func (b *Board) wait(e *jobEntry, t jobs.Task) {
-	key := stepKey{t.Occurrence, t.Step}
-	tasks, known := e.waiting[key]
-	if !known {
+// queueOf returns the queue of a step, which is new if none of its tasks waits. A step keeps an
+// empty queue until the next decision.
+func (b *Board) queueOf(e *jobEntry, key stepKey) *taskQueue {
+	q := e.waiting[key]
+	if q == nil {
+		q = newTaskQueue(e.job.Steps[key.step].Count)
+		e.waiting[key] = q
 		b.pending.steps = append(b.pending.steps, candidate{entry: e, key: key})
 	}
-	e.waiting[key] = append(tasks, t)
+	return q
 }
 
 // enqueue adds a task to the waiting ones unless it is already there.
 func (b *Board) enqueue(e *jobEntry, t jobs.Task) {
-	if !slices.Contains(e.waiting[stepKey{t.Occurrence, t.Step}], t) {
-		b.wait(e, t)
-	}
-}
-
-func (b *Board) gangHasAttempts(e *jobEntry, key stepKey) bool {
-	for t := range e.attempts {
-		if t.Occurrence == key.occurrence && t.Step == key.step {
-			return true
-		}
-	}
-	return false
+	b.queueOf(e, stepKey{t.Occurrence, t.Step}).push(t.Index)
 }
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -20,6 +20,12 @@
 	latestStart time.Time // that still meets the objective, or the expiry of a late job
 }
 
+func (c candidate) queue() *taskQueue { return c.entry.waiting[c.key] }
+
+func (c candidate) task(index int) jobs.Task {
+	return jobs.Task{Job: c.entry.job.ID, Occurrence: c.key.occurrence, Step: c.key.step, Index: index}
+}
+
 // candidates returns all steps with waiting tasks in scheduling order: by class,
 // then by priority, then by latest start. The order changes little from one decision to
 // the next, which makes sorting the last one cheap.
@@ -32,7 +38,7 @@
 		if c.entry.job.Queue != queue {
 			queue, factor = c.entry.job.Queue, b.estimates.factor(c.entry.job.Queue)
 		}
-		if len(c.entry.waiting[c.key]) == 0 {
+		if c.queue().len() == 0 {
 			delete(c.entry.waiting, c.key)
 			continue
 		}
@@ -123,7 +129,7 @@
 	if w.onTrial(b.policy, t, now) || now.Before(w.pausedUntil) || !w.hasLabel(step.Label) || w.attempts[t] != nil {
 		return false
 	}
-	if step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker {
+	if step.MaxPerWorker > 0 && e.countOnWorker(stepKey{t.Occurrence, t.Step}, w) >= step.MaxPerWorker {
 		return false
 	}
 	if b.advisedQueues[e.job.Queue] {
@@ -148,21 +154,6 @@
 	return b.pending.quarantine.allowed
 }
 
-// countOnWorker returns the number of attempts of a task's step on a worker, and of tasks
-// of the step that are about to move there.
-func (b *Board) countOnWorker(w *worker, t jobs.Task) int {
-	n := 0
-	if w.promised > 0 {
-		n = b.jobs[t.Job].countPromised(w, t)
-	}
-	for o := range w.attempts {
-		if o.Job == t.Job && o.Occurrence == t.Occurrence && o.Step == t.Step {
-			n++
-		}
-	}
-	return n
-}
-
 // chooseWorker returns the worker with the lowest placement cost for a task, nil if
 // none fits.
 func (b *Board) chooseWorker(e *jobEntry, step *jobs.Step, t jobs.Task, now time.Time) *worker {
@@ -251,7 +242,7 @@
 	// as one, since it runs and fails as a whole.
 	others := w.batchAttempts()
 	if step.Gang {
-		others -= b.countOnWorker(w, t)
+		others -= e.countOnWorker(stepKey{t.Occurrence, t.Step}, w)
 	}
 	return others == 0 && (e.progress.Failures(t) == 0 || now.Sub(w.health.lastFailure) >= b.policy.QuarantineTime)
 }
@@ -267,39 +258,18 @@
 // packed tightly, long-running tasks are spread over workers and racks.
 func (b *Board) placementCost(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker) int64 {
 	var cost int64
-	if step.Rack != "" && w.Rack != step.Rack || step.RackLocal && b.runsOnOtherRack(e, t, w.Rack) {
+	key := stepKey{t.Occurrence, t.Step}
+	if step.Rack != "" && w.Rack != step.Rack || step.RackLocal && e.runsOnOtherRack(key, w.Rack) {
 		cost += costOtherRack
 	}
 	if !step.LongRunning {
 		return cost + int64(w.free().Millicores)
 	}
-	cost += int64(b.countOnWorker(w, t)) * costSameStep
-	for _, attempts := range e.attempts {
-		for _, a := range attempts {
-			if o := b.workers[a.Worker]; a.Task.Step == t.Step && o != nil && o.Rack == w.Rack {
-				cost += costSameRack
-			}
-		}
-	}
-	for _, a := range w.attempts {
-		if step.BestEffort && a.step.Target > 0 || step.Target > 0 && a.step.BestEffort {
-			cost += costInterference
-		}
-	}
+	cost += int64(e.countOnWorker(key, w)) * costSameStep
+	cost += int64(e.countOnRack(t.Step, w.Rack)) * costSameRack
+	cost += int64(w.interfering(step)) * costInterference
 	if len(w.attempts) > 0 {
 		cost -= costSameRack / 2 // prefer hosts in use: idle hosts can be released
 	}
 	return cost - int64(w.free().Millicores)
 }
-
-// runsOnOtherRack reports whether tasks of this step already run on another rack.
-func (b *Board) runsOnOtherRack(e *jobEntry, t jobs.Task, rack string) bool {
-	for _, attempts := range e.attempts {
-		for _, a := range attempts {
-			if w := b.workers[a.Worker]; a.Task.Step == t.Step && a.Task.Occurrence == t.Occurrence && w != nil && w.Rack != rack {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -82,7 +83,7 @@
 
 // tasks returns the tasks of a worker, sorted.
 func (x crashIndex) tasks(worker string) []jobs.Task {
-	return slices.SortedFunc(maps.Keys(x[worker]), func(s, t jobs.Task) int { return strings.Compare(s.String(), t.String()) })
+	return slices.SortedFunc(maps.Keys(x[worker]), jobs.Task.Compare)
 }
 
 // SuspectCrash records that a worker may have crashed, and under which attempts: its
@@ -430,24 +431,24 @@
 			continue
 		}
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
-		innocent, suspects := b.splitSuspects(c)
+		suspects := c.suspects()
 		if len(suspects) == 0 || b.unconfirmed(e, now) && !step.Speculative || b.heldUp(e, step) ||
 			b.advisedQueues[e.job.Queue] && !b.ensureTickets(o, e, c.key, suspects[0], now) {
 			continue
 		}
-		var waiting []jobs.Task
+		waiting := 0
 		count := &unplaced
 		if step.LongRunning {
 			count = &unplacedLasting
 		}
 		for _, t := range suspects {
 			if *count >= maxUnplaced || b.heldUp(e, step) {
-				waiting = append(waiting, t)
+				waiting++
 				continue
 			}
 			if !step.LongRunning && skip > 0 {
 				skip--
-				waiting = append(waiting, t)
+				waiting++
 				continue
 			}
 			if !step.LongRunning {
@@ -460,11 +461,12 @@
 			}
 			if w != nil && free {
 				b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
+				c.queue().remove(t.Index)
 				continue
 			}
-			waiting = append(waiting, t)
+			waiting++
 			*count++
-			if w == nil && step.LongRunning && !step.BestEffort && len(waiting) == 1 {
+			if w == nil && step.LongRunning && !step.BestEffort && waiting == 1 {
 				b.reserveWorker(e, step, t, now)
 			}
 			if w != nil && held <= len(b.workers)/heldShare {
@@ -473,9 +475,6 @@
 				b.reservations = append(b.reservations, w)
 			}
 		}
-		if len(waiting) < len(suspects) {
-			e.waiting[c.key] = append(innocent, waiting...)
-		}
 	}
 	b.advanceSuspects(unplaced, tried, now)
 }
@@ -494,23 +493,58 @@
 	b.suspectsSkipped += tried
 }
 
-// splitSuspects returns the waiting tasks of a step without and with recorded crashes. A
-// gang is not split.
-func (b *Board) splitSuspects(c candidate) (innocent, suspects []jobs.Task) {
-	tasks, p := c.entry.waiting[c.key], c.entry.progress
-	if !p.HasCrashes() || c.entry.job.Steps[c.key.step].Gang {
-		return tasks, nil
+// suspects returns the waiting tasks of a step with recorded crashes, in their order. A gang has
+// none.
+func (c candidate) suspects() []jobs.Task {
+	if !c.mayHaveSuspects() {
+		return nil
+	}
+	var indexes []int
+	for t := range c.entry.progress.Crashed() {
+		if t.Occurrence == c.key.occurrence && t.Step == c.key.step && c.queue().has(t.Index) {
+			indexes = append(indexes, t.Index)
+		}
+	}
+	c.queue().sort(indexes)
+	suspects := make([]jobs.Task, len(indexes))
+	for i, index := range indexes {
+		suspects[i] = c.task(index)
 	}
-	for _, t := range tasks {
-		if len(p.Crashes(t)) > 0 {
-			suspects = append(suspects, t)
-		} else {
-			innocent = append(innocent, t)
+	return suspects
+}
+
+func (c candidate) mayHaveSuspects() bool {
+	return c.queue().len() > 0 && c.entry.progress.HasCrashes() && !c.entry.job.Steps[c.key.step].Gang
+}
+
+// innocents returns the waiting tasks of a step without recorded crashes, or all of a gang, in
+// their order. Those that it has returned may be started meanwhile.
+func (c candidate) innocents() iter.Seq[jobs.Task] {
+	split := c.mayHaveSuspects()
+	return func(yield func(jobs.Task) bool) {
+		for index := range c.queue().all() {
+			t := c.task(index)
+			if split && len(c.entry.progress.Crashes(t)) > 0 {
+				continue
+			}
+			if !yield(t) {
+				return
+			}
 		}
 	}
-	return innocent, suspects
 }
 
+// firstInnocent returns the first task of [candidate.innocents], and whether there is any.
+func (c candidate) firstInnocent() (jobs.Task, bool) {
+	for t := range c.innocents() {
+		return t, true
+	}
+	return jobs.Task{}, false
+}
+
+// countInnocents returns the number of tasks of [candidate.innocents].
+func (c candidate) countInnocents() int { return c.queue().len() - len(c.suspects()) }
+
 // chooseIsolated returns the worker on which a suspect does least harm, and whether it may
 // start there now: nothing else was started there a short time ago. If there is no such
 // worker, it returns the one to keep free; if none has room, nil.
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -74,7 +74,7 @@
 			for index := range s.Count {
 				t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
 				if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
-					b.wait(e, t)
+					b.enqueue(e, t)
 				}
 			}
 		}
@@ -159,7 +159,7 @@
 	if len(backoffs) == 0 {
 		return nil
 	}
-	return slices.SortedFunc(maps.Keys(backoffs), func(x, y jobs.Task) int { return strings.Compare(x.String(), y.String()) })
+	return slices.SortedFunc(maps.Keys(backoffs), jobs.Task.Compare)
 }
 
 // stopCause returns the reason for a stop, which is logged and recorded.
@@ -229,9 +229,13 @@
 		attempts = append(attempts, movable...)
 	}
 	slices.SortFunc(attempts, func(x, y *Attempt) int {
-		return cmp.Or(strings.Compare(x.Worker, y.Worker), strings.Compare(x.Task.String(), y.Task.String()))
+		return cmp.Or(strings.Compare(x.Worker, y.Worker), x.Task.Compare(y.Task))
 	})
+	moves := 0
 	for _, a := range attempts {
+		if moves == maxMoves {
+			break
+		}
 		b.lookAt(a.entry, a.stepKey(), now)
 		l := b.jobs[a.Task.Job].lastingStep(a.stepKey())
 		if !l.mayStop(a.Task) {
@@ -242,10 +246,15 @@
 			a.reschedule = true
 			b.requestStop(a)
 			b.promise(e, a.Task, to)
+			moves++
 		}
 	}
 }
 
+// maxMoves limits the long-running tasks that a decision begins to move. The next ones move the
+// rest.
+const maxMoves = 256
+
 // fitsElsewhere reports whether another worker has room for a long-running task. The answer
 // is the same for all attempts of a step but for those beside other attempts of their task.
 func (b *Board) fitsElsewhere(a *Attempt, now time.Time) bool {
@@ -284,7 +293,7 @@
 	b.planOverload(now)
 	candidates := b.candidates(now)
 	b.reviewReservations(now)
-	b.startsLeft, b.reservationsLeft = b.startLimit, maxBatchReservations
+	b.startsLeft, b.lastingLeft, b.reservationsLeft = b.startLimit, b.lastingLimit, maxBatchReservations
 	lasting := 0
 	for lasting < len(candidates) && candidates[lasting].class == classLongRunning {
 		lasting++
@@ -311,8 +320,8 @@
 		if !b.lookAt(c.entry, c.key, now) {
 			continue
 		}
-		tasks, suspects := b.splitSuspects(c)
-		if len(tasks) == 0 {
+		t, found := c.firstInnocent()
+		if !found {
 			continue
 		}
 		step := &c.entry.job.Steps[c.key.step]
@@ -323,11 +332,11 @@
 			b.noteLimit(step, now)
 			continue
 		}
-		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c.entry, c.key, tasks[0], now) {
+		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c.entry, c.key, t, now) {
 			continue
 		}
 		if step.Gang {
-			b.placeGang(o, c, tasks, now)
+			b.placeGang(o, c, now)
 			continue
 		}
 		large := float64(step.Size.Millicores) > b.policy.ReserveShare*float64(largest)
@@ -336,12 +345,13 @@
 		if !step.LongRunning && !mayReserve && !mayReserveAhead && b.rejected.covers(step.Claim()) && !b.mayUseReserved(c) {
 			continue // in a load peak most steps wait for room of which there is none
 		}
-		left := b.placeStep(o, c, tasks, suspects, now)
+		b.placeStep(o, c, now)
+		t, left := c.firstInnocent()
 		switch {
-		case len(left) == 0 || b.heldUp(c.entry, step):
-		case mayReserveAhead && b.reserveAhead(c, left, now):
+		case !left || b.heldUp(c.entry, step) || step.LongRunning && b.lastingLeft <= 0:
+		case mayReserveAhead && b.reserveAhead(c, t, now):
 		case mayReserve && (step.LongRunning || !b.ahead.on || mayReserveAhead):
-			b.reserveWorker(c.entry, step, left[0], now)
+			b.reserveWorker(c.entry, step, t, now)
 			b.reservationsLeft--
 		}
 	}
@@ -384,29 +394,28 @@
 // hasLabel reports whether any worker has a label. All have the empty one.
 func (b *Board) hasLabel(label string) bool { return label == "" || b.pending.labels[label] > 0 }
 
-// placeStep starts as many tasks of a step as fit and returns those that still wait. The step's
-// suspects go on waiting.
-func (b *Board) placeStep(o *Orders, c candidate, tasks, suspects []jobs.Task, now time.Time) []jobs.Task {
+// placeStep starts as many tasks of a step as fit, but for its suspects.
+func (b *Board) placeStep(o *Orders, c candidate, now time.Time) {
 	e := c.entry
 	step := &e.job.Steps[c.key.step]
-	for len(tasks) > 0 {
+	for t := range c.innocents() {
 		if b.unconfirmed(e, now) && !step.Speculative || b.heldUp(e, step) {
 			break
 		}
-		t := tasks[0]
 		if !step.LongRunning && b.startsLeft <= 0 {
 			b.noteLimit(step, now)
 			break
 		}
+		if step.LongRunning && b.lastingLeft <= 0 {
+			break
+		}
 		w := b.chooseWithReservations(c, t, now)
 		if w == nil {
 			break
 		}
 		b.startAttempt(o, e, w, t, max(b.baseAttempt, e.lastAttempt[t])+1, now)
-		tasks = tasks[1:]
+		c.queue().remove(t.Index)
 	}
-	e.waiting[c.key] = append(tasks, suspects...)
-	return tasks
 }
 
 // unconfirmed reports whether tasks of a job may be running undetected on a worker
@@ -419,7 +428,9 @@
 	a := &Attempt{Task: t, Number: number, Worker: w.Key, Phase: Starting, OrderedAt: now, PercentChangedAt: now}
 	b.addAttempt(e, w, a)
 	e.lastStart[t] = number
-	if !a.step.LongRunning {
+	if a.step.LongRunning {
+		b.lastingLeft--
+	} else {
 		b.startsLeft--
 	}
 	if len(e.progress.Crashes(t)) > 0 {
@@ -439,20 +450,20 @@
 )
 
 // placeGang starts all tasks of a gang, or none if they don't all fit.
-func (b *Board) placeGang(o *Orders, c candidate, tasks []jobs.Task, now time.Time) {
+func (b *Board) placeGang(o *Orders, c candidate, now time.Time) {
 	e := c.entry
 	step := &e.job.Steps[c.key.step]
-	if len(tasks) < step.Count || b.unconfirmed(e, now) {
+	if c.queue().len() < step.Count || b.unconfirmed(e, now) || !b.mayFitGang(step) {
 		return
 	}
 	number := b.baseAttempt
-	for _, t := range tasks {
+	for t := range c.innocents() {
 		number = max(number, e.lastAttempt[t])
 	}
 	b.trying = true
 	defer func() { b.trying = false }()
 	var trial Orders
-	for _, t := range tasks {
+	for t := range c.innocents() {
 		w := b.chooseWorker(e, step, t, now)
 		if w == nil {
 			for _, s := range trial.Starts {
@@ -462,10 +473,26 @@
 		}
 		b.startAttempt(&trial, e, w, t, number+1, now)
 	}
-	e.waiting[c.key] = nil
+	c.queue().clear()
 	o.Starts = append(o.Starts, trial.Starts...)
 }
 
+// mayFitGang reports whether there may be room for all tasks of a gang. Without a look ahead, a
+// decision would place most of them before it finds that the last ones don't fit.
+func (b *Board) mayFitGang(step *jobs.Step) bool {
+	if step.LongRunning {
+		return true // also on workers that are reserved, vacated or quarantined
+	}
+	claim, room := step.Claim(), 0
+	for _, w := range b.pending.room.atLeast(claim.Millicores) {
+		b.examined++
+		if room += min(step.Count, claim.Count(w.free())); room >= step.Count {
+			return true
+		}
+	}
+	return false
+}
+
 // undoStart removes an attempt whose start order was never sent.
 func (b *Board) undoStart(e *jobEntry, s StartOrder) {
 	w := b.workers[s.Worker]
@@ -474,7 +501,9 @@
 	delete(e.attempts, s.Task)
 	b.lastingChanged(a)
 	e.lastAttempt[s.Task], e.lastStart[s.Task] = s.Attempt-1, s.Attempt-1
-	if !a.step.LongRunning {
+	if a.step.LongRunning {
+		b.lastingLeft++
+	} else {
 		b.startsLeft++
 	}
 }
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 			promised[w]++
 		}
 	}
+	if err := b.checkSpreads(); err != nil {
+		return err
+	}
 	for key, w := range b.workers {
 		lasting, filling := 0, 0
 		if promised[w] != w.promised {
@@ -98,7 +102,7 @@
 		if (e.progress.Final == "") != (p.unfinished[id] == e) {
 			return fmt.Errorf("%s is %q, which the set of unfinished jobs contradicts", id, e.progress.Final)
 		}
-		for key, tasks := range e.waiting {
+		for key, q := range e.waiting {
 			n := 0
 			for _, c := range p.steps {
 				if c.entry == e && c.key == key {
@@ -106,9 +110,54 @@
 				}
 			}
 			if n != 1 {
-				return fmt.Errorf("%s %v with %d waiting tasks stands %d times among the waiting steps", id, key, len(tasks), n)
+				return fmt.Errorf("%s %v with %d waiting tasks stands %d times among the waiting steps", id, key, q.len(), n)
+			}
+		}
+	}
+	return nil
+}
+
+// checkSpreads returns an error if the counts of attempts by step and worker, or those of a worker
+// by kind, are not what a scan of all attempts finds.
+func (b *Board) checkSpreads() error {
+	for id, e := range b.jobs {
+		spreads, racks := map[stepKey]*stepSpread{}, map[stepRack]int{}
+		spreadOf := func(key stepKey) *stepSpread {
+			if spreads[key] == nil {
+				spreads[key] = &stepSpread{workers: map[*worker]int{}, racks: map[string]int{}}
+			}
+			return spreads[key]
+		}
+		for _, attempts := range e.attempts {
+			for _, a := range attempts {
+				if !isSpread(a.step) {
+					continue
+				}
+				s := spreadOf(a.stepKey())
+				s.attempts++
+				s.workers[a.worker]++
+				s.racks[a.worker.Rack]++
+				if a.step.LongRunning {
+					racks[stepRack{a.Task.Step, a.worker.Rack}]++
+				}
 			}
 		}
+		for t, w := range e.promises {
+			spreadOf(stepKey{t.Occurrence, t.Step}).workers[w]++
+		}
+		if !reflect.DeepEqual(spreads, e.spreads) || !maps.Equal(racks, e.racks) {
+			return fmt.Errorf("%s counts its attempts as %v by worker and %v by rack, has %v and %v", id, e.spreads, e.racks, spreads, racks)
+		}
+	}
+	for key, w := range b.workers {
+		var counted worker
+		for _, a := range w.attempts {
+			counted.count(a.step, 1)
+		}
+		if counted.lastingUsed != w.lastingUsed || counted.targeted != w.targeted || counted.fillingTargeted != w.fillingTargeted {
+			return fmt.Errorf("%s counts %+v of lasting, %d and %d targeted attempts, has %+v, %d and %d", key,
+				w.lastingUsed, w.targeted, w.fillingTargeted, counted.lastingUsed, counted.targeted, counted.fillingTargeted)
+		}
 	}
 	return nil
 }
@@ -206,12 +255,12 @@
 		if e.progress.Final != "" || now.Before(e.suspendedUntil) || b.unconfirmed(e, now) || b.advisedQueues[e.job.Queue] {
 			continue
 		}
-		for key, tasks := range e.waiting {
+		for key, q := range e.waiting {
 			step := &e.job.Steps[key.step]
-			if !step.LongRunning || step.BestEffort || step.Gang || len(tasks) == 0 || b.heldUp(e, step) {
+			if !step.LongRunning || step.BestEffort || step.Gang || q.len() == 0 || b.heldUp(e, step) {
 				continue
 			}
-			innocent, suspects := b.splitSuspects(candidate{entry: e, key: key})
+			innocent, suspects := candidate{entry: e, key: key}.split()
 			for _, w := range b.workers {
 				open := w.acceptsTasks() || w.Vacate && !w.Draining && !w.Silent && !w.Closed && len(w.attempts) > 0
 				if !open || !step.Claim().Fits(w.free()) {
@@ -231,6 +280,11 @@
 	return nil
 }
 
+// split returns the waiting tasks of a step without and with recorded crashes.
+func (c candidate) split() (innocent, suspects []jobs.Task) {
+	return slices.Collect(c.innocents()), c.suspects()
+}
+
 // CheckClaims returns an error if what the attempts of an organisation claim is not the sum over
 // all attempts, those that should not run included.
 func (b *Board) CheckClaims() error {
@@ -264,7 +318,7 @@
 		}
 		for key := range e.waiting {
 			step := &e.job.Steps[key.step]
-			_, suspects := b.splitSuspects(candidate{entry: e, key: key})
+			_, suspects := candidate{entry: e, key: key}.split()
 			if !step.LongRunning || step.BestEffort || step.Gang || len(suspects) == 0 || b.heldUp(e, step) {
 				continue
 			}
@@ -300,7 +354,7 @@
 	for id, e := range b.jobs {
 		for key := range e.waiting {
 			step := &e.job.Steps[key.step]
-			tasks, _ := b.splitSuspects(candidate{entry: e, key: key})
+			tasks, _ := candidate{entry: e, key: key}.split()
 			if len(tasks) == 0 || step.LongRunning || step.Gang || e.progress.Final != "" {
 				continue
 			}
--- a/internal/place/focus.go
+++ b/internal/place/focus.go
@@ -64,7 +64,7 @@
 		return u
 	}
 	u.Job, u.Occurrence, u.Step = f.entry.job.ID, f.key.occurrence, f.key.step
-	u.Waiting = len(f.entry.waiting[f.key])
+	u.Waiting = f.entry.waiting[f.key].len()
 	for _, s := range f.orders.Starts {
 		if s.Task.Job == u.Job && s.Task.Occurrence == u.Occurrence && s.Task.Step == u.Step {
 			u.Started++
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -333,16 +333,7 @@
 }
 
 // dequeue removes a task from the waiting ones.
-func (e *jobEntry) dequeue(t jobs.Task) {
-	key := stepKey{t.Occurrence, t.Step}
-	tasks := e.waiting[key]
-	for i, o := range tasks {
-		if o == t {
-			e.waiting[key] = append(tasks[:i:i], tasks[i+1:]...)
-			return
-		}
-	}
-}
+func (e *jobEntry) dequeue(t jobs.Task) { e.waiting[stepKey{t.Occurrence, t.Step}].remove(t.Index) }
 
 // applyEnd applies the end of an attempt.
 func (b *Board) applyEnd(w *worker, r Ended, now time.Time) {
@@ -392,7 +383,7 @@
 		if !step.Gang {
 			b.stopAttempts(e, r.Task)
 		} else {
-			e.emptyWaiting(stepKey{r.Task.Occurrence, r.Task.Step})
+			e.waiting[stepKey{r.Task.Occurrence, r.Task.Step}].clear()
 			for i := range step.Count {
 				b.stopAttempts(e, jobs.Task{Job: r.Task.Job, Occurrence: r.Task.Occurrence, Step: r.Task.Step, Index: i})
 			}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -74,10 +74,10 @@
 		for _, s := range e.job.Steps {
 			l.Spread = max(l.Spread, minWorkers(s))
 		}
-		for key, tasks := range e.waiting {
+		for key, q := range e.waiting {
 			step := &e.job.Steps[key.step]
-			waiting := o.room(step.Size, taken[o], len(tasks))
-			if waiting == 0 || step.Gang && waiting < len(tasks) {
+			waiting := o.room(step.Size, taken[o], q.len())
+			if waiting == 0 || step.Gang && waiting < q.len() {
 				continue // no host is missing where the organisation's quota holds its tasks up
 			}
 			if o.allotment != unlimited {
--- a/internal/place/org_view.go
+++ b/internal/place/org_view.go
@@ -31,12 +31,9 @@
 			v = OrganisationView{Name: e.job.Organisation, Allotment: unlimited}
 		}
 		v.Jobs++
-		for key, tasks := range e.waiting {
-			claim := e.job.Steps[key.step].Claim()
-			for range tasks {
-				v.Waiting = v.Waiting.Add(claim)
-			}
-			v.WaitingTasks += len(tasks)
+		for key, q := range e.waiting {
+			v.Waiting = v.Waiting.Add(e.job.Steps[key.step].Claim().Times(q.len()))
+			v.WaitingTasks += q.len()
 		}
 		byName[v.Name] = v
 	}
--- a/internal/place/overload.go
+++ b/internal/place/overload.go
@@ -180,7 +180,7 @@
 	for _, c := range b.pending.steps {
 		b.examined++
 		step := &c.entry.job.Steps[c.key.step]
-		tasks := len(c.entry.waiting[c.key])
+		tasks := c.queue().len()
 		if tasks == 0 || step.LongRunning || b.heldUp(c.entry, step) {
 			continue
 		}
@@ -230,7 +230,7 @@
 		for i := range e.job.Steps {
 			tasks, key := 0, stepKey{0, i}
 			if e.enqueuedSteps[key] {
-				tasks = len(e.waiting[key])
+				tasks = e.waiting[key].len()
 			} else {
 				tasks = e.progress.Left(0, i)
 			}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -143,7 +143,10 @@
 	unexpected       jobs.Resources
 	unexpectedClaims map[*organisation]jobs.Resources // of those attempts, nil if there are none
 	lasting          int                              // attempts of long-running tasks
+	lastingUsed      jobs.Resources                   // what these claim
 	filling          int                              // attempts of best-effort tasks
+	targeted         int                              // attempts of tasks with a target
+	fillingTargeted  int                              // attempts of best-effort tasks with a target
 	promised         int                              // long-running tasks about to move here
 	promisedClaims   jobs.Resources                   // of those; part of used
 	health           health
@@ -168,18 +171,7 @@
 
 // lastingClaims returns what the long-running tasks claim that are at the worker or about to
 // move there.
-func (w *worker) lastingClaims() jobs.Resources {
-	claims := w.promisedClaims
-	if w.lasting == 0 {
-		return claims
-	}
-	for _, a := range w.attempts {
-		if a.step.LongRunning {
-			claims = claims.Add(a.step.Claim())
-		}
-	}
-	return claims
-}
+func (w *worker) lastingClaims() jobs.Resources { return w.promisedClaims.Add(w.lastingUsed) }
 
 // batchAttempts returns the number of attempts of batch tasks.
 func (w *worker) batchAttempts() int { return len(w.attempts) - w.lasting }
@@ -188,10 +180,31 @@
 func (w *worker) count(s *jobs.Step, n int) {
 	if s.LongRunning {
 		w.lasting += n
+		w.lastingUsed = w.lastingUsed.Add(s.Claim().Times(n))
 	}
 	if s.BestEffort {
 		w.filling += n
 	}
+	if s.Target > 0 {
+		w.targeted += n
+	}
+	if s.BestEffort && s.Target > 0 {
+		w.fillingTargeted += n
+	}
+}
+
+// interfering returns the number of attempts that a task of a step would slow down, or that would
+// slow it down.
+func (w *worker) interfering(s *jobs.Step) int {
+	switch {
+	case s.BestEffort && s.Target > 0:
+		return w.targeted + w.filling - w.fillingTargeted
+	case s.BestEffort:
+		return w.targeted
+	case s.Target > 0:
+		return w.filling
+	}
+	return 0
 }
 
 // acceptsTasks reports whether the worker may get new tasks.
--- a/internal/place/promise.go
+++ b/internal/place/promise.go
@@ -13,6 +13,7 @@
 		e.promises = map[jobs.Task]*worker{}
 	}
 	e.promises[t] = w
+	e.countPromise(stepKey{t.Occurrence, t.Step}, w, 1)
 	claim := e.job.Steps[t.Step].Claim()
 	w.promised++
 	w.promisedClaims = w.promisedClaims.Add(claim)
@@ -26,6 +27,7 @@
 		return
 	}
 	delete(e.promises, t)
+	e.countPromise(stepKey{t.Occurrence, t.Step}, w, -1)
 	if b.workers[w.Key] != w {
 		return // removed meanwhile
 	}
@@ -45,14 +47,3 @@
 	}
 	b.arriving = nil
 }
-
-// countPromised returns how many tasks of a task's step are about to move to a worker.
-func (e *jobEntry) countPromised(w *worker, t jobs.Task) int {
-	n := 0
-	for o, to := range e.promises {
-		if to == w && o.Occurrence == t.Occurrence && o.Step == t.Step {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/place/quota.go
+++ b/internal/place/quota.go
@@ -23,7 +23,7 @@
 		if o.allotment == unlimited {
 			continue
 		}
-		tasks := len(c.entry.waiting[c.key])
+		tasks := c.queue().len()
 		if tasks == 0 {
 			continue
 		}
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -36,6 +36,7 @@
 	StepSilent          StepKind = "silent"
 	StepSuspend         StepKind = "suspend"
 	StepStartLimit      StepKind = "start-limit"
+	StepLastingLimit    StepKind = "lasting-start-limit"
 	StepStarted         StepKind = "started"
 	StepSuspectCrash    StepKind = "suspect-crash"
 	StepStopAnswered    StepKind = "stop-answered"
@@ -166,6 +167,8 @@
 		b.SetSilent(s.Key, s.Flag)
 	case StepStartLimit:
 		b.SetStartLimit(s.Limit)
+	case StepLastingLimit:
+		b.SetLastingStartLimit(s.Limit)
 	case StepStarted:
 		b.Started(s.Key, s.Task, s.Attempt, s.At)
 	case StepSuspectCrash:
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 
 	"github.com/papayarudder/papayarudder/internal/jobs"
 )
@@ -49,8 +50,8 @@
 		}
 		p.unfinished[id], p.changedJobs[id] = e, e
 		e.lasting = map[stepKey]*lastingStep{}
-		for key, tasks := range e.waiting {
-			if len(tasks) == 0 {
+		for key, q := range e.waiting {
+			if q.len() == 0 {
 				delete(e.waiting, key)
 				continue
 			}
@@ -125,11 +126,8 @@
 			s := &e.job.Steps[step.step]
 			for index := range s.Count {
 				t := jobs.Task{Job: id, Occurrence: step.occurrence, Step: step.step, Index: index}
-				waits := false
-				for _, o := range e.waiting[step] {
-					waits = waits || o == t
-				}
-				if !waits && !e.progress.Done(t) && len(e.attempts[t]) == 0 && e.backoffs[t].delay == 0 && !(s.Gang && b.gangHasAttempts(e, step)) {
+				waits := slices.Contains(slices.Collect(e.waiting[step].all()), index)
+				if !waits && !e.progress.Done(t) && len(e.attempts[t]) == 0 && e.backoffs[t].delay == 0 && !(s.Gang && e.hasAttempts(step)) {
 					return fmt.Errorf("%s is not queued", t)
 				}
 			}
--- a/internal/place/scan_test.go
+++ b/internal/place/scan_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -347,7 +346,7 @@
 }
 
 func sortedRunning(w *scanWorker) []jobs.Task {
-	return slices.SortedFunc(maps.Keys(w.running), func(x, y jobs.Task) int { return strings.Compare(x.String(), y.String()) })
+	return slices.SortedFunc(maps.Keys(w.running), jobs.Task.Compare)
 }
 
 // list gives the owner a worker's lists.
--- a/internal/place/share.go
+++ b/internal/place/share.go
@@ -98,7 +98,7 @@
 		for _, c := range b.pending.steps {
 			b.examined++
 			o, step := b.sharing(c.entry.job.Organisation), &c.entry.job.Steps[c.key.step]
-			if o != nil && len(c.entry.waiting[c.key]) > 0 && !c.entry.standing.excess && !b.heldUp(c.entry, step) {
+			if o != nil && c.queue().len() > 0 && !c.entry.standing.excess && !b.heldUp(c.entry, step) {
 				o.share.waiting = true
 			}
 		}
--- a/internal/place/speculate.go
+++ b/internal/place/speculate.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -47,7 +46,7 @@
 		}
 	}
 	slices.SortFunc(toCopy, func(x, y *Attempt) int {
-		return cmp.Or(strings.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.Number, y.Number))
+		return cmp.Or(x.Task.Compare(y.Task), cmp.Compare(x.Number, y.Number))
 	})
 	for _, a := range toCopy {
 		b.lookAt(a.entry, a.stepKey(), now)
@@ -102,5 +101,5 @@
 		return false
 	}
 	expected := b.estimates.factor(e.job.Queue) * float64(a.step.Estimate)
-	return float64(now.Sub(a.ConfirmedAt)) > stragglerFactor*expected && len(e.waiting[stepKey{a.Task.Occurrence, a.Task.Step}]) == 0
+	return float64(now.Sub(a.ConfirmedAt)) > stragglerFactor*expected && e.waiting[a.stepKey()].len() == 0
 }
--- a/internal/place/summary.go
+++ b/internal/place/summary.go
@@ -103,11 +103,11 @@
 	for _, e := range b.pending.unfinished {
 		s.Jobs++
 		s.Suspects += e.progress.CountCrashed()
-		for key, tasks := range e.waiting {
-			s.Waiting += len(tasks)
+		for key, q := range e.waiting {
+			s.Waiting += q.len()
 			claim := e.job.Steps[key.step].Claim().Millicores
-			s.Wanted += len(tasks) * claim
-			if len(tasks) > 0 {
+			s.Wanted += q.len() * claim
+			if q.len() > 0 {
 				s.Largest = max(s.Largest, claim)
 			}
 		}
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -86,17 +86,14 @@
 // whereStep tells where the tasks of a step would go.
 func (b *Board) whereStep(e *jobEntry, key stepKey, now time.Time) StepPlacement {
 	step := &e.job.Steps[key.step]
-	t := jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step}
-	if tasks := e.waiting[key]; len(tasks) > 0 {
-		t = tasks[0]
-	}
+	t := jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: max(0, e.waiting[key].head())}
 	c := newCandidate(e, key, b.estimates.factor(e.job.Queue), now)
 	b.rankOrganisation(&c, now)
 	p := StepPlacement{Step: key.step, Tasks: step.Count, Claim: step.Claim(), Class: classNames[c.class], Blocked: b.blocked(e, key, now)}
 	for _, o := range b.pending.steps {
-		if tasks := o.entry.waiting[o.key]; len(tasks) > 0 && (o.entry != e || o.key != key) && compareCandidates(o, c) < 0 {
+		if waiting := o.queue().len(); waiting > 0 && (o.entry != e || o.key != key) && compareCandidates(o, c) < 0 {
 			p.StepsAhead++
-			p.MillicoresAhead += len(tasks) * o.entry.job.Steps[o.key.step].Claim().Millicores
+			p.MillicoresAhead += waiting * o.entry.job.Steps[o.key.step].Claim().Millicores
 		}
 	}
 	var best *worker
@@ -162,7 +159,7 @@
 	switch {
 	case known && !e.progress.Ready(key.occurrence, key.step):
 		return "earlier steps are not done"
-	case known && e.enqueuedSteps[key] && len(e.waiting[key]) == 0:
+	case known && e.enqueuedSteps[key] && e.waiting[key].len() == 0:
 		return "none of its tasks waits"
 	case now.Before(e.suspendedUntil):
 		return "a decision about the job panicked: it is suspended"
@@ -194,7 +191,7 @@
 		return ObstacleTooSmall
 	case b.advisedQueues[e.job.Queue] && e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now) == "":
 		return ObstacleNoTicket
-	case w.attempts[t] != nil || step.MaxPerWorker > 0 && b.countOnWorker(w, t) >= step.MaxPerWorker:
+	case w.attempts[t] != nil || step.MaxPerWorker > 0 && e.countOnWorker(stepKey{t.Occurrence, t.Step}, w) >= step.MaxPerWorker:
 		return ObstacleLimit
 	case w.health.quarantined(b.policy, now) && b.quarantineAllowed(now):
 		return ObstacleQuarantined
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -32,6 +32,7 @@
 	lateTolerance     = 50 * time.Millisecond           // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond          // to read answers that arrived while this process was held up
 	maxStartDelay     = 1500 * time.Millisecond         // from when a start is sent until its worker rejects it; an owner that is late by half a second sees the worker's clock that much behind
+	maxLastingStarts  = 256                             // starts of long-running tasks that an owner sends at the same time, which do not wait for others
 	maxStartAge       = time.Second                     // a start that waited longer is not sent: what was known of its worker is out of date; half of the platform's shortest time for workers that leave
 	maxLateCalls      = 2                               // calls in a row that time out late before the worker counts as silent
 )
@@ -535,7 +536,11 @@
 	}
 	o.lapses, o.queuedAt = a.lapses, time.Now()
 	if o.urgent {
-		go a.execute(a.ctx, o)
+		a.owner.lastingStarts.Add(1)
+		go func() {
+			defer a.owner.lastingStarts.Add(-1)
+			a.execute(a.ctx, o)
+		}()
 		return nil
 	}
 	queue := a.starts
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -142,6 +142,7 @@
 	startSlots       chan struct{} // one item for each start of a batch task in flight
 	startsWaiting    atomic.Int64  // starts of batch tasks that wait to be sent
 	startsSent       atomic.Int64  // starts sent so far
+	lastingStarts    atomic.Int64  // starts of long-running tasks that are being sent
 	storeDownSinceMs atomic.Int64  // Unix time in ms, 0 while the store answers
 	status           *ownershipStatus
 	openings         sync.Map // of routes that lead to the pool: [Opening] by route
@@ -437,6 +438,7 @@
 	}
 	if o.started && !o.flushing && !now.Before(o.decideAfter) && o.status.current(now) {
 		o.board.SetStartLimit(max(0, o.startRate.queueLimit()-int(o.startsWaiting.Load())))
+		o.board.SetLastingStartLimit(max(0, maxLastingStarts-int(o.lastingStarts.Load())))
 		orders := o.board.Decide(now)
 		took := time.Since(now)
 		o.loop.recordDecision(took)
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -303,7 +303,7 @@
 func (o *Owner) vacate(worker string, now time.Time) (state Vacated, known bool) {
 	for _, a := range o.lifetimes[worker] {
 		if !a.lifetimeEnded && a.answered {
-			state.Left += len(o.board.Attempts(a.key))
+			state.Left += o.board.CountAttempts(a.key)
 			state.Lifetime = a.key
 			known = true
 		}
