place, pool: what is held for accepted jobs is bounded

Cause: each task of a step whose turn has come was held in a list, 40 bytes and up to twice that while the list grows, 131,072 tasks a job; each due occurrence of a schedule as well, with some 300 bytes of indexes. Nothing bounded their sum, and a process that takes over queues all of it anew.

Attempts take 0.9 KB each, and a pool of 9 hosts has room for 288,000 tasks of a millicore.

Change: waiting tasks, done tasks, started tasks and available long-running tasks are sets of bits. Occurrences are queued as earlier ones start, 256 steps at a time. What only starts need is dropped when a task is done or a job ends. Beyond a sixteenth of the memory in attempts, batch tasks wait, but each job may have one. A job has at most 16,384 long-running tasks; stored jobs with more are still loaded.

--- a/internal/daemon/claim.go
+++ b/internal/daemon/claim.go
@@ -549,7 +549,7 @@
 		NotClaimedUntil: func(members uint64, pausedAt time.Time) time.Time {
 			return d.notClaimedUntil(own.Pool, members, pausedAt)
 		},
-		Retention: bounds.StateRetention, MaxLease: bounds.MaxLease, Suspensions: d.suspensions, Looked: d.Looked,
+		Retention: bounds.StateRetention, MaxLease: bounds.MaxLease, Suspensions: d.suspensions, JobMemory: d.jobMemory, Looked: d.Looked,
 	}
 	s.HintQuota = d.hintQuota
 	if d.advisor != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	machines    *platform.Machines
 	advisor     *platform.Advisor // nil if the platform has no advice service
 	suspensions *pool.Suspensions
+	jobMemory   *pool.JobMemory
 	log         *logrus.Entry
 	server      *wire.Server
 
@@ -106,7 +107,7 @@
 func New(settings platform.Settings, log *logrus.Entry) *Daemon {
 	addr := netip.AddrPortFrom(settings.Callers.Addr(), settings.FirstInternalPort)
 	d := &Daemon{
-		settings: settings, log: log, refusals: logs.NewFrequent(log), suspensions: pool.NewSuspensions(),
+		settings: settings, log: log, refusals: logs.NewFrequent(log), suspensions: pool.NewSuspensions(), jobMemory: pool.NewJobMemory(memoryOf(settings.Limits)),
 		self:  pool.Identity{Node: settings.Node, Addr: addr.String(), Life: uuid.NewString()},
 		store: platform.NewStore(settings.Store), machines: platform.NewMachines(settings.Machines),
 		server: wire.NewLimitedServer(peerLimits(settings.Limits)), peers: map[string]*peer{}, view: gossip.New(settings.Node), owners: map[string]*pool.Owner{},
@@ -144,6 +145,7 @@
 	ready := &http.Server{Addr: d.settings.Readiness.String(), Handler: health, ReadHeaderTimeout: 3 * time.Second}
 	gate := intake.New(intake.LimitsOf(int64(d.settings.Limits.MemoryMB)<<20, d.settings.Limits.Descriptors), d.log)
 	gate.Publish()
+	d.jobMemory.Publish()
 	probes := intake.New(intake.Limits{Bytes: probeBytes, Conns: probeConns}, d.log)
 	meters := d.adminMux()
 	meters.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
@@ -235,6 +237,14 @@
 	probeConns = 64
 )
 
+// memoryOf returns the memory of the process in bytes.
+func memoryOf(l platform.Limits) int64 {
+	if l.MemoryMB == 0 {
+		return intake.DefaultMemory
+	}
+	return int64(l.MemoryMB) << 20
+}
+
 // peerLimits returns the limits of calls from other processes. Their longest message, a job, is a
 // row of the store.
 func peerLimits(l platform.Limits) wire.ServerLimits {
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -78,13 +78,13 @@
 	return data, errors.Wrap(err, "encode job")
 }
 
-// Decode decodes the stored form of a job and validates it.
+// Decode decodes the stored form of a job and validates it, but for limits of submissions.
 func Decode(data []byte) (Job, error) {
 	j, err := DecodeUnvalidated(data)
 	if err != nil {
 		return Job{}, err
 	}
-	return j, j.Validate()
+	return j, j.validate()
 }
 
 // DecodeUnvalidated decodes a job that an operator submits. It has the stored form, but fields
@@ -149,9 +149,7 @@
 func (p *Progress) Encode() ([]byte, error) {
 	row := progressRow{State: string(p.Final), Begun: p.Begun}
 	if p.Final == "" {
-		for _, bits := range p.done {
-			row.Done = append(row.Done, bits.encode())
-		}
+		row.Done = p.done.encode()
 		for t, tries := range p.tries {
 			row.Tries = append(row.Tries, taskRow{t.String(), tries.Failed, tries.Checkpoint, encodeCrashes(p.crashes[t])})
 		}
@@ -214,11 +212,11 @@
 	if p.Final != "" && !p.Final.Final() {
 		return nil, errors.Newf("stored progress of job %s: state %.40q", j.ID, row.State)
 	}
-	if len(row.Done) > len(p.done) {
-		return nil, errors.Newf("stored progress of job %s: %d steps, the job has %d", j.ID, len(row.Done), len(p.done))
+	if len(row.Done) > len(p.done.counts) {
+		return nil, errors.Newf("stored progress of job %s: %d steps, the job has %d", j.ID, len(row.Done), len(p.done.counts))
 	}
 	for i, text := range row.Done {
-		if err := p.done[i].decode(text); err != nil {
+		if err := p.done.decode(i, text); err != nil {
 			return nil, errors.Wrapf(err, "stored progress of job %s", j.ID)
 		}
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -32,6 +32,7 @@
 	MaxSteps       = 64                  // steps of a job
 	MaxTasks       = 4096                // tasks of one step
 	MaxRepetitions = 10_000              // occurrences of a job
+	MaxLasting     = 1 << 14             // long-running tasks of all steps and occurrences, which run at the same time
 	maxMillicores  = 1_000_000           // of one task
 	maxMemory      = 1 << 24             // MB of one task
 	maxName        = 200                 // bytes of a label, a rack or an image, as of a key of the store
@@ -40,7 +41,7 @@
 	maxSchedule    = 10 * maxTarget      // from the first occurrence to the last one
 	maxObjective   = 2 * maxSchedule     // from when an occurrence is due
 	maxStart       = 253_402_300_799_999 // end of the year 9999, Unix time in ms
-	maxAllTasks    = 1 << 17             // tasks of all steps and occurrences; each takes some 100 bytes while it waits
+	maxAllTasks    = 1 << 17             // tasks of all steps and occurrences; each takes 3 bits while it waits
 	maxAllSteps    = 10_000              // steps of all occurrences
 
 	// MaxRow is the longest stored form of a job, and of its progress, in bytes: row_bytes
@@ -246,8 +247,25 @@
 	return paths
 }
 
-// Validate returns an error that wraps [ErrInvalid] for the first invalid field.
+// Validate returns an error that wraps [ErrInvalid] for the first invalid field of a submission.
 func (j Job) Validate() error {
+	if err := j.validate(); err != nil {
+		return err
+	}
+	lasting := 0
+	for _, s := range j.Steps {
+		if s.LongRunning {
+			lasting += s.Count * j.Occurrences()
+		}
+	}
+	if lasting > MaxLasting {
+		return errors.Wrapf(ErrInvalid, "tasks: %d long-running ones in all occurrences, allowed: up to %d", lasting, MaxLasting)
+	}
+	return nil
+}
+
+// validate is [Job.Validate] for a job that may have been accepted by an earlier version.
+func (j Job) validate() error {
 	if _, err := ParseID(string(j.ID)); err != nil {
 		return err
 	}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -213,3 +213,29 @@
 		t.Errorf("%d prompt crashes kept, the latest crash of attempt %d; want 3 and 123015", prompt, latest)
 	}
 }
+
+// Guards against a job with more long-running tasks, which all run at the same time, than the memory of
+// its owner holds; and against one that an earlier version has accepted and that is lost at an update.
+func TestLongRunningTasksAreLimitedWhenSubmitted(t *testing.T) {
+	j := sample()
+	j.Repetitions = 0
+	j.Steps = nil
+	for range jobs.MaxLasting / jobs.MaxTasks {
+		j.Steps = append(j.Steps, jobs.Step{Count: jobs.MaxTasks, LongRunning: true})
+	}
+	if err := j.Validate(); err != nil {
+		t.Errorf("%d long-running tasks: %v", jobs.MaxLasting, err)
+	}
+	j.Steps = append(j.Steps, jobs.Step{Count: 1, LongRunning: true}, jobs.Step{Count: jobs.MaxTasks})
+	want := fmt.Sprintf("%d long-running", jobs.MaxLasting+1)
+	if err := j.Validate(); !errors.Is(err, jobs.ErrInvalid) || !strings.Contains(err.Error(), want) {
+		t.Errorf("%d long-running tasks: %v, want an error that names %q", jobs.MaxLasting+1, err, want)
+	}
+	data, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := jobs.Decode(data); err != nil {
+		t.Errorf("a stored job with %d long-running tasks: %v", jobs.MaxLasting+1, err)
+	}
+}
--- a/internal/jobs/progress.go
+++ b/internal/jobs/progress.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/hex"
 	"iter"
 	"maps"
 	"slices"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Tries holds the failed attempts and the checkpoint of an unfinished task.
@@ -32,24 +29,15 @@
 	Begun bool  // a task has started
 
 	job     Job
-	done    []bitset // of each step of each occurrence
+	done    doneTasks
 	tries   map[Task]Tries
 	crashes map[Task][]Crash // of each task in the order of its attempts
 }
 
 // NewProgress returns the progress of a job of which no task has run.
 func NewProgress(j Job) *Progress {
-	p := &Progress{job: j, tries: map[Task]Tries{}, crashes: map[Task][]Crash{}}
-	for range j.Occurrences() {
-		for _, s := range j.Steps {
-			p.done = append(p.done, newBitset(s.Count))
-		}
-	}
-	return p
-}
-
-func (p *Progress) bits(occurrence, step int) *bitset {
-	return &p.done[occurrence*len(p.job.Steps)+step]
+	j.Spec = "" // it is not needed, and a job that has ended drops it
+	return &Progress{job: j, done: newDoneTasks(j), tries: map[Task]Tries{}, crashes: map[Task][]Crash{}}
 }
 
 // Has reports whether the job has this task.
@@ -58,16 +46,13 @@
 }
 
 // Done reports whether a task is done.
-func (p *Progress) Done(t Task) bool { return p.bits(t.Occurrence, t.Step).has(t.Index) }
+func (p *Progress) Done(t Task) bool { return p.done.has(t) }
 
 // StepDone reports whether all tasks of a step are done.
-func (p *Progress) StepDone(occurrence, step int) bool { return p.bits(occurrence, step).full() }
+func (p *Progress) StepDone(occurrence, step int) bool { return p.done.leftOf(occurrence, step) == 0 }
 
 // Left returns the number of tasks of a step that are not done.
-func (p *Progress) Left(occurrence, step int) int {
-	bits := p.bits(occurrence, step)
-	return bits.size - bits.count
-}
+func (p *Progress) Left(occurrence, step int) int { return p.done.leftOf(occurrence, step) }
 
 // Ready reports whether all dependencies of a step are done.
 func (p *Progress) Ready(occurrence, step int) bool {
@@ -84,17 +69,16 @@
 
 // MarkDone records that a task is done, and for a gang, that all its tasks are.
 func (p *Progress) MarkDone(t Task) {
-	bits := p.bits(t.Occurrence, t.Step)
 	if p.job.Steps[t.Step].Gang {
 		for i := range p.job.Steps[t.Step].Count {
-			bits.set(i)
 			member := Task{t.Job, t.Occurrence, t.Step, i}
+			p.done.add(member)
 			delete(p.tries, member)
 			delete(p.crashes, member)
 		}
 		return
 	}
-	bits.set(t.Index)
+	p.done.add(t)
 	delete(p.tries, t)
 	delete(p.crashes, t)
 }
@@ -229,14 +213,7 @@
 func (p *Progress) HasCrashes() bool { return len(p.crashes) > 0 }
 
 // AllDone reports whether every task of every occurrence is done.
-func (p *Progress) AllDone() bool {
-	for i := range p.done {
-		if !p.done[i].full() {
-			return false
-		}
-	}
-	return true
-}
+func (p *Progress) AllDone() bool { return p.done.left == 0 }
 
 // State returns the state of the job.
 func (p *Progress) State() State {
@@ -248,46 +225,3 @@
 	}
 	return Queued
 }
-
-// bitset is a set of integers from 0 to size-1.
-type bitset struct {
-	size  int
-	count int
-	words []byte
-}
-
-func newBitset(size int) bitset { return bitset{size: size, words: make([]byte, (size+7)/8)} }
-
-func (b *bitset) has(i int) bool { return b.words[i/8]&(1<<(i%8)) != 0 }
-
-func (b *bitset) set(i int) {
-	if !b.has(i) {
-		b.words[i/8] |= 1 << (i % 8)
-		b.count++
-	}
-}
-
-func (b *bitset) full() bool { return b.count == b.size }
-
-func (b *bitset) encode() string {
-	if b.count == 0 {
-		return ""
-	}
-	return hex.EncodeToString(b.words)
-}
-
-func (b *bitset) decode(text string) error {
-	if text == "" {
-		return nil
-	}
-	words, err := hex.DecodeString(text)
-	if err != nil || len(words) != len(b.words) {
-		return errors.Newf("done %.40q: want %d bytes in hexadecimal", text, len(b.words))
-	}
-	for i := range b.size {
-		if words[i/8]&(1<<(i%8)) != 0 {
-			b.set(i)
-		}
-	}
-	return nil
-}
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -27,10 +28,12 @@
 	finalSince    time.Time     // when Expire first found its final state stored
 
 	attempts       map[jobs.Task][]*Attempt
-	lastAttempt    map[jobs.Task]int      // highest attempt number of a task
+	lastAttempt    map[jobs.Task]int      // highest attempt number of a task that is not done
 	lastStart      map[jobs.Task]int      // the same of those that this owner ordered
 	waiting        map[stepKey]*taskQueue // tasks ready to start
-	enqueuedSteps  map[stepKey]bool       // steps whose tasks were added to waiting
+	enqueuedSteps  map[stepKey]bool       // steps whose tasks were added to waiting, until they are done
+	nextOccurrence int                    // the first one whose steps have not been looked at
+	partOccurrence []int                  // occurrences before that of which not all steps were ready
 	backoffs       map[jobs.Task]backoff  // of long-running tasks that ended
 	advice         map[stepKey]*stepAdvice
 	promises       map[jobs.Task]*worker    // long-running tasks that are stopped in order to run there; nil if there are none
@@ -94,6 +97,8 @@
 	growth           int         // millicores of hosts that are on their way to the pool
 	growthUntil      time.Time   // until when growth is valid
 	arriving         []jobs.Task // tasks that have ended in order to move; the next decision places them
+	attempts         int         // at all workers
+	attemptLimit     int         // see SetAttemptLimit
 	startLimit       int         // batch tasks that a decision may start, see SetStartLimit
 	startsLeft       int         // of startLimit, for the present decision
 	lastingLimit     int         // long-running tasks that a decision may start, see SetLastingStartLimit
@@ -121,7 +126,7 @@
 func NewBoard(policy Policy, base int) *Board {
 	return &Board{
 		policy: policy, baseAttempt: base, jobs: map[jobs.ID]*jobEntry{}, routes: map[string]int{}, workers: map[string]*worker{},
-		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, lastingLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{}, organisations: map[string]*organisation{},
+		dirty: map[jobs.ID]*jobEntry{}, pending: newPendingWork(), idleChanged: map[string]struct{}{}, startLimit: math.MaxInt, lastingLimit: math.MaxInt, attemptLimit: math.MaxInt, estimates: newEstimates(), arrivals: newArrivals(), crashes: crashIndex{}, advisedQueues: map[string]bool{}, organisations: map[string]*organisation{},
 	}
 }
 
@@ -157,6 +162,27 @@
 	b.lastingLimit = limit
 }
 
+// SetAttemptLimit sets how many attempts the board holds, beyond which no batch task starts of a job
+// that has any. Each takes memory, and a row in the lists of its worker.
+func (b *Board) SetAttemptLimit(limit int) {
+	if limit == b.attemptLimit {
+		return
+	}
+	b.recordStep(Step{Kind: StepAttemptLimit, Limit: limit})
+	b.attemptLimit = limit
+}
+
+// UnfinishedJobs returns the jobs that have not ended.
+func (b *Board) UnfinishedJobs() iter.Seq[*jobs.Job] {
+	return func(yield func(*jobs.Job) bool) {
+		for _, e := range b.pending.unfinished {
+			if !yield(&e.job) {
+				return
+			}
+		}
+	}
+}
+
 // Add adds a job with its stored progress, unless the job is already known.
 func (b *Board) Add(j jobs.Job, p *jobs.Progress, now time.Time) {
 	if _, known := b.jobs[j.ID]; known {
@@ -170,6 +196,7 @@
 	b.jobs[j.ID] = e
 	b.routes[j.Route]++
 	if p.Final != "" {
+		e.dropPlans()
 		return
 	}
 	for t := range p.Crashed() {
@@ -299,6 +326,7 @@
 	for t := range e.promises {
 		b.releasePromise(e, t)
 	}
+	e.dropPlans()
 	delete(b.pending.unfinished, e.job.ID)
 	for _, attempts := range e.attempts {
 		for _, a := range attempts {
@@ -308,6 +336,33 @@
 	b.markDirty(e)
 }
 
+// dropPlans drops what is needed only to start tasks, of a job that has ended: it stays on the
+// board until its state has expired.
+func (e *jobEntry) dropPlans() {
+	e.job.Spec = ""
+	e.lastAttempt, e.lastStart, e.enqueuedSteps = map[jobs.Task]int{}, map[jobs.Task]int{}, map[stepKey]bool{}
+	e.backoffs, e.waits, e.partOccurrence = map[jobs.Task]backoff{}, nil, nil
+}
+
+// markDone records that a task is done, and for a gang, that all its tasks are.
+func (e *jobEntry) markDone(t jobs.Task) {
+	e.progress.MarkDone(t)
+	forget := func(t jobs.Task) {
+		delete(e.lastAttempt, t)
+		delete(e.lastStart, t)
+	}
+	forget(t)
+	step, key := &e.job.Steps[t.Step], stepKey{t.Occurrence, t.Step}
+	if step.Gang {
+		for t.Index = range step.Count {
+			forget(t)
+		}
+	}
+	if e.progress.StepDone(key.occurrence, key.step) {
+		delete(e.enqueuedSteps, key)
+	}
+}
+
 // markDirty records that a job's progress has changed: it is to be stored, and steps of
 // the job may have become ready.
 func (b *Board) markDirty(e *jobEntry) {
@@ -615,6 +670,7 @@
 	a.entry, a.step, a.worker = e, &e.job.Steps[a.Task.Step], w
 	a.Pace = 100
 	w.attempts[a.Task] = a
+	b.attempts++
 	if len(w.attempts) == 1 {
 		b.idleChanged[w.Key] = struct{}{}
 	}
@@ -633,6 +689,7 @@
 	w := a.worker
 	if w.attempts[a.Task] == a {
 		delete(w.attempts, a.Task)
+		b.attempts--
 		if len(w.attempts) == 0 {
 			b.idleChanged[w.Key] = struct{}{}
 		}
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -269,7 +269,7 @@
 // of which no answer or failure is known yet may be ordered later than the worker was lost.
 func (b *Board) failedPromptly(w *worker, a *Attempt) bool {
 	return a.Phase != Starting && !w.failedAt.IsZero() && !w.failedAt.Before(a.OrderedAt) && w.failedAt.Sub(a.OrderedAt) <= b.policy.BlameWindow &&
-		b.startedHere(a.entry, a.Task, a.Number)
+		!a.adopted
 }
 
 // isOnlySuspect reports whether no other attempt at its worker can have caused a crash: the
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -57,31 +57,50 @@
 	}
 }
 
+// MaxWaitingSteps limits the steps of a repeating job that wait at a time. Further occurrences of it
+// are not looked at until some have started.
+const MaxWaitingSteps = 256
+
 // enqueueDueOccurrences queues the tasks of a job's steps that have become ready. It
 // reports whether all occurrences of the job were due.
 func (b *Board) enqueueDueOccurrences(e *jobEntry, now time.Time) bool {
-	for k := range e.job.Occurrences() {
-		if e.job.Repetitions > 0 && e.job.Due(k).After(now) {
+	e.partOccurrence = slices.DeleteFunc(e.partOccurrence, func(k int) bool { return b.enqueueSteps(e, k, now) })
+	for k := e.nextOccurrence; k < e.job.Occurrences(); k++ {
+		if e.job.Repetitions > 0 && (e.job.Due(k).After(now) || len(e.waiting) >= MaxWaitingSteps) {
 			return false
 		}
-		for i, s := range e.job.Steps {
-			key := stepKey{k, i}
-			if e.enqueuedSteps[key] || e.progress.StepDone(k, i) || !e.progress.Ready(k, i) {
-				continue
-			}
-			e.enqueuedSteps[key] = true
-			b.beginWait(e, key, now)
-			for index := range s.Count {
-				t := jobs.Task{Job: e.job.ID, Occurrence: k, Step: i, Index: index}
-				if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
-					b.enqueue(e, t)
-				}
-			}
+		if e.nextOccurrence = k + 1; !b.enqueueSteps(e, k, now) {
+			e.partOccurrence = append(e.partOccurrence, k)
 		}
 	}
 	return true
 }
 
+// enqueueSteps queues the tasks of an occurrence's steps that have become ready. It reports
+// whether all its steps have.
+func (b *Board) enqueueSteps(e *jobEntry, occurrence int, now time.Time) bool {
+	all := true
+	for i, s := range e.job.Steps {
+		key := stepKey{occurrence, i}
+		if e.enqueuedSteps[key] || e.progress.StepDone(occurrence, i) {
+			continue
+		}
+		if !e.progress.Ready(occurrence, i) {
+			all = false
+			continue
+		}
+		e.enqueuedSteps[key] = true
+		b.beginWait(e, key, now)
+		for index := range s.Count {
+			t := jobs.Task{Job: e.job.ID, Occurrence: occurrence, Step: i, Index: index}
+			if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
+				b.enqueue(e, t)
+			}
+		}
+	}
+	return all
+}
+
 // UnwantedStarts returns the attempts whose start order has no answer yet and that are to be
 // stopped once it has: a start that was not sent yet need not be.
 func (b *Board) UnwantedStarts() []StopOrder {
@@ -335,6 +354,10 @@
 		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c.entry, c.key, t, now) {
 			continue
 		}
+		if !step.LongRunning && b.holdsEnough(c.entry) {
+			b.noteLimit(step, now)
+			continue
+		}
 		if step.Gang {
 			b.placeGang(o, c, now)
 			continue
@@ -357,7 +380,13 @@
 	}
 }
 
-// noteLimit records that the start limit holds a step's tasks back, unless they have no room
+// holdsEnough reports whether the attempt limit keeps batch tasks of a job from starting. Each job
+// may have an attempt, however many there are.
+func (b *Board) holdsEnough(e *jobEntry) bool {
+	return b.attempts >= b.attemptLimit && len(e.attempts) > 0
+}
+
+// noteLimit records that a limit of the owner holds a step's tasks back, unless they have no room
 // anyway.
 func (b *Board) noteLimit(step *jobs.Step, now time.Time) {
 	if b.limitedAt.Equal(now) {
@@ -409,6 +438,10 @@
 		if step.LongRunning && b.lastingLeft <= 0 {
 			break
 		}
+		if !step.LongRunning && b.holdsEnough(e) {
+			b.noteLimit(step, now)
+			break
+		}
 		w := b.chooseWithReservations(c, t, now)
 		if w == nil {
 			break
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -225,8 +225,14 @@
 			want[t] = struct{}{}
 		}
 	}
-	if !maps.Equal(want, l.unavailable) || !maps.Equal(leaving, l.leaving) {
-		return fmt.Errorf("step of %s: %v are unavailable and %v leave, want %v and %v", a.Task, l.unavailable, l.leaving, want, leaving)
+	unavailable := map[jobs.Task]struct{}{}
+	for i := range a.step.Count {
+		if !l.available.has(i) {
+			unavailable[jobs.Task{Job: a.Task.Job, Occurrence: a.Task.Occurrence, Step: a.Task.Step, Index: i}] = struct{}{}
+		}
+	}
+	if !maps.Equal(want, unavailable) || len(want) != l.unavailable || !maps.Equal(leaving, l.leaving) {
+		return fmt.Errorf("step of %s: %v are unavailable and %v leave, want %v and %v", a.Task, unavailable, l.leaving, want, leaving)
 	}
 	others := len(want)
 	if _, unavailable := want[a.Task]; unavailable {
--- a/internal/place/lasting.go
+++ b/internal/place/lasting.go
@@ -12,8 +12,9 @@
 	entry       *jobEntry
 	key         stepKey
 	step        *jobs.Step
-	unavailable map[jobs.Task]struct{} // tasks without an available attempt
-	leaving     map[*Attempt]struct{}  // attempts at workers that drain or are to be vacated
+	available   indexSet              // tasks with an available attempt
+	unavailable int                   // the number of the others
+	leaving     map[*Attempt]struct{} // attempts at workers that drain or are to be vacated
 }
 
 // lastingStep returns the state of a long-running step, which is new before its first
@@ -21,18 +22,28 @@
 func (e *jobEntry) lastingStep(key stepKey) *lastingStep {
 	l := e.lasting[key]
 	if l == nil {
-		l = &lastingStep{entry: e, key: key, step: &e.job.Steps[key.step], unavailable: map[jobs.Task]struct{}{}, leaving: map[*Attempt]struct{}{}}
-		for i := range l.step.Count {
-			l.unavailable[jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: i}] = struct{}{}
-		}
+		step := &e.job.Steps[key.step]
+		l = &lastingStep{entry: e, key: key, step: step, available: newIndexSet(step.Count), unavailable: step.Count, leaving: map[*Attempt]struct{}{}}
 		e.lasting[key] = l
 	}
 	return l
 }
 
+func (l *lastingStep) setAvailable(index int, available bool) {
+	switch {
+	case l.available.has(index) == available:
+	case available:
+		l.available.add(index)
+		l.unavailable--
+	default:
+		l.available.remove(index)
+		l.unavailable++
+	}
+}
+
 // permitsAll reports whether MaxUnavailable permits to stop any one task.
 func (l *lastingStep) permitsAll() bool {
-	return l.step.MaxUnavailable == 0 || len(l.unavailable) < l.step.MaxUnavailable
+	return l.step.MaxUnavailable == 0 || l.unavailable < l.step.MaxUnavailable
 }
 
 // sample returns an attempt that fits elsewhere if any attempt does that may move, nil if
@@ -63,12 +74,10 @@
 		for a := range l.leaving {
 			add(a)
 		}
-	case len(l.unavailable) == l.step.MaxUnavailable: // only those that are not available themselves
-		for t := range l.unavailable {
-			for _, a := range l.entry.attempts[t] {
-				if _, leaving := l.leaving[a]; leaving {
-					add(a)
-				}
+	case l.unavailable == l.step.MaxUnavailable: // only those that are not available themselves
+		for a := range l.leaving {
+			if !l.available.has(a.Task.Index) {
+				add(a)
 			}
 		}
 	}
@@ -79,8 +88,8 @@
 // counts as available even if it is not known to be: its worker's last listing may be out of
 // date.
 func (l *lastingStep) mayStop(t jobs.Task) bool {
-	others := len(l.unavailable)
-	if _, unavailable := l.unavailable[t]; unavailable {
+	others := l.unavailable
+	if !l.available.has(t.Index) {
 		others--
 	}
 	return l.step.MaxUnavailable == 0 || others < l.step.MaxUnavailable
@@ -97,11 +106,7 @@
 		return
 	}
 	l := e.lastingStep(a.stepKey())
-	if slices.ContainsFunc(e.attempts[a.Task], (*Attempt).isAvailable) {
-		delete(l.unavailable, a.Task)
-	} else {
-		l.unavailable[a.Task] = struct{}{}
-	}
+	l.setAvailable(a.Task.Index, slices.ContainsFunc(e.attempts[a.Task], (*Attempt).isAvailable))
 	if a.worker.attempts[a.Task] == a && a.worker.isLeaving() {
 		l.leaving[a] = struct{}{}
 	} else {
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -378,7 +378,7 @@
 			b.finish(e, jobs.Aborted, now)
 		}
 	case r.Outcome == jobs.Done && !step.LongRunning:
-		e.progress.MarkDone(r.Task)
+		e.markDone(r.Task)
 		e.dequeue(r.Task)
 		if !step.Gang {
 			b.stopAttempts(e, r.Task)
@@ -415,7 +415,7 @@
 		b.estimates.add(e.job.Queue, a.step, now.Sub(a.ConfirmedAt))
 		b.recordRunTime(e, a, now.Sub(a.ConfirmedAt), now)
 	}
-	e.progress.MarkDone(a.Task)
+	e.markDone(a.Task)
 	if a.step.Speculative {
 		e.dequeue(a.Task)
 		for _, o := range e.attempts[a.Task] {
--- a/internal/place/record.go
+++ b/internal/place/record.go
@@ -37,6 +37,7 @@
 	StepSuspend         StepKind = "suspend"
 	StepStartLimit      StepKind = "start-limit"
 	StepLastingLimit    StepKind = "lasting-start-limit"
+	StepAttemptLimit    StepKind = "attempt-limit"
 	StepStarted         StepKind = "started"
 	StepSuspectCrash    StepKind = "suspect-crash"
 	StepStopAnswered    StepKind = "stop-answered"
@@ -169,6 +170,8 @@
 		b.SetStartLimit(s.Limit)
 	case StepLastingLimit:
 		b.SetLastingStartLimit(s.Limit)
+	case StepAttemptLimit:
+		b.SetAttemptLimit(s.Limit)
 	case StepStarted:
 		b.Started(s.Key, s.Task, s.Attempt, s.At)
 	case StepSuspectCrash:
--- a/internal/place/waits.go
+++ b/internal/place/waits.go
@@ -23,7 +23,8 @@
 type stepWait struct {
 	Wait
 	readyAt time.Time
-	started map[int]struct{} // indexes of the tasks that were started
+	started indexSet // tasks that were started, nil before the first
+	left    int      // the number of the others
 }
 
 // beginWait records that the tasks of a step became ready. The readiness of inherited jobs is
@@ -36,7 +37,7 @@
 	size, claim := b.pending.totalMillicores(), step.Claim()
 	w := &stepWait{
 		Wait:    Wait{Large: b.isLarge(claim), Wide: float64(step.Count*claim.Millicores) > wideShare*float64(size), Tasks: step.Count},
-		readyAt: now, started: map[int]struct{}{},
+		readyAt: now, left: step.Count,
 	}
 	if e.waits == nil {
 		e.waits = map[stepKey]*stepWait{}
@@ -55,11 +56,15 @@
 		if w == nil {
 			continue
 		}
-		if len(w.started) == 0 {
+		if w.started == nil {
+			w.started = newIndexSet(w.Tasks)
 			w.First = now.Sub(w.readyAt)
 		}
-		w.started[s.Task.Index] = struct{}{}
-		if len(w.started) == w.Tasks {
+		if w.started.has(s.Task.Index) {
+			continue
+		}
+		w.started.add(s.Task.Index)
+		if w.left--; w.left == 0 {
 			w.Last = now.Sub(w.readyAt)
 			delete(e.waits, key)
 			b.Waited(w.Wait)
--- a/internal/pool/org.go
+++ b/internal/pool/org.go
@@ -40,6 +40,7 @@
 const (
 	CauseOtherOrganisation RefusalCause = "other-organisation"
 	CauseTooLate           RefusalCause = "too-late" // the job could not end in time
+	CauseMemory            RefusalCause = "memory"   // jobs that have not ended take too much of it
 )
 
 // OrganisationView is what an organisation has in a pool, and what of it was refused since the
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -20,6 +20,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,6 +213,8 @@
 	organisationsVersion uint64
 	quotas               quotas
 	hintQuota            func(name, organisation string)
+	jobMemory            *JobMemory
+	memoryAt             time.Time                       // when the owner's part of it was last computed
 	refused              map[string]map[RefusalCause]int // calls, by organisation
 	advise               func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
 	entries              map[string]platform.WorkerEntry // of this pool, by id
@@ -244,6 +247,8 @@
 	Members func() uint64
 	// Suspensions holds the jobs that this process suspends, nil for one of the ownership's own.
 	Suspensions *Suspensions
+	// JobMemory bounds the memory of the jobs of this process, nil for no bound.
+	JobMemory *JobMemory
 	// Looked, if set, receives each job that a decision looks at.
 	Looked func(jobs.ID)
 	Advise func(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error)
@@ -304,6 +309,9 @@
 	if s.Suspensions == nil {
 		s.Suspensions = NewSuspensions()
 	}
+	if s.JobMemory == nil {
+		s.JobMemory = NewJobMemory(math.MaxInt64)
+	}
 	if s.ClaimSentAt.IsZero() {
 		s.ClaimSentAt = claimedAt
 	}
@@ -314,6 +322,7 @@
 		trace.RecordBoard(s.Recording, own.Pool, base, board)
 	}
 	board.SetLookAhead(s.LookAhead)
+	board.SetAttemptLimit(s.JobMemory.attempts)
 	o := &Owner{
 		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, maxLease: s.MaxLease, retention: s.Retention,
@@ -325,7 +334,7 @@
 		stepWaits: newStepWaits(),
 		queues:    map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
 		decideTimer: time.NewTimer(tickPeriod), claimedAt: claimedAt, status: newOwnershipStatus(s.ClaimSentAt, s.NotClaimedUntil), members: s.Members,
-		quotas: newQuotas(), hintQuota: s.HintQuota,
+		quotas: newQuotas(), hintQuota: s.HintQuota, jobMemory: s.JobMemory,
 	}
 	o.taskLog = logs.NewFrequent(o.log)
 	o.board.Missing, o.board.Looked, o.board.Waited = o.logMissing, s.Looked, o.stepWaits.add
@@ -360,6 +369,7 @@
 // ends or another process owns the pool. A panic of the loop ends the ownership only.
 func (o *Owner) Run() {
 	defer close(o.ended)
+	defer o.jobMemory.set(o, 0)
 	defer o.shutDown()
 	defer o.contain()
 	ticker := time.NewTicker(tickPeriod)
@@ -508,6 +518,7 @@
 	o.startRate.update(o.startsSent.Load(), now)
 	o.offerHandover(now)
 	o.noteOverload(now)
+	o.refreshMemory(now)
 	if now.Sub(o.summarizedAt) > summaryPeriod {
 		o.summarizedAt = now
 		if s := o.board.Summary(now); s.Jobs > 0 {
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -145,6 +145,12 @@
 				reply <- Overloaded
 				return
 			}
+			if !o.hasMemoryFor(&j, now) {
+				retryAfter = memoryRetry
+				o.countRefusal(j.Organisation, CauseMemory)
+				reply <- Overloaded
+				return
+			}
 			o.queueSubmission(&submission{job: j, row: row, receivedAt: now, waiters: []chan Verdict{reply}})
 		}
 	})
