place: each step of a schedule has its own part of what is queued

Change: each step goes through the occurrences by itself, and has an equal part of the limit. Ended backoffs are found without sorting those that go on.

TestOccurrencesThatAreDueAllRun and the models pass.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -32,8 +32,7 @@
 	lastStart      map[jobs.Task]int      // the same of those that this owner ordered
 	waiting        map[stepKey]*taskQueue // tasks ready to start
 	enqueuedSteps  map[stepKey]bool       // steps whose tasks were added to waiting, until they are done
-	nextOccurrence int                    // the first one whose steps have not been looked at
-	partOccurrence []int                  // occurrences before that of which not all steps were ready
+	cursors        []stepCursor           // of each step
 	backoffs       map[jobs.Task]backoff  // of long-running tasks that ended
 	advice         map[stepKey]*stepAdvice
 	promises       map[jobs.Task]*worker    // long-running tasks that are stopped in order to run there; nil if there are none
@@ -55,7 +54,7 @@
 		attempts: map[jobs.Task][]*Attempt{}, lastAttempt: map[jobs.Task]int{}, lastStart: map[jobs.Task]int{},
 		waiting: map[stepKey]*taskQueue{}, enqueuedSteps: map[stepKey]bool{},
 		backoffs: map[jobs.Task]backoff{}, advice: map[stepKey]*stepAdvice{}, lasting: map[stepKey]*lastingStep{},
-		spreads: map[stepKey]*stepSpread{}, racks: map[stepRack]int{},
+		cursors: make([]stepCursor, len(j.Steps)), spreads: map[stepKey]*stepSpread{}, racks: map[stepRack]int{},
 	}
 }
 
@@ -341,7 +340,10 @@
 func (e *jobEntry) dropPlans() {
 	e.job.Spec = ""
 	e.lastAttempt, e.lastStart, e.enqueuedSteps = map[jobs.Task]int{}, map[jobs.Task]int{}, map[stepKey]bool{}
-	e.backoffs, e.waits, e.partOccurrence = map[jobs.Task]backoff{}, nil, nil
+	e.backoffs, e.waits = map[jobs.Task]backoff{}, nil
+	for i := range e.cursors {
+		e.cursors[i].blocked = nil
+	}
 }
 
 // markDone records that a task is done, and for a gang, that all its tasks are.
@@ -767,6 +769,7 @@
 	if q == nil {
 		q = newTaskQueue(e.job.Steps[key.step].Count)
 		e.waiting[key] = q
+		e.cursors[key.step].waiting++
 		b.pending.steps = append(b.pending.steps, candidate{entry: e, key: key})
 	}
 	return q
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -39,7 +39,7 @@
 			queue, factor = c.entry.job.Queue, b.estimates.factor(c.entry.job.Queue)
 		}
 		if c.queue().len() == 0 {
-			delete(c.entry.waiting, c.key)
+			c.entry.dropQueue(c.key)
 			continue
 		}
 		if b.lookAt(c.entry, c.key, now) {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -45,11 +45,8 @@
 		if !b.lookAt(e, stepKey{}, now) {
 			continue
 		}
-		for _, t := range sortedTasks(e.backoffs) {
-			r := e.backoffs[t]
-			if r.delay > 0 && !r.until.After(now) && len(e.attempts[t]) == 0 {
-				b.enqueue(e, t)
-			}
+		for _, t := range e.endedBackoffs(now) {
+			b.enqueue(e, t)
 		}
 		if due := b.enqueueDueOccurrences(e, now); due && len(e.backoffs) == 0 {
 			delete(b.pending.changedJobs, id)
@@ -57,48 +54,59 @@
 	}
 }
 
-// MaxWaitingSteps limits the steps of a repeating job that wait at a time. Further occurrences of it
-// are not looked at until some have started.
+// MaxWaitingSteps limits the steps of a repeating job that wait at a time, in all occurrences. Each
+// step has an equal part of it, so that one for which there is no worker holds up no other.
 const MaxWaitingSteps = 256
 
+// stepCursor tells which occurrences of a step have been queued.
+type stepCursor struct {
+	next    int   // the first occurrence that has not been looked at
+	blocked []int // occurrences before that whose dependencies are not done
+	waiting int   // occurrences with a queue
+}
+
+// isFull reports whether no further occurrence of a step is queued until some have started.
+func (c *stepCursor) isFull(steps int) bool {
+	return c.waiting >= MaxWaitingSteps/steps || len(c.blocked) >= MaxWaitingSteps
+}
+
 // enqueueDueOccurrences queues the tasks of a job's steps that have become ready. It
 // reports whether all occurrences of the job were due.
 func (b *Board) enqueueDueOccurrences(e *jobEntry, now time.Time) bool {
-	e.partOccurrence = slices.DeleteFunc(e.partOccurrence, func(k int) bool { return b.enqueueSteps(e, k, now) })
-	for k := e.nextOccurrence; k < e.job.Occurrences(); k++ {
-		if e.job.Repetitions > 0 && (e.job.Due(k).After(now) || len(e.waiting) >= MaxWaitingSteps) {
-			return false
-		}
-		if e.nextOccurrence = k + 1; !b.enqueueSteps(e, k, now) {
-			e.partOccurrence = append(e.partOccurrence, k)
+	all := true
+	for i := range e.cursors {
+		c := &e.cursors[i]
+		c.blocked = slices.DeleteFunc(c.blocked, func(k int) bool { return b.enqueueStep(e, stepKey{k, i}, now) })
+		for c.next < e.job.Occurrences() && (e.job.Repetitions == 0 || !e.job.Due(c.next).After(now) && !c.isFull(len(e.cursors))) {
+			k := c.next
+			c.next++
+			if !b.enqueueStep(e, stepKey{k, i}, now) {
+				c.blocked = append(c.blocked, k)
+			}
 		}
+		all = all && c.next == e.job.Occurrences()
 	}
-	return true
+	return all
 }
 
-// enqueueSteps queues the tasks of an occurrence's steps that have become ready. It reports
-// whether all its steps have.
-func (b *Board) enqueueSteps(e *jobEntry, occurrence int, now time.Time) bool {
-	all := true
-	for i, s := range e.job.Steps {
-		key := stepKey{occurrence, i}
-		if e.enqueuedSteps[key] || e.progress.StepDone(occurrence, i) {
-			continue
-		}
-		if !e.progress.Ready(occurrence, i) {
-			all = false
-			continue
-		}
-		e.enqueuedSteps[key] = true
-		b.beginWait(e, key, now)
-		for index := range s.Count {
-			t := jobs.Task{Job: e.job.ID, Occurrence: occurrence, Step: i, Index: index}
-			if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
-				b.enqueue(e, t)
-			}
+// enqueueStep queues the tasks of a step that are not done and don't run, unless it was queued
+// before. It reports false if dependencies of the step are not done.
+func (b *Board) enqueueStep(e *jobEntry, key stepKey, now time.Time) bool {
+	if e.enqueuedSteps[key] || e.progress.StepDone(key.occurrence, key.step) {
+		return true
+	}
+	if !e.progress.Ready(key.occurrence, key.step) {
+		return false
+	}
+	e.enqueuedSteps[key] = true
+	b.beginWait(e, key, now)
+	for index := range e.job.Steps[key.step].Count {
+		t := jobs.Task{Job: e.job.ID, Occurrence: key.occurrence, Step: key.step, Index: index}
+		if !e.progress.Done(t) && len(e.attempts[t]) == 0 {
+			b.enqueue(e, t)
 		}
 	}
-	return all
+	return true
 }
 
 // UnwantedStarts returns the attempts whose start order has no answer yet and that are to be
@@ -174,11 +182,16 @@
 	return attempts
 }
 
-func sortedTasks(backoffs map[jobs.Task]backoff) []jobs.Task {
-	if len(backoffs) == 0 {
-		return nil
+// endedBackoffs returns the tasks whose backoffs are over and that have no attempt, sorted.
+func (e *jobEntry) endedBackoffs(now time.Time) []jobs.Task {
+	var tasks []jobs.Task
+	for t, r := range e.backoffs {
+		if r.delay > 0 && !r.until.After(now) && len(e.attempts[t]) == 0 {
+			tasks = append(tasks, t)
+		}
 	}
-	return slices.SortedFunc(maps.Keys(backoffs), jobs.Task.Compare)
+	slices.SortFunc(tasks, jobs.Task.Compare)
+	return tasks
 }
 
 // stopCause returns the reason for a stop, which is logged and recorded.
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -7,6 +7,12 @@
 	"slices"
 )
 
+// dropQueue removes the queue of a step none of whose tasks waits.
+func (e *jobEntry) dropQueue(key stepKey) {
+	delete(e.waiting, key)
+	e.cursors[key.step].waiting--
+}
+
 // indexSet is a set of indexes of a step's tasks.
 type indexSet []uint64
 
--- a/internal/place/reference_test.go
+++ b/internal/place/reference_test.go
@@ -52,7 +52,7 @@
 		e.lasting = map[stepKey]*lastingStep{}
 		for key, q := range e.waiting {
 			if q.len() == 0 {
-				delete(e.waiting, key)
+				e.dropQueue(key)
 				continue
 			}
 			p.steps = append(p.steps, candidate{entry: e, key: key})
