place: a job keeps the advice of its queue once the queue is dropped

Cause: whether a job needs tickets was read from the queues of the newest version alone, where a queue that is missing counts as one without advice.

Change: the job's row tells whether its queue had advice when it was submitted (field advised). A queue of the configuration decides for its jobs, the row for jobs whose queue is missing. A start without a ticket that a worker rejects for it shows that the job needs one, also where the row does not tell.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -195,6 +195,7 @@
 	}
 	j.Queue, j.Pool, j.Route, j.Submitted = q.Name, q.Pool, q.Route(), time.Now()
 	j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
+	j.Advised = q.Advice != nil
 	return c, q, j, j.Validate()
 }
 
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -169,6 +169,7 @@
 		j.ID, j.Queue, j.Pool, j.Route, j.Submitted = id, q.Name, q.Pool, q.Route(), time.Now()
 		j.Organisation = a.caller.Organisation
 		j.Priority, j.MaxAttempts, j.Slack, j.Target = q.Priority, q.MaxAttempts, q.Slack, q.Target
+		j.Advised = q.Advice != nil
 		err = j.Validate()
 	}
 	var data []byte
--- a/internal/jobs/codec.go
+++ b/internal/jobs/codec.go
@@ -51,6 +51,7 @@
 	SubmittedMS int64     `json:"submitted-ms"`
 
 	Organisation string `json:"organisation,omitempty"`
+	Advised      bool   `json:"advised,omitempty"`
 }
 
 // Encode returns the stored form of a job. The error wraps [ErrInvalid] if it does not fit
@@ -59,7 +60,7 @@
 	row := jobRow{
 		ID: string(j.ID), Spec: j.Spec, Repetitions: j.Repetitions, EveryMS: j.Every.Milliseconds(),
 		Priority: j.Priority, MaxAttempts: j.MaxAttempts, Slack: j.Slack, TargetMS: j.Target.Milliseconds(),
-		Queue: j.Queue, Pool: j.Pool, Route: j.Route, SubmittedMS: j.Submitted.UnixMilli(), Organisation: j.Organisation,
+		Queue: j.Queue, Pool: j.Pool, Route: j.Route, SubmittedMS: j.Submitted.UnixMilli(), Organisation: j.Organisation, Advised: j.Advised,
 	}
 	if j.Repetitions > 0 {
 		row.FirstMS = j.FirstAt.UnixMilli()
@@ -102,7 +103,7 @@
 		Every:    Milliseconds(row.EveryMS),
 		Priority: row.Priority, MaxAttempts: row.MaxAttempts, Slack: row.Slack,
 		Target: Milliseconds(row.TargetMS),
-		Queue:  row.Queue, Pool: row.Pool, Route: row.Route, Submitted: time.UnixMilli(row.SubmittedMS), Organisation: row.Organisation,
+		Queue:  row.Queue, Pool: row.Pool, Route: row.Route, Submitted: time.UnixMilli(row.SubmittedMS), Organisation: row.Organisation, Advised: row.Advised,
 	}
 	if row.Repetitions > 0 {
 		j.FirstAt = time.UnixMilli(row.FirstMS)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -178,6 +178,7 @@
 	Route     string    // the address by which it was submitted, empty from a version without this field
 	Submitted time.Time // when an entry host received it
 
+	Advised      bool   // its queue had advice when it was submitted
 	Organisation string // whose key its caller sent, empty on a public queue or where there are no organisations
 }
 
--- a/internal/place/advice.go
+++ b/internal/place/advice.go
@@ -216,12 +216,9 @@
 
 // adviseMoves asks for advice on the long-running steps whose tasks are to move.
 func (b *Board) adviseMoves(o *Orders, now time.Time) {
-	if len(b.advisedQueues) == 0 {
-		return
-	}
 	var tasks []jobs.Task // the first of each step
 	for l := range b.pending.moves {
-		if !b.lookAt(l.entry, l.key, now) || !b.advisedQueues[l.entry.job.Queue] {
+		if !b.needsTickets(l.entry) || !b.lookAt(l.entry, l.key, now) {
 			continue
 		}
 		movable := l.movable()
--- a/internal/place/advice_test.go
+++ b/internal/place/advice_test.go
@@ -246,3 +246,57 @@
 		t.Errorf("%d starts and %d requests in 2 s, want a new ticket for each start, with pauses of 150 ms", rejected, s.requests)
 	}
 }
+
+// Guards against accepted jobs that never run once their queue is dropped from the configuration,
+// since their starts carry no tickets (review/13), also in a process that has never known the
+// queue, and for jobs that were stored before the advice of their queue was.
+func TestAdviceOutlastsTheQueue(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name          string
+		known, stored bool // this owner has known the queue; the job's row tells
+	}{
+		{"dropped", true, true}, {"dropped before a takeover", false, true}, {"dropped, and the job is of an earlier version", true, false},
+	} {
+		f := newTestBoard(0, 2)
+		if tt.known {
+			f.SetAdvised(map[string]bool{"q": true, "other": false})
+		}
+		j := newJob(1, batch(2, 1000))
+		j.Advised = tt.stored
+		f.add(j)
+		f.SetAdvised(map[string]bool{"other": false})
+		s, without, with := newTestAdvisor(worker(0).ID, worker(1).ID), 0, 0
+		for end := f.now.Add(2 * time.Second); f.now.Before(end); f.now = f.now.Add(20 * time.Millisecond) {
+			for _, start := range f.decide() {
+				if start.Ticket == "" {
+					without++
+					f.TicketRejected(start.Worker, start.Task, start.Attempt, f.now)
+					continue
+				}
+				with++
+			}
+			s.answer(f)
+		}
+		most := 0
+		if !tt.stored {
+			most = 2 // both are ordered before the first answer
+		}
+		if with != 2 || without > most {
+			t.Errorf("%s: %d starts with a ticket and %d without, want 2 and at most %d", tt.name, with, without, most)
+		}
+	}
+}
+
+// Guards against a policy that outlasts its end: the queue is still there, and needs no advice.
+func TestAdviceEndsWithTheQueuesPolicy(t *testing.T) {
+	t.Parallel()
+	f := newTestBoard(0, 2)
+	j := newJob(1, batch(2, 1000))
+	j.Advised = true
+	f.SetAdvised(map[string]bool{"q": false})
+	f.add(j)
+	if starts := f.decide(); len(starts) != 2 {
+		t.Errorf("%d tasks were started, want 2", len(starts))
+	}
+}
--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -39,6 +39,7 @@
 	lasting        map[stepKey]*lastingStep // long-running steps that have or had attempts
 	spreads        map[stepKey]*stepSpread  // see isSpread
 	racks          map[stepRack]int         // attempts of long-running steps
+	ticketRejected bool                     // a worker rejected a start without a ticket
 	firstFailedOn  string                   // key of the worker where a task failed first
 	suspendedUntil time.Time                // until when decisions leave the job alone
 	waits          map[stepKey]*stepWait    // of steps that have not been started whole; nil if there are none
@@ -110,7 +111,7 @@
 	arrivals         arrivals
 	crashes          crashIndex
 	unexplainedAt    time.Time       // when a busy worker was last lost without a task to blame
-	advisedQueues    map[string]bool // queues whose steps need tickets
+	advisedQueues    map[string]bool // whether the steps of a queue need tickets, by queues of the configuration
 	adviceRequests   int             // under way
 	suspectsSkipped  int             // suspects that have had their turn and are not tried now
 	suspectsTurnAt   time.Time       // when that last changed
@@ -133,11 +134,24 @@
 // looked at. It measures their cost independently of the processor.
 func (b *Board) Examined() uint64 { return b.examined }
 
-// SetAdvised sets the queues whose steps need advice (tickets for workers) before
-// they start.
+// SetAdvised sets whether the steps of each queue of the configuration need advice (tickets for
+// workers) before they start. A job whose queue is not among them keeps to what held when it was
+// submitted.
 func (b *Board) SetAdvised(queues map[string]bool) {
 	b.recordStep(Step{Kind: StepSetAdvised, Queues: queues})
 	b.advisedQueues = queues
+	for _, e := range b.pending.unfinished {
+		e.ticketRejected = false
+	}
+}
+
+// needsTickets reports whether the steps of a job need tickets. A worker that rejects a start
+// without one knows better.
+func (b *Board) needsTickets(e *jobEntry) bool {
+	if advised, known := b.advisedQueues[e.job.Queue]; known && !e.ticketRejected {
+		return advised
+	}
+	return e.job.Advised || e.ticketRejected
 }
 
 // SetStartLimit sets how many batch tasks each decision from now on may start, since the
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -132,7 +132,7 @@
 	if step.MaxPerWorker > 0 && e.countOnWorker(stepKey{t.Occurrence, t.Step}, w) >= step.MaxPerWorker {
 		return false
 	}
-	if b.advisedQueues[e.job.Queue] {
+	if b.needsTickets(e) {
 		return e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now) != ""
 	}
 	return true
@@ -250,7 +250,7 @@
 // rejectsAll reports whether a task for which no worker was found is one that any worker
 // might have run, so that larger tasks find none either.
 func (b *Board) rejectsAll(e *jobEntry, step *jobs.Step, t jobs.Task) bool {
-	return !b.trying && !step.LongRunning && step.Label == "" && step.MaxPerWorker == 0 && !b.advisedQueues[e.job.Queue] &&
+	return !b.trying && !step.LongRunning && step.Label == "" && step.MaxPerWorker == 0 && !b.needsTickets(e) &&
 		e.progress.Failures(t) == 0 && len(e.attempts[t]) == 0
 }
 
--- a/internal/place/crash.go
+++ b/internal/place/crash.go
@@ -461,7 +461,7 @@
 		e, step := c.entry, &c.entry.job.Steps[c.key.step]
 		suspects := c.suspects()
 		if len(suspects) == 0 || b.unconfirmed(e, now) && !step.Speculative || b.heldUp(e, step) ||
-			b.advisedQueues[e.job.Queue] && !b.ensureTickets(o, e, c.key, suspects[0], now) {
+			b.needsTickets(e) && !b.ensureTickets(o, e, c.key, suspects[0], now) {
 			continue
 		}
 		waiting := 0
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -364,7 +364,7 @@
 			b.noteLimit(step, now)
 			continue
 		}
-		if b.advisedQueues[c.entry.job.Queue] && !b.ensureTickets(o, c.entry, c.key, t, now) {
+		if b.needsTickets(c.entry) && !b.ensureTickets(o, c.entry, c.key, t, now) {
 			continue
 		}
 		if !step.LongRunning && b.holdsEnough(c.entry) {
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -258,7 +258,7 @@
 				return fmt.Errorf("room is kept for %s, which does not move", t)
 			}
 		}
-		if e.progress.Final != "" || now.Before(e.suspendedUntil) || b.unconfirmed(e, now) || b.advisedQueues[e.job.Queue] {
+		if e.progress.Final != "" || now.Before(e.suspendedUntil) || b.unconfirmed(e, now) || b.needsTickets(e) {
 			continue
 		}
 		for key, q := range e.waiting {
@@ -319,7 +319,7 @@
 // reserved worker has room for it and nothing was started there a short time ago.
 func (b *Board) CheckReserved(now time.Time) error {
 	for id, e := range b.jobs {
-		if e.progress.Final != "" || now.Before(e.suspendedUntil) || b.unconfirmed(e, now) || b.advisedQueues[e.job.Queue] {
+		if e.progress.Final != "" || now.Before(e.suspendedUntil) || b.unconfirmed(e, now) || b.needsTickets(e) {
 			continue
 		}
 		for key := range e.waiting {
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -76,6 +76,9 @@
 func (b *Board) TicketRejected(key string, t jobs.Task, attempt int, now time.Time) {
 	b.recordStep(Step{Kind: StepTicketRejected, Key: key, Task: t, Attempt: attempt, At: now})
 	if e := b.jobs[t.Job]; e != nil {
+		if !b.needsTickets(e) {
+			e.ticketRejected = true
+		}
 		if a := e.advice[stepKey{t.Occurrence, t.Step}]; a != nil {
 			delete(a.tickets, key)
 			a.retryLater(now)
--- a/internal/place/where.go
+++ b/internal/place/where.go
@@ -189,7 +189,7 @@
 		return ObstacleLabel
 	case !claim.Fits(w.Size):
 		return ObstacleTooSmall
-	case b.advisedQueues[e.job.Queue] && e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now) == "":
+	case b.needsTickets(e) && e.advice[stepKey{t.Occurrence, t.Step}].ticketFor(w.Key, now) == "":
 		return ObstacleNoTicket
 	case w.attempts[t] != nil || step.MaxPerWorker > 0 && e.countOnWorker(stepKey{t.Occurrence, t.Step}, w) >= step.MaxPerWorker:
 		return ObstacleLimit
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -404,9 +404,7 @@
 		for _, q := range queues {
 			targets = targets || q.Pool == o.name && q.Target > 0
 			o.queues[q.Name] = q
-			if q.Advice != nil {
-				advised[q.Name] = true
-			}
+			advised[q.Name] = q.Advice != nil
 		}
 		o.board.SetAdvised(advised)
 		o.hasTargets = targets
