pool: wide steps neither overflow order queues nor ask for lists again and again

In TestWideJobLeavesOthersRunning with one worker, under the race detector, hundreds of starts without an answer each read the whole list of the worker, 8,000 rows, at the same time: 3,519 of 8,000 tasks ran after 30 s.

Change: a worker gets no batch task, but for gangs, while 128 starts there have no answer. Calls for a worker's lists at the same time share one that begins after them. Starts of long-running tasks on their way are at most 32 for each worker of the pool, 256 in all.

--- a/internal/place/board.go
+++ b/internal/place/board.go
@@ -691,6 +691,9 @@
 		b.idleChanged[w.Key] = struct{}{}
 	}
 	w.count(a.step, 1)
+	if a.Phase == Starting {
+		w.starting++
+	}
 	e.countAttempt(a.stepKey(), w, 1)
 	b.setUsed(w, w.used.Add(a.step.Claim()))
 	b.pending.attemptAdded(a)
@@ -710,6 +713,9 @@
 			b.idleChanged[w.Key] = struct{}{}
 		}
 		w.count(a.step, -1)
+		if a.Phase == Starting {
+			w.starting--
+		}
 		a.entry.countAttempt(a.stepKey(), w, -1)
 		b.setUsed(w, w.used.Sub(a.step.Claim()))
 		b.organisationOf(a.entry).release(a)
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -229,12 +229,19 @@
 	return best
 }
 
+// MaxStarting limits the starts of batch tasks that a worker has not answered yet, but for gangs.
+// Its owner queues no more of them.
+const MaxStarting = 128
+
 // accepts reports whether a worker may run a task of a step now, regardless of its free
 // capacity.
 func (b *Board) accepts(e *jobEntry, step *jobs.Step, t jobs.Task, w *worker, now time.Time) bool {
 	if !b.eligible(e, step, t, w, now) {
 		return false
 	}
+	if !step.LongRunning && !step.Gang && w.starting >= MaxStarting {
+		return false
+	}
 	if step.LongRunning || !w.health.onProbation(b.policy, now) {
 		return true
 	}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -157,7 +157,7 @@
 				continue // wait for the answer to the start order
 			}
 			if a.Phase != Unconfirmed {
-				a.Phase = Stopping
+				a.setPhase(Stopping)
 			}
 			a.stopRequested = false
 			o.Stops = append(o.Stops, StopOrder{Worker: w.Key, Task: a.Task, Attempt: a.Number, Cause: a.stopCause(), Unconfirmed: a.Phase == Unconfirmed})
--- a/internal/place/export_test.go
+++ b/internal/place/export_test.go
@@ -153,6 +153,12 @@
 		var counted worker
 		for _, a := range w.attempts {
 			counted.count(a.step, 1)
+			if a.Phase == Starting {
+				counted.starting++
+			}
+		}
+		if counted.starting != w.starting {
+			return fmt.Errorf("%s counts %d starts without an answer, has %d", key, w.starting, counted.starting)
 		}
 		if counted.lastingUsed != w.lastingUsed || counted.targeted != w.targeted || counted.fillingTargeted != w.fillingTargeted {
 			return fmt.Errorf("%s counts %+v of lasting, %d and %d targeted attempts, has %+v, %d and %d", key,
--- a/internal/place/listing.go
+++ b/internal/place/listing.go
@@ -40,7 +40,8 @@
 	if a == nil || a.Phase != Starting {
 		return
 	}
-	a.Phase, a.PercentChangedAt = Live, now
+	a.setPhase(Live)
+	a.PercentChangedAt = now
 	b.confirm(a, now)
 	b.lastingChanged(a)
 	b.pending.paceable(a.worker)
@@ -111,7 +112,8 @@
 	if a == nil || a.Phase != Starting {
 		return false
 	}
-	a.Phase, a.reschedule = Unconfirmed, true
+	a.setPhase(Unconfirmed)
+	a.reschedule = true
 	if a.copyable {
 		b.pending.unanswered[a] = struct{}{}
 	}
@@ -128,7 +130,7 @@
 	if a := b.findAttempt(key, t, attempt); a != nil {
 		a.StopAckedAt = now
 		if a.Phase == Unconfirmed {
-			a.Phase = Stopping
+			a.setPhase(Stopping)
 		}
 	}
 }
@@ -142,7 +144,7 @@
 	}
 	b.requestStop(a)
 	if a.Phase == Stopping {
-		a.Phase = Live
+		a.setPhase(Live)
 		b.pending.paceable(a.worker)
 	}
 }
@@ -267,7 +269,7 @@
 	}
 	a.listing = b.listings
 	if a.Phase == Starting || a.Phase == Unconfirmed && !a.stopRequested {
-		a.Phase = Live
+		a.setPhase(Live)
 		if a.awaitsListing {
 			a.awaitsListing, a.reschedule = false, false
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -150,6 +150,7 @@
 	promised         int                              // long-running tasks about to move here
 	promisedClaims   jobs.Resources                   // of those; part of used
 	health           health
+	starting         int      // attempts whose start order has no answer yet
 	trial            *Attempt // latest start of a task with recorded crashes
 	reserved         bool     // by the current decision, for a task that does not fit yet
 
@@ -169,6 +170,16 @@
 
 func (w *worker) free() jobs.Resources { return w.Size.Sub(w.used) }
 
+// setPhase sets the phase of an attempt at its worker.
+func (a *Attempt) setPhase(p Phase) {
+	if a.Phase == Starting {
+		a.worker.starting--
+	}
+	if a.Phase = p; p == Starting {
+		a.worker.starting++
+	}
+}
+
 // lastingClaims returns what the long-running tasks claim that are at the worker or about to
 // move there.
 func (w *worker) lastingClaims() jobs.Resources { return w.promisedClaims.Add(w.lastingUsed) }
--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -25,13 +25,14 @@
 	retryDelay        = 150 * time.Millisecond          // after a failed call
 	maxClockDrift     = 0.03                            // fraction; a worker's clock may be 2% slow
 	leaseMargin       = 150 * time.Millisecond          // for answers in transit
-	orderQueueSize    = 128                             // orders queued for one worker, a few times what one is given between two lists; 900 agents hold two queues each
+	orderQueueSize    = place.MaxStarting               // orders queued for one worker, a few times what one is given between two lists; 900 agents hold two queues each
 	ackTimeout        = 120 * time.Millisecond          // for reported ends to become durable; doubles while a worker reports no others, as it then answers holds at once
 	maxParallelOrders = 2                               // orders of each queue sent to one worker at the same time
 	maxStartsInFlight = 128                             // starts of batch tasks that an owner sends at the same time; a process that handles thousands at once answers nothing else
 	lateTolerance     = 50 * time.Millisecond           // a timeout that is handled later than this shows that this process was held up
 	lateGrace         = 100 * time.Millisecond          // to read answers that arrived while this process was held up
 	maxStartDelay     = 1500 * time.Millisecond         // from when a start is sent until its worker rejects it; an owner that is late by half a second sees the worker's clock that much behind
+	maxWorkerLasting  = 32                              // of these, for each worker of the pool; a worker has 64 connections
 	maxLastingStarts  = 256                             // starts of long-running tasks that an owner sends at the same time, which do not wait for others
 	maxStartAge       = time.Second                     // a start that waited longer is not sent: what was known of its worker is out of date; half of the platform's shortest time for workers that leave
 	maxLateCalls      = 2                               // calls in a row that time out late before the worker counts as silent
@@ -85,6 +86,8 @@
 	starts chan order // they may have to wait for a slot
 	stops  chan order // stops and paces, which must not wait behind starts
 
+	reads listReads
+
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
@@ -418,9 +421,54 @@
 	return min(2*last, busyHoldWait)
 }
 
+// listReads lets calls at the same time share a read of a worker's lists that begins after them:
+// hundreds of starts may be without an answer, and each list names all that runs there.
+type listReads struct {
+	mu            sync.Mutex
+	current, next chan struct{} // closed at the end of the read under way, and of the one after it; nil if there is none
+}
+
+// do calls read, unless a call that begins later does, and returns at the end of that one.
+func (r *listReads) do(ctx context.Context, read func()) {
+	r.mu.Lock()
+	if next := r.next; next != nil {
+		r.mu.Unlock()
+		wait(ctx, next)
+		return
+	}
+	own, before := make(chan struct{}), r.current
+	if before != nil {
+		r.next = own
+		r.mu.Unlock()
+		wait(ctx, before)
+		r.mu.Lock()
+		r.next = nil
+	}
+	r.current = own
+	r.mu.Unlock()
+	read()
+	r.mu.Lock()
+	if r.current == own {
+		r.current = nil
+	}
+	r.mu.Unlock()
+	close(own)
+}
+
+func wait(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
 // readLists reads the worker's lists at once, even while a hold call is waiting. It is called
 // when an order had no answer, and acknowledges nothing: the worker may have started again.
 func (a *agent) readLists(ctx context.Context) {
+	a.reads.do(ctx, func() { a.readListsOnce(ctx) })
+}
+
+func (a *agent) readListsOnce(ctx context.Context) {
 	requestedAt := time.Now()
 	callCtx, cancel := callContext(ctx, orderTimeout)
 	defer cancel()
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -448,7 +448,7 @@
 	}
 	if o.started && !o.flushing && !now.Before(o.decideAfter) && o.status.current(now) {
 		o.board.SetStartLimit(max(0, o.startRate.queueLimit()-int(o.startsWaiting.Load())))
-		o.board.SetLastingStartLimit(max(0, maxLastingStarts-int(o.lastingStarts.Load())))
+		o.board.SetLastingStartLimit(max(0, min(maxLastingStarts, maxWorkerLasting*len(o.agents))-int(o.lastingStarts.Load())))
 		orders := o.board.Decide(now)
 		took := time.Since(now)
 		o.loop.recordDecision(took)
