pool: the wait for a worker that is gone outlasts hand-overs

Cause: a new owner waits until the leases on a registered worker that does not answer have surely ended, up to 5.3 s after its claim, and passed the worker on without that time. Each hand-over began the whole wait again.

Change: the registration of a worker that has not answered states when its leases end, and later owners pass the same time on. Only an owner that has granted no lease there states it, and it grants none, and starts nothing there, before a registration without the end is stored. That closes a window of the code before as well: a lease could be granted while the stored row of a hand-over stated an end.

Measured: TestWaitForAWorkerOutlastsHandOvers (owners every 1.3 s wait until the same time), TestNoLeaseWhileItsEndIsStated and TestEndIsNotStatedOnceALeaseMayBeGranted pass.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -91,6 +91,7 @@
 	mu             sync.Mutex
 	workerClock    time.Duration // the worker's clock when it sent the answer that was read at clockAt
 	clockAt        time.Time
+	endStated      bool              // the stored registration may state when the leases end: none is granted
 	leasesExpireAt time.Time         // all granted leases have expired by then, also those of earlier owners
 	queuedStarts   map[startKey]bool // starts that wait to be sent; true if they must not be
 	lapses         int               // how often all leases were found expired; starts queued before are void
@@ -129,7 +130,7 @@
 	a := &agent{
 		key: lifetimeKey(e), owner: o, worker: w, ctx: ctx, cancel: cancel,
 		starts: make(chan order, orderQueueSize), stops: make(chan order, orderQueueSize), ackRaised: make(chan struct{}), entry: e,
-		leasesExpireAt: o.earlierLeasesEnd(),
+		endStated: o.statedEnds[lifetimeKey(e)] > 0, leasesExpireAt: o.earlierLeasesEnd(),
 	}
 	go a.hold(ctx)
 	for range maxParallelOrders {
@@ -171,7 +172,7 @@
 // grantLease is [agent.nextLease] with a.mu held.
 func (a *agent) grantLease() time.Duration {
 	base, owned := a.owner.status.leaseBase(time.Now())
-	if a.clockAt.IsZero() || !owned {
+	if a.clockAt.IsZero() || !owned || a.endStated {
 		return 0
 	}
 	until := a.clock(base) + a.owner.lease
@@ -182,6 +183,22 @@
 	return until
 }
 
+// stateEnd reports whether it may be stored when the leases of earlier owners end: this one has
+// granted none. From then on it grants none until allowLeases.
+func (a *agent) stateEnd() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endStated = a.endStated || a.clockAt.IsZero()
+	return a.endStated
+}
+
+// allowLeases lets the agent grant leases: the stored registration states no end of them.
+func (a *agent) allowLeases() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endStated = false
+}
+
 // leasesEnd returns when all leases granted until now have expired.
 func (a *agent) leasesEnd() time.Time {
 	a.mu.Lock()
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -189,12 +189,13 @@
 	// registrationsStale means that something changed on which registrationsDue depends.
 	registrationsStale  bool
 	registrationsDiffer bool
-	retiredAt           map[string]time.Time // lifetimes ended by an order for their host, and when
-	unseenUntil         map[string]time.Time // lifetimes that have not answered and may run tasks, and until when
-	unconfirmedUntil    time.Time            // until when tasks that may run on them wait
-	undecoded           map[jobs.ID]bool     // stored jobs that can't be decoded: nothing is known of them
-	jobsLoaded          bool                 // the stored jobs are on the board
-	started             bool                 // scheduling has started
+	retiredAt           map[string]time.Time     // lifetimes ended by an order for their host, and when
+	statedEnds          map[string]time.Duration // of these, when their leases end, on the store's clock, as it was stored last or is to be
+	unseenUntil         map[string]time.Time     // lifetimes that have not answered and may run tasks, and until when
+	unconfirmedUntil    time.Time                // until when tasks that may run on them wait
+	undecoded           map[jobs.ID]bool         // stored jobs that can't be decoded: nothing is known of them
+	jobsLoaded          bool                     // the stored jobs are on the board
+	started             bool                     // scheduling has started
 	claimedAt           time.Time
 	summarizedAt        time.Time
 	loop                loopStats
@@ -329,7 +330,7 @@
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), calls: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		startSlots: make(chan struct{}, maxStartsInFlight),
 		board:      board,
-		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
+		agents:     map[string]*agent{}, lifetimes: map[string][]*agent{}, mayBeLost: map[*agent]bool{}, newEnds: map[*agent]bool{}, unseenUntil: map[string]time.Time{}, statedEnds: map[string]time.Duration{}, retiredAt: map[string]time.Time{}, vacateUntil: map[string]time.Time{},
 		pending: map[jobs.ID]*submission{}, cancels: map[jobs.ID][]chan Verdict{}, cancelledIDs: map[jobs.ID]*cancelledID{}, refused: map[string]map[RefusalCause]int{}, closures: map[string]*closure{}, removing: map[jobs.ID]bool{}, suspensions: s.Suspensions, unstorable: map[jobs.ID]bool{}, undecoded: map[jobs.ID]bool{},
 		stepWaits: newStepWaits(),
 		queues:    map[string]platform.Queue{}, entries: map[string]platform.WorkerEntry{},
--- a/internal/pool/registration.go
+++ b/internal/pool/registration.go
@@ -14,8 +14,10 @@
 // therefore knows every worker that may run tasks that it has not seen in a list,
 // even if the worker's entry is missing after an outage of the store.
 //
-// An owner that hands its pool over also stores when the leases of workers that do
-// not answer end, so that the next owner need not wait for a whole lease.
+// An owner also stores when the leases of workers end that have not answered it, and when it hands
+// its pool over, of those that do not answer any more. So the next owner waits for the rest of
+// a lease only, however often the pool changes hands. No lease is granted to a worker while the
+// stored registration states such an end.
 
 // registration is a line of the stored registration row.
 type registration struct {
@@ -89,18 +91,42 @@
 	registrations := make([]registration, 0, len(o.agents)+len(o.unseenUntil))
 	for key, a := range o.agents {
 		if _, unseen := o.unseenUntil[key]; a.answered || a.registered || unseen || !o.board.Idle(key) {
-			registrations = append(registrations, registration{key, a.leaseEnd})
+			end := a.leaseEnd
+			if unseen && !a.answered {
+				end = o.unseenLeaseEnd(key, a)
+			}
+			registrations = append(registrations, registration{key, end})
 		}
 	}
 	for key := range o.unseenUntil {
 		if o.agents[key] == nil {
-			registrations = append(registrations, registration{key: key})
+			registrations = append(registrations, registration{key, o.unseenLeaseEnd(key, nil)})
 		}
 	}
 	slices.SortFunc(registrations, func(x, y registration) int { return strings.Compare(x.key, y.key) })
 	return registrations
 }
 
+// unseenLeaseEnd returns when the leases of a lifetime end that has not answered this owner, on the
+// store's clock, or 0 if that is not to be stated. a is its agent, nil if it has none. It stays
+// the same until the lifetime answers, or the registrations would be stored again and again.
+func (o *Owner) unseenLeaseEnd(key string, a *agent) time.Duration {
+	end, stated := o.statedEnds[key]
+	_, clock := o.store.Clock()
+	if !stated && (o.started || o.flushing) && clock > 0 { // most workers answer right after a takeover
+		end = clock + time.Until(o.unseenUntil[key])
+		o.statedEnds[key] = end
+	}
+	if end == 0 || a == nil {
+		return end
+	}
+	if a.lifetimeEnded || !a.stateEnd() {
+		return 0
+	}
+	a.registered = false // nothing starts there until the registration states no end
+	return end
+}
+
 // endLeases stops renewing the leases of workers that do not answer or have started again, and records
 // when they end.
 func (o *Owner) endLeases(now time.Time) {
@@ -131,8 +157,9 @@
 func (o *Owner) markRegistered(registrations []registration) {
 	o.registrations, o.registrationsStale = registrations, true
 	for _, r := range registrations {
-		if a := o.agents[r.key]; a != nil && !a.registered {
+		if a := o.agents[r.key]; a != nil && !a.registered && r.leaseEnd == 0 {
 			a.registered = true
+			a.allowLeases()
 			o.syncAgent(a)
 		}
 	}
@@ -146,6 +173,7 @@
 	for _, r := range registrations {
 		until := o.earlierLeasesEnd()
 		if r.leaseEnd > 0 {
+			o.statedEnds[r.key] = r.leaseEnd
 			until = now.Add(r.leaseEnd - clock)
 			if longest := o.claimedAt.Add(takeoverWait + o.longestLease()); until.After(longest) {
 				until = longest
@@ -221,6 +249,7 @@
 			continue
 		}
 		delete(o.unseenUntil, key)
+		delete(o.statedEnds, key)
 		o.registrationsStale = true
 		if o.agents[key] == nil {
 			o.reportCrash(key, "an earlier owner suspected it, and its leases have expired")
--- a/internal/pool/registration_test.go
+++ b/internal/pool/registration_test.go
@@ -212,3 +212,100 @@
 		t.Error("the worker is not registered")
 	}
 }
+
+// Guards against work that stands still while its pool changes hands again and again: each owner
+// waited for a whole lease of a worker that was gone before the first one came (review/11).
+func TestWaitForAWorkerOutlastsHandOvers(t *testing.T) {
+	o, _ := newOwner(t)
+	if _, _, err := o.store.ReadAll(t.Context(), tableJob, o.name); err != nil { // shows the store's clock
+		t.Fatal(err)
+	}
+	const (
+		key     = "i-gone@5"
+		between = 1300 * time.Millisecond
+	)
+	o.setUnseen([]registration{{key: key}}, o.claimedAt)
+	o.started = true
+	stored := o.collectRegistrations()
+	if len(stored) != 1 || stored[0].leaseEnd <= 0 {
+		t.Fatalf("registrations %v, want one with the end of its lease", stored)
+	}
+	first, end := o.claimedAt, o.unseenUntil[key]
+	for i := 1; first.Add(time.Duration(i) * between).Before(end); i++ {
+		// The next owner claims the pool later; instead of that time, the store's clock is set back.
+		passed := time.Duration(i) * between
+		o.claimedAt = first.Add(passed)
+		o.unseenUntil, o.statedEnds = map[string]time.Time{}, map[string]time.Duration{}
+		now := time.Now().Add(passed)
+		o.setUnseen([]registration{{key, stored[0].leaseEnd - passed}}, now)
+		if late := o.unseenUntil[key].Sub(end); late.Abs() > 100*time.Millisecond {
+			t.Errorf("owner %d waits for %v longer than the first one", i+1, late)
+		}
+		if r := o.collectRegistrations(); len(r) != 1 || r[0].leaseEnd != stored[0].leaseEnd-passed {
+			t.Errorf("owner %d registers %v, want the end that it has read", i+1, r)
+		}
+	}
+}
+
+// Guards against a lease that a later owner does not wait for: one that is granted while the stored
+// registration states when the leases there end.
+func TestNoLeaseWhileItsEndIsStated(t *testing.T) {
+	o, entry := newOwner(t)
+	if _, _, err := o.store.ReadAll(t.Context(), tableJob, o.name); err != nil {
+		t.Fatal(err)
+	}
+	key := lifetimeKey(entry)
+	ctx, cancel := context.WithCancel(t.Context())
+	a := &agent{key: key, owner: o, entry: entry, cancel: cancel, ctx: ctx, starts: make(chan order, 1)}
+	o.agents[key], o.lifetimes[entry.ID], a.registered = a, []*agent{a}, true
+	o.setUnseen([]registration{{key: key}}, time.Now())
+	stated := func() bool {
+		r := o.collectRegistrations()
+		if len(r) != 1 {
+			t.Fatalf("registrations %v, want one", r)
+		}
+		return r[0].leaseEnd > 0
+	}
+	if stated() {
+		t.Error("the end of the leases is stated before the pool is taken over")
+	}
+	o.started = true
+	if !stated() || a.registered {
+		t.Errorf("a worker that has not answered: the end of its leases is stated: %v, it may get tasks: %v", stated(), a.registered)
+	}
+	a.setClock(time.Second, time.Now())
+	if until := a.nextLease(); until != 0 {
+		t.Errorf("a lease until %v is granted, though the end of the leases is stated", until)
+	}
+	o.handleListing(a, platform.Listing{Clock: time.Second}, time.Now())
+	if stated() {
+		t.Error("the end of the leases of a worker that answers is stated")
+	}
+	if until := a.nextLease(); until != 0 {
+		t.Errorf("a lease until %v is granted before the registration is stored", until)
+	}
+	o.markRegistered(o.collectRegistrations())
+	if until := a.nextLease(); until == 0 || !a.registered {
+		t.Errorf("a lease until %v is granted once the registration is stored, and the worker may get tasks: %v", until, a.registered)
+	}
+}
+
+// Guards against the same where the worker answers just before its leases' end would be stated.
+func TestEndIsNotStatedOnceALeaseMayBeGranted(t *testing.T) {
+	o, entry := newOwner(t)
+	if _, _, err := o.store.ReadAll(t.Context(), tableJob, o.name); err != nil {
+		t.Fatal(err)
+	}
+	key := lifetimeKey(entry)
+	a := &agent{key: key, owner: o, entry: entry, cancel: func() {}}
+	o.agents[key], o.lifetimes[entry.ID] = a, []*agent{a}
+	o.setUnseen([]registration{{key: key}}, time.Now())
+	o.started = true
+	a.setClock(time.Second, time.Now()) // its list has not been handled yet
+	if r := o.collectRegistrations(); len(r) != 1 || r[0].leaseEnd != 0 {
+		t.Errorf("registrations %v, want one without an end", r)
+	}
+	if until := a.nextLease(); until == 0 {
+		t.Error("no lease is granted, though no end is stated")
+	}
+}
--- a/internal/pool/requests.go
+++ b/internal/pool/requests.go
@@ -340,6 +340,7 @@
 		}
 		o.retiredAt[lifetime] = time.Now()
 		delete(o.unseenUntil, lifetime)
+		delete(o.statedEnds, lifetime)
 		o.registrationsStale = true
 		if a != nil {
 			o.endLifetime(a, lifetimeOrdered, "its host was ordered elsewhere")
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -192,6 +192,7 @@
 		a.unlistedUntil = a.endedAt.Add(o.longestLease())
 		if until, unseen := o.unseenUntil[a.key]; unseen {
 			o.unseenUntil[a.key] = later(until, a.unlistedUntil)
+			delete(o.statedEnds, a.key)
 		}
 		for _, s := range a.takeQueuedStarts() {
 			o.startAnswered(a, s, errUnresponsive)
