--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -190,8 +190,8 @@
 	registrationsStale  bool
 	registrationsDiffer bool
 	retiredAt           map[string]time.Time     // lifetimes ended by an order for their host, and when
-	statedEnds          map[string]time.Duration // of these, when their leases end, on the store's clock, as it was stored last or is to be
 	unseenUntil         map[string]time.Time     // lifetimes that have not answered and may run tasks, and until when
+	statedEnds          map[string]time.Duration // of these, when their leases end, on the store's clock, as it was stored last or is to be
 	unconfirmedUntil    time.Time                // until when tasks that may run on them wait
 	undecoded           map[jobs.ID]bool         // stored jobs that can't be decoded: nothing is known of them
 	jobsLoaded          bool                     // the stored jobs are on the board
