pool: the heap of jobs is measured three times

What earlier tests of the package have left running allocates between the two readings of the heap, 50 KB here.

Change: the least of three measurements counts. Garbage of others can only add to one; what a job takes is in each of them.

Measured: passes alone, plain and under the race detector; the whole package follows.

--- a/internal/pool/memory_test.go
+++ b/internal/pool/memory_test.go
@@ -45,26 +45,33 @@
 		{"a schedule of wide steps", 4, 100, 300, false},
 		{"long-running", 4, 100, 0, true},
 	} {
-		board := place.NewBoard(place.DefaultPolicy(), 0)
-		board.Waited = func(place.Wait) {}
-		size := jobs.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20}
-		board.SetWorker(place.Worker{Key: "w@1", ID: "w", Size: size})
-		board.SetWorker(place.Worker{Key: "x@1", ID: "x", Size: size})
-		if !tt.lasting {
-			board.SetStartLimit(0)
-		}
-		before, counted := used(), int64(0)
-		for i := range n {
-			j := memoryJob(i, tt.steps, tt.count, tt.repetitions, tt.lasting)
-			counted += memoryOf(&j)
-			board.Add(j, jobs.NewProgress(j), time.Now())
-		}
-		for len(board.Decide(time.Now()).Starts) > 0 {
+		counted := int64(0)
+		grow := func() int64 {
+			board := place.NewBoard(place.DefaultPolicy(), 0)
+			board.Waited = func(place.Wait) {}
+			size := jobs.Resources{Millicores: 1 << 20, MemoryMB: 1 << 20}
+			board.SetWorker(place.Worker{Key: "w@1", ID: "w", Size: size})
+			board.SetWorker(place.Worker{Key: "x@1", ID: "x", Size: size})
+			if !tt.lasting {
+				board.SetStartLimit(0)
+			}
+			before := used()
+			counted = 0
+			for i := range n {
+				j := memoryJob(i, tt.steps, tt.count, tt.repetitions, tt.lasting)
+				counted += memoryOf(&j)
+				board.Add(j, jobs.NewProgress(j), time.Now())
+			}
+			for len(board.Decide(time.Now()).Starts) > 0 {
+			}
+			grown := used() - before
+			runtime.KeepAlive(board)
+			return grown
 		}
-		if grown := used() - before; grown > counted {
+		// What earlier tests have left running allocates as well: the least of three counts.
+		if grown := min(grow(), grow(), grow()); grown > counted {
 			t.Errorf("%s: %d jobs take %d bytes each, counted are %d", tt.name, n, grown/n, counted/n)
 		}
-		runtime.KeepAlive(board)
 	}
 }
 
