pool: starts of long-running tasks follow their answers

Cause: an owner sent up to 256 starts at the same time, however many were answered. On a machine short of processor time about half had no answer in 300 ms; each of them costs a stop, a list and another start, and the lists of leases came too late. The log of a copy of the test that ran beside 15 others showed 3,851 starts without an answer and at least 3,191 lapsed runs.

Change: a window of starts halves if more than one in eight has no answer, and grows by a quarter while all of it is used and answered. Workers that crashed or answer nothing are not counted.

Measured, race detector, GOMAXPROCS=2, 16 copies on 8 cores: 32 of 32 failed before, 16 of 16 pass. 24 copies still fail by their 30 s, at 6,219 to 7,188 tasks, without a lapse. TestWideJobStartsThoughStartsAreAnswered- Slowly fails with the fixed 256: 59 starts answered, want 1,000.

--- a/internal/pool/agent.go
+++ b/internal/pool/agent.go
@@ -713,7 +713,12 @@
 		} else if errors.IsAny(err, platform.ErrOutcomeUnknown, platform.ErrConnectionRefused) {
 			a.noteFailure(err, time.Now())
 		}
-		a.owner.post(func() { a.owner.startAnswered(a, s, err) })
+		a.owner.post(func() {
+			if o.urgent {
+				a.owner.recordLastingStart(a, err)
+			}
+			a.owner.startAnswered(a, s, err)
+		})
 		if errors.Is(err, platform.ErrOutcomeUnknown) {
 			a.readLists(ctx) // to find out whether the worker still answers
 		}
--- a/internal/pool/overload_test.go
+++ b/internal/pool/overload_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -80,20 +82,78 @@
 	})
 }
 
+// Guards against an owner that sends more starts of long-running tasks than can be answered, and
+// starts hardly any of a wide job, as each start without an answer is made anew.
+func TestWideJobStartsThoughStartsAreAnsweredSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			workers  = 9
+			handling = 5 * time.Millisecond // of a start, one after the other
+			duration = 10 * time.Second
+		)
+		o, end := idleOwner(t)
+		var mu sync.Mutex
+		var free time.Time // when the starts that were sent so far have been handled
+		answered := 0
+		runBacklogOn(o, workers, duration, func() workerClient {
+			w := &fakeWorker{rate: 1, began: time.Now()}
+			var running []platform.RunningAttempt
+			w.hold = func(_ context.Context, r platform.HoldRequest) (platform.Listing, error) {
+				time.Sleep(max(r.Wait, time.Millisecond))
+				mu.Lock()
+				defer mu.Unlock()
+				return platform.Listing{Clock: w.clock(), ReadAt: time.Now(), Running: slices.Clone(running)}, nil
+			}
+			w.start = func(ctx context.Context, r platform.StartRequest) (time.Duration, error) {
+				mu.Lock()
+				wait := max(0, time.Until(free)) + handling
+				free = time.Now().Add(wait)
+				mu.Unlock()
+				select {
+				case <-ctx.Done():
+					return 0, platform.ErrOutcomeUnknown
+				case <-time.After(wait):
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answered++
+				running = append(running, platform.RunningAttempt{Task: r.Task, Attempt: r.Attempt})
+				return 0, nil
+			}
+			return w
+		}, jobs.Job{
+			ID: "0000000000000001", Spec: "lasting", Queue: "q", Pool: "p", Submitted: time.Now(),
+			Steps: []jobs.Step{{Count: 4000, Size: jobs.Resources{Millicores: 20, MemoryMB: 10}, LongRunning: true}},
+		})
+		end()
+		if want := int(duration / handling / 2); answered < want {
+			t.Errorf("%d starts were answered in %v, want at least %d, half of what can be handled", answered, duration, want)
+		}
+	})
+}
+
 // runBacklog runs a backlog of 16,000 tasks on an owner that stores nothing, and returns how
 // many starts were given back meanwhile.
 func runBacklog(o *Owner, w *fakeWorker, workers int, duration time.Duration) uint64 {
+	backlog := make([]jobs.Job, 20)
+	for i := range backlog {
+		backlog[i] = benchJob(i, 800, time.Now())
+	}
+	return runBacklogOn(o, workers, duration, func() workerClient { return w }, backlog...)
+}
+
+// runBacklogOn is [runBacklog] for other jobs, on workers of which each has its own client.
+func runBacklogOn(o *Owner, workers int, duration time.Duration, client func() workerClient, backlog ...jobs.Job) uint64 {
 	o.post(func() {
 		for i := range workers {
 			e := benchEntry(i)
-			a := newAgent(o.ctx, o, e, w)
+			a := newAgent(o.ctx, o, e, client())
 			a.answered, a.registered = true, true
 			o.agents[a.key], o.lifetimes[e.ID], o.entries[e.ID] = a, []*agent{a}, e
 			o.syncAgent(a)
 		}
 		o.started, o.inFlight = true, &commit{}
-		for j := range 20 {
-			job := benchJob(j, 800, time.Now())
+		for _, job := range backlog {
 			o.board.Add(job, jobs.NewProgress(job), time.Now())
 		}
 	})
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -201,6 +201,7 @@
 	loop                loopStats
 	stepWaits           stepWaits
 	startRate           startRate
+	lastingWindow       startWindow
 	holdPause           holdPause
 	overloaded          bool // as logged last
 	flushing            bool
@@ -325,7 +326,8 @@
 	board.SetLookAhead(s.LookAhead)
 	board.SetAttemptLimit(s.JobMemory.attempts)
 	o := &Owner{
-		name: own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
+		lastingWindow: newStartWindow(maxLastingStarts),
+		name:          own.Pool, self: s.Self, token: own.Token, rowVersion: own.Version, logVersion: own.Version,
 		store: s.Store, log: s.Log.WithFields(logrus.Fields{"pool": own.Pool, "token": own.Token}), advise: s.Advise, handOver: s.HandOver, lease: s.Lease, maxLease: s.MaxLease, retention: s.Retention,
 		ctx: ctx, cancel: cancel, posts: make(chan func(), postQueueSize), calls: make(chan func(), postQueueSize), ended: make(chan struct{}),
 		startSlots: make(chan struct{}, maxStartsInFlight),
@@ -449,7 +451,8 @@
 	}
 	if o.started && !o.flushing && !now.Before(o.decideAfter) && o.status.current(now) {
 		o.board.SetStartLimit(max(0, o.startRate.queueLimit()-int(o.startsWaiting.Load())))
-		o.board.SetLastingStartLimit(max(0, min(maxLastingStarts, maxWorkerLasting*len(o.agents))-int(o.lastingStarts.Load())))
+		lasting := min(o.lastingWindow.limit(now), maxWorkerLasting*len(o.agents))
+		o.board.SetLastingStartLimit(max(0, lasting-int(o.lastingStarts.Load())))
 		orders := o.board.Decide(now)
 		took := time.Since(now)
 		o.loop.recordDecision(took)
--- a/internal/pool/start_rate.go
+++ b/internal/pool/start_rate.go
@@ -32,3 +32,48 @@
 func (r *startRate) queueLimit() int {
 	return max(minStartQueue, int(r.perSecond*startQueueTime.Seconds()))
 }
+
+const (
+	minStartWindow    = 16           // starts that may always be sent at the same time
+	firstStartWindow  = 64           // of an owner that knows nothing of the load yet
+	startWindowPeriod = orderTimeout // between changes: until the starts sent before have been answered or not
+	maxUnansweredPart = 8            // the window shrinks if more than one in so many starts has no answer
+)
+
+// startWindow bounds how many starts are sent at the same time. A process or workers that are short
+// of processor time answer late, and each start without an answer costs a stop, a list and another
+// start: the more are sent, the fewer are answered. The window halves then, and grows again by a
+// quarter while it is used and nearly all starts are answered.
+type startWindow struct {
+	size, most           int
+	answered, unanswered int // since changedAt
+	changedAt            time.Time
+}
+
+func newStartWindow(most int) startWindow {
+	return startWindow{size: min(firstStartWindow, most), most: most}
+}
+
+// record takes in whether a start was answered.
+func (w *startWindow) record(answered bool) {
+	if answered {
+		w.answered++
+		return
+	}
+	w.unanswered++
+}
+
+// limit returns how many starts may be under way now.
+func (w *startWindow) limit(now time.Time) int {
+	if now.Sub(w.changedAt) < startWindowPeriod {
+		return w.size
+	}
+	switch total := w.answered + w.unanswered; {
+	case w.unanswered*maxUnansweredPart > total:
+		w.size = max(minStartWindow, w.size/2)
+	case total >= w.size:
+		w.size = min(w.most, w.size+w.size/4)
+	}
+	w.answered, w.unanswered, w.changedAt = 0, 0, now
+	return w.size
+}
--- a/internal/pool/workers.go
+++ b/internal/pool/workers.go
@@ -373,6 +373,18 @@
 	}
 }
 
+// recordLastingStart takes in how a start of a long-running task that was sent was answered, if that
+// tells of the load: a worker that crashed, or that answers nothing, says nothing of it.
+func (o *Owner) recordLastingStart(a *agent, err error) {
+	switch {
+	case errors.IsAny(err, platform.ErrConnectionBroken, platform.ErrConnectionRefused):
+	case !errors.IsAny(err, platform.ErrOutcomeUnknown, platform.ErrNotDone):
+		o.lastingWindow.record(true)
+	case !a.isUnresponsive():
+		o.lastingWindow.record(false)
+	}
+}
+
 func (o *Owner) stopAnswered(a *agent, s place.StopOrder, answered time.Time, err error) {
 	switch {
 	case err == nil:
