soak: rolling restarts that overlap, and a route that comes and goes

Change: processes are terminated in turn before the last ones are back, and a queue's route is dropped, restored, moved and changed, with and without advice, under its jobs. TestRollingRestarts plays both beside waves and crashes; TestSoak draws them too.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -20,13 +20,14 @@
 	until  time.Time
 	group  sync.WaitGroup
 
-	mu      sync.Mutex
-	version uint64
-	extra   bool // the configuration has one more queue
-	moved   bool // the last queue's jobs go to the first pool but one
-	timeout int
-	waves   int
-	crashed map[string]bool // tasks on workers that crashed right after a start
+	mu       sync.Mutex
+	version  uint64
+	extra    bool // the configuration has one more queue
+	moved    bool // the last queue's jobs go to the first pool but one
+	flapping flappingRoute
+	timeout  int
+	waves    int
+	crashed  map[string]bool // tasks on workers that crashed right after a start
 }
 
 // kind is a kind of fault. It returns when the fault is over.
@@ -79,6 +80,22 @@
 	{"partition", 8, (*faults).partition},
 }
 
+// flappingRoute is the route of flappingQueue, which comes and goes.
+type flappingRoute struct {
+	present bool
+	pool    int
+	advised bool
+	timeout int // in ms
+}
+
+const flappingQueue = 9
+
+// enabled reports whether a list and the flags leave a kind of fault that is not drawn among others.
+func enabled(only, name string) bool {
+	named := func(list string) bool { return slices.Contains(strings.Split(list, ","), name) }
+	return (only == "" || named(only)) && !named(*without)
+}
+
 // enabledKinds returns the kinds that a list and the flags leave.
 func enabledKinds(only string) []kind {
 	named := func(list, name string) bool { return slices.Contains(strings.Split(list, ","), name) }
@@ -223,6 +240,50 @@
 	}
 }
 
+// rollOut restarts processes in turn, the next ones before the first are back, until the time is over.
+func (f *faults) rollOut(random *rand.Rand) {
+	for {
+		time.Sleep(between(random, 500*time.Millisecond, 4*time.Second))
+		if !time.Now().Before(f.until) {
+			break
+		}
+		processes := slices.Clone(f.rig.processes)
+		random.Shuffle(len(processes), func(i, j int) { processes[i], processes[j] = processes[j], processes[i] })
+		gap := between(random, 200*time.Millisecond, 1500*time.Millisecond)
+		var group sync.WaitGroup
+		for _, p := range processes[:1+len(processes)/2] {
+			source := rand.New(rand.NewPCG(random.Uint64(), 0))
+			group.Go(func() { f.restart(source, p, syscall.SIGTERM) })
+			time.Sleep(gap)
+		}
+		group.Wait()
+	}
+}
+
+// flapRoute drops, restores, moves and changes the flapping route until the time is over. It is
+// there in the end, so that callers can ask for their jobs.
+func (f *faults) flapRoute(random *rand.Rand) {
+	for ended := false; !ended; {
+		ended = !time.Now().Before(f.until)
+		v := flappingRoute{
+			present: random.IntN(3) > 0 || ended,
+			pool:    random.IntN(f.queues),
+			advised: random.IntN(4) > 0,
+			timeout: 3000 + random.IntN(2000),
+		}
+		f.mu.Lock()
+		f.flapping = v
+		f.version += 1 + random.Uint64N(5)
+		end := f.begin(fault{kind: "config", text: fmt.Sprintf("configuration %d: flapping route %+v", f.version, v), mild: true})
+		f.rig.platform.Configure(f.configuration())
+		f.mu.Unlock()
+		end()
+		if !ended {
+			time.Sleep(between(random, 300*time.Millisecond, 2*time.Second))
+		}
+	}
+}
+
 // cut holds back the data on links, in one direction or both, and delivers them after a while.
 func (f *faults) cut(random *rand.Rand, d fault, links []*link) {
 	length := between(random, 300*time.Millisecond, 5*time.Second)
@@ -584,7 +645,7 @@
 
 func (f *faults) configuration() string {
 	var routes, services []string
-	route := func(name, prefix, pool string, target int, advised bool) {
+	route := func(name, prefix, pool string, timeout, target int, advised bool) {
 		advice, public := "", ""
 		if isPublic(prefix) {
 			public = `,"public":true`
@@ -594,18 +655,21 @@
 				mimic.AdviceTime.Milliseconds(), mimic.AdviceWorkerTime.Milliseconds(), mimic.AdviceValidity.Milliseconds())
 		}
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"prefix":%q,"service":%q,"timeout_ms":%d,"target_duration_ms":%d,"priority":1,"max_attempts":3,"slack_factor":2%s}`,
-			name, callersHost, prefix, pool, f.timeout, target, advice+public))
+			name, callersHost, prefix, pool, timeout, target, advice+public))
 	}
 	for i := range f.queues {
 		pool := poolName(i)
 		if i == f.queues-1 && f.moved {
 			pool = poolName(i - 1)
 		}
-		route(fmt.Sprint("queue", i), queuePath(i), pool, 20_000, advised(i))
+		route(fmt.Sprint("queue", i), queuePath(i), pool, f.timeout, 20_000, advised(i))
 		services = append(services, fmt.Sprintf(`{"name":%q,"enforces_capacity":true}`, poolName(i)))
 	}
 	if f.extra {
-		route("extra", "/extra/", poolName(0), 600, false)
+		route("extra", "/extra/", poolName(0), f.timeout, 600, false)
+	}
+	if v := f.flapping; v.present {
+		route("flapping", queuePath(flappingQueue), poolName(v.pool), v.timeout, 20_000, v.advised)
 	}
 	services = append(services, `{"name":"spare","standby":true}`)
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"tenants":%s,"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// TestRollingRestarts guards against accepted work that stands still while pools change hands more
+// often than a lease lasts, beside waves, and while a route with advice goes, returns and changes.
+func TestRollingRestarts(t *testing.T) {
+	for seed := *first; seed < *first+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, "rolling,flapping,wave,crash", false)
+		})
+	}
+}
+
 // repeatTime is how long after the disturbed part callers repeat calls without an answer.
 const repeatTime = 8 * time.Second
 
@@ -136,6 +147,13 @@
 		source := rand.New(rand.NewPCG(random.Uint64(), 0))
 		load.Go(func() { c.load(queue, source, f.until) })
 	}
+	if enabled(only, "flapping") {
+		load.Go(func() { f.flapRoute(rand.New(rand.NewPCG(seed, 6))) })
+		load.Go(func() { c.load(flappingQueue, rand.New(rand.NewPCG(seed, 7)), f.until) })
+	}
+	if enabled(only, "rolling") {
+		load.Go(func() { f.rollOut(rand.New(rand.NewPCG(seed, 8))) })
+	}
 	load.Go(func() { f.changeKeys(rand.New(rand.NewPCG(seed, 4))) })
 	load.Go(func() { c.tryKeys(rand.New(rand.NewPCG(seed, 5)), f.until) })
 	f.run(rand.New(rand.NewPCG(random.Uint64(), 0)))
