soak: tasks run as long as their jobs say in every test

Cause: TestPartition left the platform's default in place, which takes the whole spec for a duration. Its specs also hold an id, so that tasks of 2.5 to 6 s ran for 50 ms and workers were not full when the partition began.

Change: each rig reads the duration at the start of the spec, as TestSoak did.

Only the stand-in's part of the tests changes.

--- a/internal/soak/rig_test.go
+++ b/internal/soak/rig_test.go
@@ -84,7 +84,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), subnet: [2]byte{byte(20 + os.Getpid()%200), byte(rigs.Add(1))},
 	}
 	r.record = newRecord(r.began)
-	o.Late, o.Addr = r.lateOrder, r.address(platformHost)
+	o.Late, o.Addr, o.Work = r.lateOrder, r.address(platformHost), statedWork
 	var err error
 	if r.platform, err = mimic.New(o); err != nil {
 		t.Fatal(err)
@@ -103,6 +103,13 @@
 	return r
 }
 
+// statedWork returns how long a task runs, with which its spec begins.
+func statedWork(_, spec string) (time.Duration, bool) {
+	text, _, _ := strings.Cut(spec, " ")
+	duration, err := time.ParseDuration(text)
+	return duration, err != nil
+}
+
 // lateOrder is [mimic.Options.Late].
 func (r *rig) lateOrder(string, string, int) time.Duration {
 	r.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -111,11 +111,6 @@
 func soak(t *testing.T, seed uint64, only string, lookAhead bool) {
 	o := mimic.Options{
 		StopTime: stopTime / 2, ClockRate: 0.98, Linger: time.Second, Migration: time.Second, Maintenance: time.Second,
-		Work: func(_, spec string) (time.Duration, bool) {
-			text, _, _ := strings.Cut(spec, " ")
-			duration, err := time.ParseDuration(text)
-			return duration, err != nil
-		},
 		Advised: func(spec string) bool { return strings.HasSuffix(spec, advisedSpec) },
 	}
 	for i := range *pools {
