place: wide jobs all run across takeovers

Cause: no test showed that everything accepted is done where an owner holds few attempts at a time and the pool changes hands meanwhile.

Change: TestWideJobsAllRunAcrossTakeovers, two jobs of 8,192 tasks, a limit of 1,000 attempts, eight takeovers from what is stored.

--- a/internal/place/memory_test.go
+++ b/internal/place/memory_test.go
@@ -169,3 +169,63 @@
 		t.Errorf("%d attempts, want at most %d", all, most)
 	}
 }
+
+// Guards against tasks of accepted jobs that never run, where an owner may hold few attempts at a
+// time and the pool changes hands while most tasks wait.
+func TestWideJobsAllRunAcrossTakeovers(t *testing.T) {
+	t.Parallel()
+	const handOvers = 8
+	second := smallStep(jobs.MaxTasks)
+	second.After = []int{0}
+	wide := []jobs.Job{newJob(1, smallStep(jobs.MaxTasks), second), newJob(2, smallStep(jobs.MaxTasks), smallStep(jobs.MaxTasks))}
+	stored := map[jobs.ID][]byte{}
+	done := map[jobs.Task]int{}
+	for owner := range handOvers + 1 {
+		f := wideBoard(owner * 1_000_000)
+		f.SetAttemptLimit(1000)
+		for _, j := range wide {
+			p := jobs.NewProgress(j)
+			if data := stored[j.ID]; data != nil {
+				var err error
+				if p, err = jobs.DecodeProgress(j, data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f.Add(j, p, f.now)
+		}
+		for decision := 0; decision < 2 || owner == handOvers; decision++ {
+			o := f.Decide(f.now)
+			if len(o.Starts) == 0 {
+				break
+			}
+			f.now = f.now.Add(time.Millisecond)
+			ended := map[string][]place.Ended{}
+			for _, s := range o.Starts {
+				done[s.Task]++
+				f.Started(s.Worker, s.Task, s.Attempt, f.now)
+				ended[s.Worker] = append(ended[s.Worker], place.Ended{Task: s.Task, Attempt: s.Attempt, Outcome: jobs.Done})
+			}
+			for w, ends := range ended {
+				f.Listed(w, nil, ends, f.now, f.now)
+			}
+		}
+		for _, j := range wide {
+			data, state, err := f.EncodeProgress(j.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored[j.ID] = data
+			if owner == handOvers && state != jobs.Complete {
+				t.Errorf("job %s is %s at the end, want %s", j.ID, state, jobs.Complete)
+			}
+		}
+	}
+	for task, n := range done {
+		if n != 1 {
+			t.Errorf("%s ran %d times", task, n)
+		}
+	}
+	if want := 4 * jobs.MaxTasks; len(done) != want {
+		t.Errorf("%d tasks ran, want %d", len(done), want)
+	}
+}
