soak: backlogs of wide, narrow and long-running jobs with real processes

Other forms (one wide step, many narrow jobs, jobs paced over time, two pools, long-running tasks without room) and takeovers of them were not played.

Change: TestBacklogs sends each, kills two owners in turn, and checks memory, that refusals come within a second and that refused jobs never run, that no task runs twice, that an ordinary job is complete in 20 s, and where it ends soon that all accepted jobs are.

In a first form the ordinary job was due in an hour like the others; in two pools it waited more than 20 s with room for it, while 40,000 tasks a second of earlier jobs ran and the oldest jobs ended: within its objective, so that it is due in seconds now. In the case of long-running tasks, which leave no room, these are cancelled first.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -15,6 +15,6 @@
 // The schedule of a run follows from its seed. -binary names another build of the program;
 // without it the code under test runs. -only and -without choose kinds of faults, -processes,
 // -workers and -pools the size. -frozen adds cases with a frozen process to TestPartition,
-// -hand-overs chooses the series of TestHandOvers. The record of a run that broke a rule is
-// printed, or written to the directory that -out names.
+// -hand-overs chooses the series of TestHandOvers, -backlogs plays all cases of TestBacklogs. The
+// record of a run that broke a rule is printed, or written to the directory that -out names.
 package soak
